--- /dev/null
+++ b/src/bin/fireflygauge.rs
@@ -0,0 +1,3 @@
+//! The operator's tool.
+
+fn main() {}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,93 @@
+//! Monotonic time in milliseconds.
+
+use nix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+/// A point in monotonic time, or a length of time, in milliseconds.
+///
+/// Points are only comparable when they come from the same [`Clock`].
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The origin of a clock, or an empty length of time.
+    pub const ZERO: Self = Self(0);
+
+    /// Time elapsed since `earlier`; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// This length of time extended by `percent`, rounded up.
+    pub fn plus_percent(self, percent: u64) -> Self {
+        Self(self.0 + (self.0 * percent).div_ceil(100))
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0 + other.0)
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        self.since(other)
+    }
+}
+
+impl From<Millis> for Duration {
+    fn from(time: Millis) -> Self {
+        Duration::from_millis(time.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
+
+/// A monotonic clock that counts from its creation and keeps counting while the VM is suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Duration,
+}
+
+impl Clock {
+    /// Starts a clock at zero.
+    pub fn start() -> Self {
+        Self {
+            origin: since_boot(),
+        }
+    }
+
+    /// The current reading.
+    pub fn now(&self) -> Millis {
+        Millis(since_boot().saturating_sub(self.origin).as_millis() as u64)
+    }
+
+    /// Time left until this clock reads `time`; zero if it already does.
+    pub fn until(&self, time: Millis) -> Duration {
+        time.since(self.now()).into()
+    }
+}
+
+/// Time since boot, suspension included. The plain monotonic clock stands still while a VM is
+/// suspended, which would keep a lease alive past its end.
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .expect("Linux has a boot-time clock")
+        .into()
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,5 @@
+//! The daemon that runs on every entry VM.
+
+pub mod directory;
+pub mod settings;
+pub mod snapshot;
--- /dev/null
+++ b/src/entry/directory.rs
@@ -0,0 +1,222 @@
+//! The thread that owns the daemon's knowledge and publishes it as snapshots.
+
+use super::snapshot::{ServiceView, SharedSnapshot, Snapshot};
+use crate::{
+    collections::{Map, Set},
+    config::{ActiveConfig, ConfigSnapshot},
+    peer::message::MemberReport,
+    table::{RoutingTable, TableDelta},
+    world::{GroupId, Target, Vm, VmName},
+};
+use arc_swap::ArcSwap;
+use crossbeam_channel::{Receiver, Sender, bounded};
+use std::{sync::Arc, thread};
+use tokio::sync::watch;
+
+/// News that may wait for the directory thread; senders block beyond that.
+const RING_LENGTH: usize = 256;
+
+/// Something that the daemon has learnt.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// The platform's list of VMs.
+    Vms(Vec<Vm>),
+    /// A configuration; ignored unless its version is higher than the one in force.
+    Config(ConfigSnapshot),
+    /// A routing table; ignored unless its version is higher.
+    Table(RoutingTable),
+    /// A change of a routing table; ignored unless it starts at the present version.
+    TableDelta(TableDelta),
+    /// The other daemons that are alive.
+    Members(Vec<MemberReport>),
+}
+
+/// Handle to the directory thread.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    tx: Sender<News>,
+    snapshot: SharedSnapshot,
+    changed: watch::Receiver<u64>,
+}
+
+impl Directory {
+    /// Starts the thread with an empty snapshot. It ends when all handles are dropped.
+    pub fn start() -> Self {
+        let (tx, rx) = bounded(RING_LENGTH);
+        let (changed_tx, changed) = watch::channel(0);
+        let snapshot: SharedSnapshot = Arc::new(ArcSwap::from_pointee(Snapshot::default()));
+        let shared = Arc::clone(&snapshot);
+        thread::Builder::new()
+            .name("directory".into())
+            .spawn(move || run(&rx, &shared, &changed_tx))
+            .expect("the system can start a thread");
+        Self {
+            tx,
+            snapshot,
+            changed,
+        }
+    }
+
+    /// Passes news to the thread, waiting while its ring is full.
+    pub fn tell(&self, news: News) {
+        // The thread only ends once every handle is gone, so this cannot fail while one exists.
+        let _ = self.tx.send(news);
+    }
+
+    /// The snapshot that the thread publishes to.
+    pub fn snapshot(&self) -> &SharedSnapshot {
+        &self.snapshot
+    }
+
+    /// A counter that rises whenever configuration, tables, targets or members changed.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.clone()
+    }
+}
+
+fn run(rx: &Receiver<News>, shared: &SharedSnapshot, changed: &watch::Sender<u64>) {
+    let mut current = Snapshot::default();
+    while let Ok(news) = rx.recv() {
+        if !learn(&mut current, news) {
+            continue;
+        }
+        while let Ok(more) = rx.try_recv() {
+            learn(&mut current, more);
+        }
+        current.refresh();
+        shared.store(Arc::new(current.clone()));
+        changed.send_modify(|count| *count += 1);
+    }
+}
+
+/// Takes `news` into `current`; returns whether anything changed.
+fn learn(current: &mut Snapshot, news: News) -> bool {
+    match news {
+        News::Vms(vms) if *current.vms != vms => current.vms = Arc::new(vms),
+        News::Config(snapshot) => return learn_config(current, snapshot),
+        News::Table(table) => return learn_table(current, table),
+        News::TableDelta(delta) => return learn_delta(current, &delta),
+        News::Members(members) if *current.members != members => {
+            current.members = Arc::new(members);
+        }
+        News::Vms(_) | News::Members(_) => return false,
+    }
+    true
+}
+
+fn learn_config(current: &mut Snapshot, snapshot: ConfigSnapshot) -> bool {
+    let in_force = current.config.as_ref().map_or(0, |c| c.version());
+    if snapshot.head.version <= in_force {
+        return false;
+    }
+    match ActiveConfig::from_snapshot(snapshot) {
+        Ok(config) => {
+            log::info!(target: "config", "Configuration in force. version={}", config.version());
+            current.config = Some(Arc::new(config));
+            true
+        }
+        Err(e) => {
+            log::error!(target: "config", "Configuration rejected. error=\"{e}\"");
+            false
+        }
+    }
+}
+
+fn learn_table(current: &mut Snapshot, table: RoutingTable) -> bool {
+    let known = current
+        .tables
+        .get(&table.group)
+        .map(|t| t.version)
+        .unwrap_or_default();
+    if table.version <= known {
+        return false;
+    }
+    current.tables.insert(table.group.clone(), Arc::new(table));
+    true
+}
+
+fn learn_delta(current: &mut Snapshot, delta: &TableDelta) -> bool {
+    current
+        .tables
+        .get_mut(&delta.group)
+        .is_some_and(|table| delta.from == table.version && Arc::make_mut(table).apply(delta))
+}
+
+impl Snapshot {
+    /// Recomputes targets and service views after a change.
+    fn refresh(&mut self) {
+        let drained = self
+            .config
+            .as_ref()
+            .map(|c| c.drained.clone())
+            .unwrap_or_default();
+        self.refresh_targets(&drained);
+        self.refresh_services();
+    }
+
+    fn refresh_targets(&mut self, drained: &Set<VmName>) {
+        let listed: Map<VmName, Target> = self
+            .vms
+            .iter()
+            .filter_map(Target::from_vm)
+            .map(|target| (target.name.clone(), target))
+            .collect();
+        self.targets
+            .retain(|_, target| listed.contains_key(&target.name));
+        self.target_names
+            .retain(|name, _| listed.contains_key(name));
+        for (name, mut target) in listed {
+            target.leaving |= drained.contains(&name);
+            match self.target_names.get(&name) {
+                Some(&key) => self.targets[key] = target,
+                None => {
+                    let key = self.targets.insert(target);
+                    self.target_names.insert(name, key);
+                }
+            }
+        }
+    }
+
+    fn refresh_services(&mut self) {
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        self.services = config
+            .declaration
+            .services
+            .iter()
+            .map(|contract| {
+                let targets = self
+                    .targets
+                    .iter()
+                    .filter(|(_, target)| target.service == contract.name)
+                    .map(|(key, _)| key)
+                    .collect();
+                let group = GroupId {
+                    service: contract.name.clone(),
+                    index: 0,
+                };
+                let view = ServiceView {
+                    contract: Arc::new(contract.clone()),
+                    targets,
+                    owners: self.owners_of(&group),
+                };
+                (contract.name.clone(), view)
+            })
+            .collect();
+    }
+
+    fn owners_of(&self, group: &GroupId) -> Vec<Option<(crate::world::TargetKey, u64)>> {
+        let Some(table) = self.tables.get(group) else {
+            return Vec::new();
+        };
+        table
+            .owners
+            .iter()
+            .map(|owner| {
+                let owner = owner.as_ref()?;
+                Some((*self.target_names.get(&owner.target)?, owner.epoch))
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/entry/snapshot.rs
@@ -0,0 +1,55 @@
+//! What the daemon knows, as an immutable snapshot that threads share.
+
+use crate::{
+    collections::Map,
+    config::ActiveConfig,
+    partition::{Partition, partition_of},
+    peer::message::MemberReport,
+    table::RoutingTable,
+    world::{Contract, GroupId, ServiceName, Target, TargetKey, Vm, VmName},
+};
+use arc_swap::ArcSwap;
+use slotmap::SlotMap;
+use std::sync::Arc;
+
+/// The current snapshot. Readers load it without waiting.
+pub type SharedSnapshot = Arc<ArcSwap<Snapshot>>;
+
+/// What the daemon knows.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The configuration in force; `None` until the first one arrives.
+    pub config: Option<Arc<ActiveConfig>>,
+    /// The platform's latest list of VMs.
+    pub vms: Arc<Vec<Vm>>,
+    /// Other daemons that are alive.
+    pub members: Arc<Vec<MemberReport>>,
+    /// Targets of all services. A key stays valid while its target is listed.
+    pub targets: SlotMap<TargetKey, Target>,
+    /// Keys of targets by name.
+    pub target_names: Map<VmName, TargetKey>,
+    /// Services by name.
+    pub services: Map<ServiceName, ServiceView>,
+    /// Routing tables of all groups.
+    pub tables: Map<GroupId, Arc<RoutingTable>>,
+}
+
+/// What the request path needs to know of a service.
+#[derive(Clone, Debug)]
+pub struct ServiceView {
+    /// Its contract.
+    pub contract: Arc<Contract>,
+    /// Its targets.
+    pub targets: Vec<TargetKey>,
+    /// Owner and ownership epoch of each partition; empty for services not divided by key.
+    pub owners: Vec<Option<(TargetKey, u64)>>,
+}
+
+impl ServiceView {
+    /// The partition of `key`, its owner and the ownership epoch.
+    pub fn owner_of(&self, key: &str) -> (Partition, Option<(TargetKey, u64)>) {
+        let partition = partition_of(key, self.contract.partitions);
+        let owner = self.owners.get(partition.0 as usize).copied().flatten();
+        (partition, owner)
+    }
+}
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,92 @@
+//! Small HTTP client for control traffic: the platform, grants, health and operators.
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Largest answer that is accepted, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why a control request has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HttpError {
+    /// No connection was made, so nothing was sent.
+    #[error("could not connect: {0}")]
+    Connect(String),
+    /// The request may have been received.
+    #[error("no complete answer: {0}")]
+    Incomplete(String),
+    /// No answer within the time limit; the request may have been received.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+}
+
+/// A pooled HTTP/1.1 client that never repeats a request by itself.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpClient {
+    /// Creates a client with an empty pool.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let inner = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_idle_timeout(Duration::from_secs(10))
+            .build(connector);
+        Self { inner }
+    }
+
+    /// Sends a request and reads the whole answer within `timeout`.
+    ///
+    /// # Errors
+    /// [`HttpError`] if there is no complete answer.
+    pub async fn send(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: impl Into<Bytes>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), HttpError> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .header("content-type", "application/json")
+            .body(Full::new(body.into()))
+            .map_err(|e| HttpError::Connect(e.to_string()))?;
+        match tokio::time::timeout(timeout, self.exchange(req)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(HttpError::Timeout(timeout)),
+        }
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), HttpError> {
+        let answer = self.inner.request(req).await.map_err(|e| {
+            if e.is_connect() {
+                HttpError::Connect(e.to_string())
+            } else {
+                HttpError::Incomplete(e.to_string())
+            }
+        })?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|e| HttpError::Incomplete(e.to_string()))?;
+        Ok((status, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! A router for servers that own keys exclusively.
+//!
+//! Decisions are pure state machines that take events and the time and return
+//! actions; threads around them do the I/O. `docs/design.md` describes the
+//! protocol and who owns which state.
+
+pub mod clock;
+pub mod collections;
+pub mod config;
+pub mod declaration;
+pub mod entry;
+pub mod http_client;
+pub mod logging;
+pub mod operator;
+pub mod ownership;
+pub mod partition;
+pub mod peer;
+pub mod routing;
+pub mod store;
+pub mod table;
+pub mod target_api;
+pub mod world;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,1 @@
+//! Log output.
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,1 @@
+//! The operator's tool.
--- /dev/null
+++ b/src/ownership.rs
@@ -0,0 +1,1 @@
+//! Exclusive ownership of partitions: leases, grants and the controller.
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,167 @@
+//! Messages between daemons.
+
+use crate::{
+    config::ConfigSnapshot,
+    table::{RoutingTable, TableDelta, TableVersion},
+    target_api::{GrantReply, GrantRequest},
+    world::{GroupId, Incarnation, Link, VmName},
+};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// First byte of every frame. A daemon answers other versions with an error.
+pub const PROTOCOL_VERSION: u8 = 1;
+
+/// A request from one daemon to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Exchanges what either side has newer.
+    Sync(SyncRequest),
+    /// Asks a standby to acknowledge hold mode.
+    Hold(HoldRequest),
+    /// Grants a lease to the front daemon of a target that does not check grants.
+    Grant {
+        /// The target that the front daemon stands for.
+        target: VmName,
+        /// The grant.
+        grant: GrantRequest,
+    },
+    /// Passes a caller's request to the front daemon of its target.
+    Forward(ForwardRequest),
+}
+
+/// The answer to a [`PeerRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// Answers [`PeerRequest::Sync`].
+    Sync(SyncReply),
+    /// Answers [`PeerRequest::Hold`].
+    Hold(HoldReply),
+    /// Answers [`PeerRequest::Grant`].
+    Grant(GrantReply),
+    /// Answers [`PeerRequest::Forward`].
+    Forward(ForwardReply),
+    /// The request could not be understood or served.
+    Error(Arc<str>),
+}
+
+/// What a daemon tells of itself; its heartbeat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// The daemon and its run.
+    pub link: Link,
+    /// Rises with every report of a run.
+    pub sequence: u64,
+    /// The configuration version in force there; 0 for none.
+    pub config_version: u64,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether it is stopping.
+    pub stopping: bool,
+    /// The groups that it controls.
+    pub controls: Vec<GroupId>,
+}
+
+/// Something that daemons distribute.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Item {
+    /// A configuration.
+    Config(ConfigSnapshot),
+    /// A whole routing table.
+    Table(RoutingTable),
+    /// A change of a routing table.
+    TableDelta(TableDelta),
+}
+
+/// Offers and asks for newer items.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// The sender.
+    pub sender: MemberReport,
+    /// Members heard from recently.
+    pub members: Vec<MemberReport>,
+    /// The sender's configuration version; 0 for none.
+    pub config_version: u64,
+    /// The sender's table versions.
+    pub tables: Vec<(GroupId, TableVersion)>,
+    /// Items that the receiver was missing at its last reply.
+    pub offers: Vec<Item>,
+    /// How long the receiver may wait for news, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What the receiver of a [`SyncRequest`] has newer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// The receiver.
+    pub sender: MemberReport,
+    /// Members heard from recently.
+    pub members: Vec<MemberReport>,
+    /// Newer items.
+    pub items: Vec<Item>,
+    /// The receiver's configuration version, so that the asking side can offer a newer one.
+    pub config_version: u64,
+    /// The receiver's table versions, for the same purpose.
+    pub tables: Vec<(GroupId, TableVersion)>,
+}
+
+/// Announces hold mode to a standby.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HoldRequest {
+    /// The control group.
+    pub group: GroupId,
+    /// Epoch of the controller that asks.
+    pub controller_epoch: u64,
+    /// The run of the standby that is asked.
+    pub standby: Incarnation,
+}
+
+/// A standby's answer to a [`HoldRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HoldReply {
+    /// The control group.
+    pub group: GroupId,
+    /// Epoch of the controller that asked.
+    pub controller_epoch: u64,
+    /// The run that answers.
+    pub standby: Incarnation,
+    /// Whether it will regard holds as granted under this epoch.
+    pub acknowledged: bool,
+}
+
+/// A caller's request on its way to the front daemon of its target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardRequest {
+    /// The target.
+    pub target: VmName,
+    /// Method.
+    pub method: Arc<str>,
+    /// Path and query.
+    pub path: Arc<str>,
+    /// Headers, the daemon's own included.
+    pub headers: Vec<(Arc<str>, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Time left, in milliseconds.
+    pub time_left_ms: u64,
+    /// Ownership epoch under which it is sent.
+    pub ownership_epoch: u64,
+}
+
+/// What became of a [`ForwardRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ForwardReply {
+    /// The target's own complete answer.
+    Answered {
+        /// Status code.
+        status: u16,
+        /// Headers.
+        headers: Vec<(Arc<str>, Vec<u8>)>,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// It is proved that it did not run.
+    NotRun(Arc<str>),
+    /// It may have run.
+    Unknown(Arc<str>),
+}
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,3 @@
+//! The path of a caller's request.
+
+pub mod outcome;
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,98 @@
+//! Routing tables: which target owns which partition.
+
+use crate::{
+    partition::Partition,
+    world::{GroupId, VmName},
+};
+use serde::{Deserialize, Serialize};
+
+/// Orders the tables of a group: a higher one replaces a lower one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct TableVersion {
+    /// Epoch of the controller that published it.
+    pub controller_epoch: u64,
+    /// Number of the change within that epoch.
+    pub revision: u64,
+}
+
+/// The owner of a partition.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Owner {
+    /// The target.
+    pub target: VmName,
+    /// Rises with every change of owner.
+    pub epoch: u64,
+}
+
+/// The owners of all partitions of a group, as last acknowledged by the table service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingTable {
+    /// The control group.
+    pub group: GroupId,
+    /// Its place in the order of tables.
+    pub version: TableVersion,
+    /// One entry for each partition; `None` while it was never assigned.
+    pub owners: Vec<Option<Owner>>,
+}
+
+impl RoutingTable {
+    /// A table without owners.
+    pub fn empty(group: GroupId, partitions: u32) -> Self {
+        Self {
+            group,
+            version: TableVersion::default(),
+            owners: vec![None; partitions as usize],
+        }
+    }
+
+    /// The owner of `partition`.
+    pub fn owner(&self, partition: Partition) -> Option<&Owner> {
+        self.owners.get(partition.0 as usize)?.as_ref()
+    }
+
+    /// The changes that turn `older` into this table.
+    pub fn changes_since(&self, older: &Self) -> TableDelta {
+        let changes = self
+            .owners
+            .iter()
+            .enumerate()
+            .filter(|(i, owner)| older.owners.get(*i) != Some(owner))
+            .map(|(i, owner)| (Partition(i as u32), owner.clone()))
+            .collect();
+        TableDelta {
+            group: self.group.clone(),
+            from: older.version,
+            to: self.version,
+            changes,
+        }
+    }
+
+    /// Applies `delta` if it starts at this table's version; returns whether it did.
+    pub fn apply(&mut self, delta: &TableDelta) -> bool {
+        if delta.from != self.version || delta.group != self.group {
+            return false;
+        }
+        for (partition, owner) in &delta.changes {
+            if let Some(entry) = self.owners.get_mut(partition.0 as usize) {
+                *entry = owner.clone();
+            }
+        }
+        self.version = delta.to;
+        true
+    }
+}
+
+/// The difference between two tables of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableDelta {
+    /// The control group.
+    pub group: GroupId,
+    /// The version that it applies to.
+    pub from: TableVersion,
+    /// The version that it results in.
+    pub to: TableVersion,
+    /// The changed entries.
+    pub changes: Vec<(Partition, Option<Owner>)>,
+}
--- /dev/null
+++ b/standins/src/bin/fireflygauge-local.rs
@@ -0,0 +1,3 @@
+//! Runs the whole path in one process.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for what surrounds the router.
