--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,7 @@
 //! The daemon that runs on every entry VM.
 
 pub mod directory;
+pub mod http;
+pub mod metrics;
 pub mod settings;
 pub mod snapshot;
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,216 @@
+//! The server for callers: an accept loop of our own around gotham's handler.
+//!
+//! gotham's own server never returns, which rules out a graceful stop.
+
+use crate::{
+    clock::Clock,
+    routing::{
+        path::{RequestPath, RequestPathContext},
+        request::Head,
+    },
+};
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    service::call_handler,
+    state::{FromState, State, client_addr},
+};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    panic::AssertUnwindSafe,
+    pin::Pin,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+/// Time to receive the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head that is parsed. Heads up to this size get a full refusal, larger ones a bare 431.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+/// Most headers that are parsed, for the same reason.
+const MAX_PARSED_HEADERS: usize = 1_000;
+/// Time to go on answering on open connections after a stop, each answer closing its connection,
+/// before idle connections are closed.
+const LINGER: Duration = Duration::from_millis(250);
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Stands for a peer whose address is not known.
+const UNKNOWN_PEER: IpAddr = IpAddr::V4(Ipv4Addr::UNSPECIFIED);
+
+/// How a stop ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stopped {
+    /// Every request in flight ended.
+    Complete,
+    /// The time limit passed first.
+    TimedOut,
+}
+
+/// Serves callers on its own thread and runtime until `stop` turns true and every request in
+/// flight has ended, or the stop time limit has passed.
+///
+/// # Errors
+/// If the listener cannot be used or a thread cannot be started.
+pub fn serve(
+    cx: RequestPathContext,
+    listener: std::net::TcpListener,
+    stop: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<Stopped>> {
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(cx.workers.max(1))
+        .thread_name("request")
+        .enable_all()
+        .build()?;
+    let listener = {
+        let _entered = runtime.enter();
+        TcpListener::from_std(listener)?
+    };
+    thread::Builder::new()
+        .name("request-main".into())
+        .spawn(move || {
+            let stopped = runtime.block_on(run(&cx, listener, stop));
+            runtime.shutdown_timeout(Duration::from_millis(100));
+            stopped
+        })
+}
+
+async fn run(
+    cx: &RequestPathContext,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) -> Stopped {
+    let server = Server {
+        path: RequestPath::new(cx),
+        clock: cx.clock,
+        stop: stop.clone(),
+        graceful: GracefulShutdown::new(),
+    };
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, addr)) => server.spawn(stream, addr),
+                Err(e) => {
+                    log::warn!(target: "request", "Connection not accepted. error=\"{e}\"");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            _ = stop.wait_for(|&stop| stop) => break,
+        }
+    }
+    server.stop(listener, cx.stop_timeout).await
+}
+
+#[derive(Debug)]
+struct Server {
+    path: RequestPath,
+    clock: Clock,
+    stop: watch::Receiver<bool>,
+    graceful: GracefulShutdown,
+}
+
+impl Server {
+    fn spawn(&self, stream: TcpStream, addr: SocketAddr) {
+        // Without it, answers wait for the peer's delayed acknowledgements.
+        let _ = stream.set_nodelay(true);
+        let (path, clock, stop) = (self.path.clone(), self.clock, self.stop.clone());
+        let service = service_fn(move |req: Request<Incoming>| {
+            let (path, stop) = (path.clone(), stop.clone());
+            let state = State::from_request(req, addr);
+            async move {
+                let handler = CallerHandler(AssertUnwindSafe((path, clock)));
+                let answer = call_handler(handler, AssertUnwindSafe(state)).await;
+                answer.map(|answer| closing(answer, *stop.borrow()))
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .max_headers(MAX_PARSED_HEADERS)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = self.graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(e) = watched.await {
+                log::debug!(target: "request", "Caller connection ended. error=\"{e}\"");
+            }
+        });
+    }
+
+    async fn stop(self, listener: TcpListener, limit: Duration) -> Stopped {
+        log::info!(target: "request", "Stopping. connections={}", self.graceful.count());
+        let stopping = async {
+            // Connections that wait in the backlog would be reset when the listener closes.
+            while let Ok(Ok((stream, addr))) = timeout(Duration::ZERO, listener.accept()).await {
+                self.spawn(stream, addr);
+            }
+            drop(listener);
+            sleep(LINGER).await;
+            self.graceful.shutdown().await;
+        };
+        match timeout(limit.max(LINGER * 2), stopping).await {
+            Ok(()) => Stopped::Complete,
+            Err(_) => {
+                log::warn!(target: "request", "Stopped with requests in flight.");
+                Stopped::TimedOut
+            }
+        }
+    }
+}
+
+/// The gotham handler of callers' requests.
+#[derive(Debug)]
+struct CallerHandler(AssertUnwindSafe<(RequestPath, Clock)>);
+
+impl NewHandler for CallerHandler {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(Self(AssertUnwindSafe(self.0.0.clone())))
+    }
+}
+
+impl Handler for CallerHandler {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        let AssertUnwindSafe((path, clock)) = self.0;
+        Box::pin(async move {
+            let peer = client_addr(&state).map_or(UNKNOWN_PEER, |addr| addr.ip());
+            let head = Head {
+                method: Method::take_from(&mut state),
+                uri: Uri::take_from(&mut state),
+                headers: HeaderMap::take_from(&mut state),
+                peer,
+                arrived: clock.now(),
+            };
+            let body = Body::take_from(&mut state);
+            let answer = path.handle(head, body).await;
+            Ok((state, answer.map(full)))
+        })
+    }
+}
+
+fn full(body: bytes::Bytes) -> Body {
+    Body::new(Full::new(body).map_err(|never| match never {}))
+}
+
+fn closing(mut answer: Response<Body>, stopping: bool) -> Response<Body> {
+    if stopping {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,129 @@
+//! Counters of the request path, sent to a statsd server by cadence if one is set.
+
+use crate::{clock::Millis, collections::Map, routing::outcome::OutcomeKind};
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, QueuingMetricSink, StatsdClient, Timed};
+use serde::Serialize;
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+/// Prefix of all metrics.
+const PREFIX: &str = "fireflygauge";
+/// Metrics that may wait for the sending thread; further ones are dropped.
+const RING_LENGTH: usize = 4_096;
+/// Upper bounds of the latency classes, in milliseconds.
+const LATENCY_BOUNDS: [u64; 12] = [1, 2, 3, 5, 8, 13, 25, 50, 100, 250, 1_000, 10_000];
+
+/// Counters of one service and outcome.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct OutcomeCounters {
+    /// Requests.
+    pub requests: u64,
+    /// Requests up to 1, 2, 3, 5, 8, 13, 25, 50, 100, 250, 1,000 and 10,000 ms, and longer ones.
+    pub latency: [u64; LATENCY_BOUNDS.len() + 1],
+}
+
+/// All counters since the start of the daemon.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Counters {
+    /// Counters by service and outcome, as `service/outcome`.
+    pub outcomes: Map<String, OutcomeCounters>,
+    /// Requests sent again, by service.
+    pub retries: Map<String, u64>,
+    /// Requests that wait, by target.
+    pub queues: Map<String, u64>,
+}
+
+/// Handle to the counters.
+#[derive(Clone, Debug, Default)]
+pub struct Metrics {
+    statsd: Option<Arc<StatsdClient>>,
+    counters: Arc<Mutex<Counters>>,
+}
+
+impl Metrics {
+    /// Creates counters that are also sent to `statsd`.
+    ///
+    /// # Errors
+    /// If no UDP socket can be opened.
+    pub fn new(statsd: Option<SocketAddr>) -> io::Result<Self> {
+        let Some(addr) = statsd else {
+            return Ok(Self::default());
+        };
+        let unspecified = if addr.is_ipv4() {
+            "0.0.0.0:0"
+        } else {
+            "[::]:0"
+        };
+        let socket = UdpSocket::bind(unspecified)?;
+        socket.set_nonblocking(true)?;
+        let udp = BufferedUdpMetricSink::from(addr, socket).map_err(io::Error::other)?;
+        let sink = QueuingMetricSink::with_capacity(udp, RING_LENGTH);
+        Ok(Self {
+            statsd: Some(Arc::new(StatsdClient::from_sink(PREFIX, sink))),
+            counters: Arc::default(),
+        })
+    }
+
+    /// Counts an answered or refused request.
+    pub fn answered(&self, service: Option<&str>, outcome: OutcomeKind, elapsed: Millis) {
+        let service = service.unwrap_or("none");
+        let outcome: &'static str = outcome.into();
+        let class = LATENCY_BOUNDS.partition_point(|&bound| bound < elapsed.0);
+        self.change(|counters| {
+            let entry = counters
+                .outcomes
+                .entry(format!("{service}/{outcome}"))
+                .or_default();
+            entry.requests += 1;
+            entry.latency[class] += 1;
+        });
+        if let Some(statsd) = &self.statsd {
+            let tags = |m: cadence::MetricBuilder<'_, '_, _>| {
+                m.with_tag("service", service)
+                    .with_tag("outcome", outcome)
+                    .send();
+            };
+            tags(statsd.count_with_tags("requests", 1));
+            statsd
+                .time_with_tags("latency", elapsed.0)
+                .with_tag("service", service)
+                .with_tag("outcome", outcome)
+                .send();
+        }
+    }
+
+    /// Counts a request that is sent again.
+    pub fn retried(&self, service: &str) {
+        self.change(|counters| *counters.retries.entry(service.into()).or_default() += 1);
+        if let Some(statsd) = &self.statsd {
+            let metric = statsd.count_with_tags("retries", 1);
+            metric.with_tag("service", service).send();
+        }
+    }
+
+    /// Records how many requests wait for a target.
+    pub fn queued(&self, target: &str, length: usize) {
+        self.change(|counters| {
+            counters.queues.insert(target.into(), length as u64);
+        });
+        if let Some(statsd) = &self.statsd {
+            let metric = statsd.gauge_with_tags("queue_length", length as u64);
+            metric.with_tag("target", target).send();
+        }
+    }
+
+    /// All counters.
+    pub fn counters(&self) -> Counters {
+        self.counters
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Counters)) {
+        change(&mut self.counters.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
--- /dev/null
+++ b/src/routing/exchange.rs
@@ -0,0 +1,112 @@
+//! One HTTP/1.1 exchange with a target.
+
+use super::{
+    outcome::Answer,
+    pool::Sender,
+    refusal::Code,
+    request::{MAX_BODY_BYTES, passed_on},
+};
+use crate::target_api::{NOT_RUN, NotRunReason, REQUEST_ID};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+
+/// What one exchange showed.
+#[derive(Clone, Debug)]
+pub enum Exchange {
+    /// The target's complete answer to this request.
+    Answered(Answer),
+    /// It is proved that the request did not run.
+    NotRun(Code),
+    /// The request may have run.
+    MayHaveRun(Code),
+}
+
+/// Sends `req`, whose `x-request-id` is `id`, and reads the whole answer.
+///
+/// The connection may be used again only if the second value is true. Dropping the future before
+/// it ends closes the connection, which cancels the request.
+pub async fn exchange(
+    sender: &mut Sender,
+    req: Request<Full<Bytes>>,
+    id: &str,
+) -> (Exchange, bool) {
+    let answer = match sender.try_send_request(req).await {
+        Ok(answer) => answer,
+        // hyper hands the request back only if no byte of it was written.
+        Err(e) if e.message().is_some() => {
+            return (Exchange::NotRun(Code::NeverWritten), false);
+        }
+        Err(_) => return (Exchange::MayHaveRun(Code::ConnectionLost), false),
+    };
+    match read(answer, id).await {
+        Ok(answer) => {
+            let reusable = !closes(&answer.headers);
+            (classify(answer), reusable)
+        }
+        Err(code) => (Exchange::MayHaveRun(code), false),
+    }
+}
+
+/// Reads the whole answer and checks that it belongs to the request `id`.
+async fn read(answer: Response<Incoming>, id: &str) -> Result<Answer, Code> {
+    let (parts, body) = answer.into_parts();
+    let mut echoes = parts.headers.get_all(REQUEST_ID).iter();
+    if echoes.next().is_none_or(|echo| echo != id) || echoes.next().is_some() {
+        return Err(Code::AnswerMismatch);
+    }
+    if !is_framed(&parts.headers, &body) {
+        return Err(Code::AnswerTruncated);
+    }
+    let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => return Err(Code::AnswerTooLarge),
+        Err(_) => return Err(Code::AnswerTruncated),
+    };
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
+
+/// Whether the end of the body can be told from a lost connection.
+///
+/// A body that ends when the connection closes (no length, not chunked) would pass as complete
+/// after a loss.
+fn is_framed(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.is_end_stream()
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+fn classify(answer: Answer) -> Exchange {
+    if let Some(code) = not_run(&answer) {
+        return Exchange::NotRun(code);
+    }
+    Exchange::Answered(Answer {
+        headers: passed_on(&answer.headers),
+        ..answer
+    })
+}
+
+/// The proof that the request did not run, if the answer is one: header and status must agree.
+fn not_run(answer: &Answer) -> Option<Code> {
+    let reason: NotRunReason = answer.headers.get(NOT_RUN)?.to_str().ok()?.parse().ok()?;
+    let (status, code) = match reason {
+        NotRunReason::NotOwner => (StatusCode::MISDIRECTED_REQUEST, Code::NotOwner),
+        NotRunReason::Shed => (StatusCode::SERVICE_UNAVAILABLE, Code::Shed),
+        NotRunReason::Draining => (StatusCode::SERVICE_UNAVAILABLE, Code::Draining),
+        NotRunReason::Cold => (StatusCode::SERVICE_UNAVAILABLE, Code::Cold),
+        NotRunReason::Deadline => (StatusCode::SERVICE_UNAVAILABLE, Code::TargetDeadline),
+    };
+    (answer.status == status).then_some(code)
+}
