--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -1,18 +1,24 @@
 //! Settings of the daemon: flags and environment variables, checked at start.
 
 use crate::world::{VmName, ZoneName};
-use clap::Parser;
-use std::{net::SocketAddr, path::PathBuf};
+use clap::{Parser, value_parser};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+
+/// Longest name of a VM or an availability zone, in bytes.
+const MAX_NAME_BYTES: usize = 64;
 
 /// The entry daemon of fireflygauge.
+///
+/// Every setting is a flag or an environment variable; the flag wins. SIGTERM and SIGINT stop the
+/// daemon after the requests in flight have ended.
 #[derive(Clone, Debug, Parser)]
-#[command(version, about)]
+#[command(name = "fireflygauge-entry", version)]
 pub struct Settings {
     /// Name of this VM in the platform's list.
-    #[arg(long, env = "FIREFLYGAUGE_NAME", value_parser = |s: &str| Ok::<_, String>(VmName::from(s)))]
+    #[arg(long, env = "FIREFLYGAUGE_NAME", value_parser = parse_vm_name)]
     pub name: VmName,
     /// Availability zone of this VM.
-    #[arg(long, env = "FIREFLYGAUGE_ZONE", value_parser = |s: &str| Ok::<_, String>(ZoneName::from(s)))]
+    #[arg(long, env = "FIREFLYGAUGE_ZONE", value_parser = parse_zone_name)]
     pub zone: ZoneName,
     /// Address that serves callers.
     #[arg(long, env = "FIREFLYGAUGE_CALLER_ADDR")]
@@ -26,16 +32,19 @@
     /// Address of the platform's table service, object store and VM list.
     #[arg(long, env = "FIREFLYGAUGE_PLATFORM_ADDR")]
     pub platform_addr: SocketAddr,
-    /// Time to wait for an answer of the store, in milliseconds (50 to 10000).
-    #[arg(long, env = "FIREFLYGAUGE_STORE_TIMEOUT_MS", default_value_t = 400)]
+    /// Time to wait for an answer of the store, in milliseconds.
+    #[arg(long, env = "FIREFLYGAUGE_STORE_TIMEOUT_MS", default_value_t = 400,
+          value_parser = value_parser!(u64).range(50..=10_000))]
     pub store_timeout_ms: u64,
-    /// Threads of the request path (1 to 64).
-    #[arg(long, env = "FIREFLYGAUGE_WORKERS", default_value_t = 2)]
-    pub workers: usize,
-    /// Longest time to finish requests in flight at a stop, in milliseconds (0 to 300000).
-    #[arg(long, env = "FIREFLYGAUGE_STOP_TIMEOUT_MS", default_value_t = 30_000)]
+    /// Threads of the request path.
+    #[arg(long, env = "FIREFLYGAUGE_WORKERS", default_value_t = 2,
+          value_parser = value_parser!(u16).range(1..=64))]
+    pub workers: u16,
+    /// Longest time to finish requests in flight at a stop, in milliseconds.
+    #[arg(long, env = "FIREFLYGAUGE_STOP_TIMEOUT_MS", default_value_t = 30_000,
+          value_parser = value_parser!(u64).range(0..=300_000))]
     pub stop_timeout_ms: u64,
-    /// Most detailed log level: error, warn, info, debug or trace.
+    /// Most detailed log level: off, error, warn, info, debug or trace.
     #[arg(long, env = "FIREFLYGAUGE_LOG", default_value = "info")]
     pub log: log::LevelFilter,
     /// File to append logs to, in place of standard error.
@@ -45,3 +54,63 @@
     #[arg(long, env = "FIREFLYGAUGE_STATSD_ADDR")]
     pub statsd_addr: Option<SocketAddr>,
 }
+
+/// A combination of settings that cannot work.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// Two servers cannot listen on one address.
+    #[error("{first} and {second} are both {addr}; they must differ")]
+    SameAddress {
+        /// The first flag.
+        first: &'static str,
+        /// The second flag.
+        second: &'static str,
+        /// Their common value.
+        addr: SocketAddr,
+    },
+}
+
+impl Settings {
+    /// Checks what a single flag cannot.
+    ///
+    /// # Errors
+    /// [`SettingsError`] for the first combination that cannot work.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let listeners = [
+            ("--caller-addr", self.caller_addr),
+            ("--peer-addr", self.peer_addr),
+            ("--operator-addr", self.operator_addr),
+        ];
+        for (i, &(first, addr)) in listeners.iter().enumerate() {
+            for &(second, other) in &listeners[i + 1..] {
+                // Port 0 lets the system choose, so equal addresses do not collide.
+                if addr == other && addr.port() != 0 {
+                    return Err(SettingsError::SameAddress {
+                        first,
+                        second,
+                        addr,
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn parse_vm_name(text: &str) -> Result<VmName, String> {
+    check_name(text).map(VmName)
+}
+
+fn parse_zone_name(text: &str) -> Result<ZoneName, String> {
+    check_name(text).map(ZoneName)
+}
+
+fn check_name(text: &str) -> Result<Arc<str>, String> {
+    let valid = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.chars().all(valid) {
+        return Err(format!(
+            "allowed are 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' and '.'"
+        ));
+    }
+    Ok(text.into())
+}
