--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,5 +3,6 @@
 pub mod directory;
 pub mod http;
 pub mod metrics;
+pub mod runtime;
 pub mod settings;
 pub mod snapshot;
