Add the lease of a target as a pure state machine

LeaseHolder takes GrantRequest and the time and gives GrantReply. It counts the lease from the echoed reading of its own clock, and ignores lower epochs, old sequence numbers and other runs. A first contact fences lower epochs and leaves a running lease to its end. tests/lease.rs: 18 passed.

--- /dev/null
+++ b/src/ownership/lease.rs
@@ -0,0 +1,193 @@
+//! The lease of a target, as held by the target itself or by the front daemon that stands for it.
+
+use crate::{
+    clock::Millis,
+    collections::Map,
+    partition::Partition,
+    target_api::{GrantReply, GrantRequest, NotRunReason},
+    world::{GroupId, Incarnation},
+};
+
+/// One lease for a set of partitions of one control group.
+///
+/// The holder counts the lease from a reading of its own clock that the grant echoes, so a grant
+/// that was delayed on its way ends earlier and clocks are never compared across VMs.
+///
+/// Serve a request with [`begin`](Self::begin) right before it starts and [`end`](Self::end) once
+/// it has ended; answer each [`GrantRequest`] with [`grant`](Self::grant). All times are readings
+/// of one clock that keeps counting while the VM is suspended.
+#[derive(Clone, Debug)]
+pub struct LeaseHolder {
+    incarnation: Incarnation,
+    group: Option<GroupId>,
+    controller_epoch: u64,
+    sequence: u64,
+    set_id: Option<u64>,
+    owned: Map<Partition, u64>,
+    ends: Millis,
+    running: Map<Partition, u32>,
+    heat: Map<Partition, u32>,
+    leaving: bool,
+}
+
+impl LeaseHolder {
+    /// Creates a holder without a lease for this run of the target.
+    ///
+    /// The first grant binds it to a control group; a target of several groups keeps one holder
+    /// for each.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            group: None,
+            controller_epoch: 0,
+            sequence: 0,
+            set_id: None,
+            owned: Map::default(),
+            ends: Millis::ZERO,
+            running: Map::default(),
+            heat: Map::default(),
+            leaving: false,
+        }
+    }
+
+    /// Takes a grant at time `now` and answers it.
+    pub fn grant(&mut self, req: &GrantRequest, now: Millis) -> GrantReply {
+        let accepted = self.is_current(req) && self.take(req, now);
+        let heat = if accepted {
+            self.heat.drain().collect()
+        } else {
+            Vec::new()
+        };
+        self.reply(accepted, heat, now)
+    }
+
+    /// Whether a request for `partition` under `ownership_epoch` may start at time `now`.
+    ///
+    /// # Errors
+    /// [`NotRunReason::NotOwner`] if this holder has no lease for it.
+    pub fn admit(
+        &self,
+        partition: Partition,
+        ownership_epoch: u64,
+        now: Millis,
+    ) -> Result<(), NotRunReason> {
+        if now < self.ends && self.owned.get(&partition) == Some(&ownership_epoch) {
+            Ok(())
+        } else {
+            Err(NotRunReason::NotOwner)
+        }
+    }
+
+    /// Admits a request and counts it as running until [`end`](Self::end).
+    ///
+    /// # Errors
+    /// As [`admit`](Self::admit).
+    pub fn begin(
+        &mut self,
+        partition: Partition,
+        ownership_epoch: u64,
+        now: Millis,
+    ) -> Result<(), NotRunReason> {
+        self.admit(partition, ownership_epoch, now)?;
+        *self.running.entry(partition).or_default() += 1;
+        *self.heat.entry(partition).or_default() += 1;
+        Ok(())
+    }
+
+    /// Counts a request as ended that [`begin`](Self::begin) admitted.
+    pub fn end(&mut self, partition: Partition) {
+        if let Some(count) = self.running.get_mut(&partition) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&partition);
+            }
+        }
+    }
+
+    /// Time left of the lease.
+    pub fn lease_left(&self, now: Millis) -> Millis {
+        self.ends.since(now)
+    }
+
+    /// Partitions in the set with their ownership epochs, whether or not the lease has ended.
+    pub fn owned(&self) -> &Map<Partition, u64> {
+        &self.owned
+    }
+
+    /// Requests running.
+    pub fn in_flight(&self) -> u32 {
+        self.running.values().sum()
+    }
+
+    /// The run that holds the lease.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The highest controller epoch seen.
+    pub fn controller_epoch(&self) -> u64 {
+        self.controller_epoch
+    }
+
+    /// Reports from now on whether this target wants to be emptied. It serves its partitions
+    /// until they have been moved.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Whether `req` is for this run and group and newer than everything seen.
+    fn is_current(&self, req: &GrantRequest) -> bool {
+        let newer = (req.controller_epoch, req.sequence) > (self.controller_epoch, self.sequence);
+        let this_run = req.incarnation.is_none_or(|i| i == self.incarnation);
+        let this_group = self.group.as_ref().is_none_or(|g| *g == req.group);
+        newer && this_run && this_group
+    }
+
+    /// Records a current request and applies the lease; returns whether it could be applied.
+    fn take(&mut self, req: &GrantRequest, now: Millis) -> bool {
+        self.group.get_or_insert_with(|| req.group.clone());
+        self.controller_epoch = req.controller_epoch;
+        self.sequence = req.sequence;
+        if req.incarnation.is_none() {
+            // A first contact fences lower epochs and leaves a running lease to its end.
+            return true;
+        }
+        let Some(echo) = req.echo.filter(|&echo| echo <= now.0) else {
+            return false;
+        };
+        match &req.partitions {
+            Some(partitions) => {
+                self.owned = partitions.iter().copied().collect();
+                self.set_id = Some(req.set_id);
+            }
+            None if self.set_id == Some(req.set_id) => {}
+            None => return false,
+        }
+        // The lease may get shorter: the end of hold mode replaces a long lease by a short one.
+        self.ends = Millis(echo) + Millis(req.lease_ms);
+        true
+    }
+
+    fn reply(&self, accepted: bool, heat: Vec<(Partition, u32)>, now: Millis) -> GrantReply {
+        GrantReply {
+            accepted,
+            incarnation: self.incarnation,
+            reading: now.0,
+            controller_epoch: self.controller_epoch,
+            sequence: self.sequence,
+            set_id: self.set_id,
+            lease_left_ms: self.lease_left(now).0,
+            draining: self.draining(),
+            leaving: self.leaving,
+            heat,
+        }
+    }
+
+    fn draining(&self) -> Vec<Partition> {
+        self.running
+            .keys()
+            .filter(|partition| !self.owned.contains_key(partition))
+            .copied()
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/ownership/timing.rs
@@ -0,0 +1,47 @@
+//! Timing constants of ownership; `docs/design.md` (chapter 5) derives them.
+
+use crate::clock::Millis;
+
+/// Length of the lease on a controller row, counted from before the write was sent.
+pub const CONTROLLER_LEASE: Millis = Millis(800);
+/// Time between renewals of the lease on a controller row.
+pub const CONTROLLER_RENEWAL: Millis = Millis(200);
+/// Added by observers to [`CONTROLLER_LEASE`]; covers 5% of clock drift over the lease.
+pub const OBSERVER_MARGIN: Millis = Millis(50);
+/// Time between a standby's reads of the controller row.
+pub const STANDBY_READ: Millis = Millis(100);
+/// Time between a zone delegate's reads of the controller row.
+pub const DELEGATE_READ: Millis = Millis(1_000);
+/// Time that a zone delegate leaves to the standbys before it takes over.
+pub const DELEGATE_PATIENCE: Millis = Millis(2_000);
+/// Head start of a standby over the next one, which avoids most conflicting takeovers.
+pub const STANDBY_STAGGER: Millis = Millis(30);
+/// Most standbys that a controller names; each must acknowledge hold mode.
+pub const MAX_STANDBYS: usize = 2;
+
+/// Length of a target's lease, counted from the reading that the grant echoes.
+pub const TARGET_LEASE: Millis = Millis(1_200);
+/// Time between renewals of a target's lease.
+pub const TARGET_RENEWAL: Millis = Millis(300);
+/// Largest difference in rate between the clocks of two VMs, in percent.
+pub const DRIFT_PERCENT: u64 = 5;
+/// Time after which a grant exchange without an answer has failed. Three fit into a lease.
+pub const GRANT_TIMEOUT: Millis = Millis(350);
+
+/// Time without a confirmed renewal after which the controller asks for hold mode.
+pub const HOLD_AFTER: Millis = Millis(400);
+/// Time between repeated hold requests to a standby that has not answered.
+pub const HOLD_RETRY: Millis = Millis(100);
+
+/// Time between rounds of placement.
+pub const PLACEMENT_INTERVAL: Millis = Millis(500);
+/// Most moves under way at once; one transaction carries all that are ready.
+pub const MAX_MOVES: usize = 512;
+/// Partitions in an assignment row.
+pub const ROW_PARTITIONS: u32 = 256;
+
+/// The latest time, on the granting side's clock, at which a lease of `lease` ends that counts
+/// from a reading received at `received`.
+pub fn latest_end(received: Millis, lease: Millis) -> Millis {
+    received + lease.plus_percent(DRIFT_PERCENT)
+}
