Add member ages, the VM list and revisions to the sync messages

Cause: a relayed report must not revive a lost member, the zone delegates pass the platform's VM list on, and 2,500 daemons cannot exchange whole member lists. Change: MemberReport.age_ms, Item::Vms and Item::VmsDelta, VmsStamp, members_seen and members_revision. Additive; no other code constructs these messages yet. Conclusion: the sync loops can be written against these types.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,7 +4,7 @@
     config::ConfigSnapshot,
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
-    world::{GroupId, Incarnation, Link, VmName},
+    world::{GroupId, Incarnation, Link, Vm, VmName},
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -60,6 +60,30 @@
     pub stopping: bool,
     /// The groups that it controls.
     pub controls: Vec<GroupId>,
+    /// Time since the daemon itself was heard, in milliseconds; 0 in its own report.
+    pub age_ms: u64,
+}
+
+/// Identifies a reading of the platform's VM list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmsStamp {
+    /// Hash of the list; 0 for none.
+    pub hash: u64,
+    /// Time since the platform was asked, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A change of the platform's VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmsDelta {
+    /// Hash of the list that it applies to.
+    pub from: u64,
+    /// Hash of the list that it results in.
+    pub to: u64,
+    /// New and changed VMs.
+    pub changed: Vec<Vm>,
+    /// VMs that are no longer listed.
+    pub removed: Vec<VmName>,
 }
 
 /// Something that daemons distribute.
@@ -71,6 +95,10 @@
     Table(RoutingTable),
     /// A change of a routing table.
     TableDelta(TableDelta),
+    /// The platform's list of VMs.
+    Vms(Vec<Vm>),
+    /// A change of the platform's list of VMs.
+    VmsDelta(VmsDelta),
 }
 
 /// Offers and asks for newer items.
@@ -78,12 +106,16 @@
 pub struct SyncRequest {
     /// The sender.
     pub sender: MemberReport,
-    /// Members heard from recently.
+    /// Members whose state changed since the sender's last request to this receiver.
     pub members: Vec<MemberReport>,
+    /// The revision of the receiver's member list that the sender has seen; 0 asks for all.
+    pub members_seen: u64,
     /// The sender's configuration version; 0 for none.
     pub config_version: u64,
     /// The sender's table versions.
     pub tables: Vec<(GroupId, TableVersion)>,
+    /// The sender's VM list.
+    pub vms: VmsStamp,
     /// Items that the receiver was missing at its last reply.
     pub offers: Vec<Item>,
     /// How long the receiver may wait for news, in milliseconds.
@@ -95,14 +127,18 @@
 pub struct SyncReply {
     /// The receiver.
     pub sender: MemberReport,
-    /// Members heard from recently.
+    /// Members whose state changed since the revision that the sender has seen.
     pub members: Vec<MemberReport>,
+    /// The revision of the receiver's member list.
+    pub members_revision: u64,
     /// Newer items.
     pub items: Vec<Item>,
     /// The receiver's configuration version, so that the asking side can offer a newer one.
     pub config_version: u64,
     /// The receiver's table versions, for the same purpose.
     pub tables: Vec<(GroupId, TableVersion)>,
+    /// The receiver's VM list, for the same purpose.
+    pub vms: VmsStamp,
 }
 
 /// Announces hold mode to a standby.
