--- /dev/null
+++ b/src/peer/codec.rs
@@ -0,0 +1,113 @@
+//! Frames between daemons: a protocol version byte and a bincode message.
+//!
+//! One h2 stream carries one request and its reply. The end of the stream ends the message, so a
+//! truncated stream is an h2 error and never a shorter message.
+
+use super::message::PROTOCOL_VERSION;
+use bytes::{Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{future::poll_fn, sync::Arc};
+
+/// Largest message, in bytes. A table of a million partitions does not fit; one of 256,000 does.
+pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why a frame cannot be read or written.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CodecError {
+    /// The frame has no content.
+    #[error("the message is empty")]
+    Empty,
+    /// The sender speaks another version of the protocol.
+    #[error("protocol version {0} is not supported, this daemon speaks {PROTOCOL_VERSION}")]
+    Version(u8),
+    /// The message exceeds [`MAX_MESSAGE_BYTES`].
+    #[error("the message has {0} bytes, more than {MAX_MESSAGE_BYTES}")]
+    TooLarge(usize),
+    /// The content is not a message of the expected type.
+    #[error("the message is malformed: {0}")]
+    Malformed(Arc<str>),
+    /// The stream broke off.
+    #[error("the stream broke off: {0}")]
+    Broken(Arc<str>),
+}
+
+impl From<h2::Error> for CodecError {
+    fn from(e: h2::Error) -> Self {
+        Self::Broken(e.to_string().into())
+    }
+}
+
+fn config() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>()
+}
+
+/// Writes `message` as a frame.
+///
+/// # Errors
+/// [`CodecError::TooLarge`] if it exceeds [`MAX_MESSAGE_BYTES`].
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, CodecError> {
+    let mut frame = vec![PROTOCOL_VERSION];
+    bincode::serde::encode_into_std_write(message, &mut frame, config())
+        .map_err(|e| CodecError::Malformed(e.to_string().into()))?;
+    if frame.len() > MAX_MESSAGE_BYTES {
+        return Err(CodecError::TooLarge(frame.len()));
+    }
+    Ok(frame.into())
+}
+
+/// Reads a frame.
+///
+/// # Errors
+/// [`CodecError`] unless it is exactly one message of this protocol version.
+pub fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, CodecError> {
+    let (&version, body) = frame.split_first().ok_or(CodecError::Empty)?;
+    if version != PROTOCOL_VERSION {
+        return Err(CodecError::Version(version));
+    }
+    if frame.len() > MAX_MESSAGE_BYTES {
+        return Err(CodecError::TooLarge(frame.len()));
+    }
+    let (message, used) = bincode::serde::decode_from_slice(body, config())
+        .map_err(|e| CodecError::Malformed(e.to_string().into()))?;
+    if used != body.len() {
+        return Err(CodecError::Malformed("unread bytes follow it".into()));
+    }
+    Ok(message)
+}
+
+/// Reads a whole frame from a stream.
+///
+/// # Errors
+/// [`CodecError::Broken`] if the stream breaks off, [`CodecError::TooLarge`] beyond the limit.
+pub async fn read_frame(stream: &mut RecvStream) -> Result<Bytes, CodecError> {
+    let mut frame = BytesMut::new();
+    while let Some(chunk) = stream.data().await {
+        let chunk = chunk?;
+        stream.flow_control().release_capacity(chunk.len())?;
+        if frame.len() + chunk.len() > MAX_MESSAGE_BYTES {
+            return Err(CodecError::TooLarge(frame.len() + chunk.len()));
+        }
+        frame.extend_from_slice(&chunk);
+    }
+    Ok(frame.freeze())
+}
+
+/// Writes a whole frame to a stream and ends it, at the pace that the receiver allows.
+///
+/// # Errors
+/// [`CodecError::Broken`] if the stream breaks off.
+pub async fn write_frame(
+    stream: &mut SendStream<Bytes>,
+    mut frame: Bytes,
+) -> Result<(), CodecError> {
+    while !frame.is_empty() {
+        stream.reserve_capacity(frame.len());
+        let granted = poll_fn(|cx| stream.poll_capacity(cx))
+            .await
+            .ok_or_else(|| CodecError::Broken("the stream was closed".into()))??;
+        let part = frame.split_to(granted.min(frame.len()));
+        stream.send_data(part, frame.is_empty())?;
+    }
+    Ok(())
+}
