--- /dev/null
+++ b/standins/src/proxy/pipe.rs
@@ -0,0 +1,196 @@
+//! One connection through a link.
+
+use super::{Flow, LinkFaults};
+use bytes::Bytes;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    select,
+    sync::{mpsc, watch},
+    time::{Instant, sleep, sleep_until},
+};
+
+/// Bytes read at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+/// Chunks that may be under way in one direction.
+const CHUNKS_UNDER_WAY: usize = 256;
+
+type Faults = watch::Receiver<LinkFaults>;
+
+/// Which way bytes go.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    ToUpstream,
+    ToClient,
+}
+
+/// Client bytes since the upstream last sent something, to be replayed.
+type Run = Arc<Mutex<Vec<u8>>>;
+
+/// Carries a connection until either side closes it or the link is cut.
+pub(super) async fn connection(client: TcpStream, upstream: SocketAddr, faults: Faults) {
+    if faults.borrow().flow == Flow::Cut {
+        reset(&client);
+        return;
+    }
+    let Ok(server) = TcpStream::connect(upstream).await else {
+        reset(&client);
+        return;
+    };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    // Linger is set up front: dropping the halves early then resets both connections, while an
+    // orderly end shuts them down first.
+    reset(&client);
+    reset(&server);
+    let (client_rx, client_tx) = client.into_split();
+    let (server_rx, server_tx) = server.into_split();
+    let run = Run::default();
+    let out = direction(Way::ToUpstream, client_rx, server_tx, faults.clone(), upstream, &run);
+    let back = direction(Way::ToClient, server_rx, client_tx, faults.clone(), upstream, &run);
+    select! {
+        () = until_cut(faults) => {}
+        // Both ways end in order, or one of them fails.
+        _ = async { tokio::try_join!(out, back) } => {}
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
+}
+
+async fn until_cut(mut faults: Faults) {
+    let cut = faults.wait_for(|f| f.flow == Flow::Cut).await.is_ok();
+    if !cut {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// The connection is to be reset.
+struct Broken;
+
+async fn direction(
+    way: Way,
+    rx: OwnedReadHalf,
+    tx: OwnedWriteHalf,
+    faults: Faults,
+    upstream: SocketAddr,
+    run: &Run,
+) -> Result<(), Broken> {
+    let (chunks_tx, chunks_rx) = mpsc::channel(CHUNKS_UNDER_WAY);
+    let reading = read(rx, chunks_tx, faults.clone());
+    let writing = write(way, tx, chunks_rx, faults, upstream, run);
+    tokio::try_join!(reading, writing).map(|_| ())
+}
+
+/// Reads chunks and notes when each may be passed on.
+async fn read(
+    mut rx: OwnedReadHalf,
+    chunks: mpsc::Sender<(Instant, Bytes)>,
+    faults: Faults,
+) -> Result<(), Broken> {
+    let mut buf = vec![0; CHUNK_BYTES];
+    loop {
+        let len = rx.read(&mut buf).await.map_err(|_| Broken)?;
+        if len == 0 {
+            return Ok(());
+        }
+        let delay = Duration::from_millis(faults.borrow().delay_ms);
+        let chunk = Bytes::copy_from_slice(&buf[..len]);
+        let sent = chunks.send((Instant::now() + delay, chunk)).await;
+        sent.map_err(|_| Broken)?;
+    }
+}
+
+/// Writes chunks when they are due and the flow permits.
+async fn write(
+    way: Way,
+    mut tx: OwnedWriteHalf,
+    mut chunks: mpsc::Receiver<(Instant, Bytes)>,
+    mut faults: Faults,
+    upstream: SocketAddr,
+    run: &Run,
+) -> Result<(), Broken> {
+    let mut passed = 0;
+    while let Some((due, chunk)) = chunks.recv().await {
+        sleep_until(due).await;
+        let current = *faults
+            .wait_for(|f| passes(way, f.flow))
+            .await
+            .map_err(|_| Broken)?;
+        let allowed = allowance(way, &current, &mut passed, chunk.len());
+        let part = chunk.slice(..allowed);
+        keep_for_replay(way, &part, &current, upstream, run);
+        tx.write_all(&part).await.map_err(|_| Broken)?;
+        if allowed < chunk.len() {
+            return Err(Broken);
+        }
+    }
+    // An end of stream is withheld like bytes are.
+    let _ = faults.wait_for(|f| passes(way, f.flow)).await;
+    tx.shutdown().await.map_err(|_| Broken)
+}
+
+fn passes(way: Way, flow: Flow) -> bool {
+    match flow {
+        Flow::Pass => true,
+        Flow::Cut | Flow::Freeze => false,
+        Flow::ToUpstream => way == Way::ToUpstream,
+        Flow::ToClient => way == Way::ToClient,
+    }
+}
+
+/// Bytes of a chunk that may pass before the connection is to be cut. `passed` counts the bytes
+/// passed while the fault is set.
+fn allowance(way: Way, faults: &LinkFaults, passed: &mut u64, len: usize) -> usize {
+    let limit = match way {
+        Way::ToUpstream => faults.cut_after_sent,
+        Way::ToClient => faults.cut_after_received,
+    };
+    let Some(limit) = limit else {
+        *passed = 0;
+        return len;
+    };
+    let allowed = (len as u64).min(limit.saturating_sub(*passed));
+    *passed += allowed;
+    allowed as usize
+}
+
+/// Collects client bytes; the upstream's answer ends a run, which is replayed later.
+fn keep_for_replay(way: Way, part: &[u8], faults: &LinkFaults, upstream: SocketAddr, run: &Run) {
+    let mut run = run.lock().expect("no thread panics with the lock");
+    let Some(after) = faults.replay_after_ms else {
+        run.clear();
+        return;
+    };
+    match way {
+        Way::ToUpstream => run.extend_from_slice(part),
+        Way::ToClient if run.is_empty() => {}
+        Way::ToClient => {
+            let copy = std::mem::take(&mut *run);
+            tokio::spawn(replay(copy, upstream, Duration::from_millis(after)));
+        }
+    }
+}
+
+/// Time for the upstream to answer a replayed run; the answer is thrown away.
+const REPLAY_ANSWER_TIME: Duration = Duration::from_secs(2);
+
+async fn replay(bytes: Vec<u8>, upstream: SocketAddr, after: Duration) {
+    sleep(after).await;
+    let Ok(mut stream) = TcpStream::connect(upstream).await else {
+        return;
+    };
+    if stream.write_all(&bytes).await.is_ok() {
+        let mut sink = tokio::io::sink();
+        let answer = tokio::io::copy(&mut stream, &mut sink);
+        let _ = tokio::time::timeout(REPLAY_ANSWER_TIME, answer).await;
+    }
+}
