--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -34,6 +34,8 @@
 
 /// More connections than any test opens.
 const MAX_CONNECTIONS: usize = 10_000;
+/// Longest lag of a reader; times start at this value, so that a lagging one is never negative.
+pub const LONGEST_LAG: Millis = Millis(30_000);
 
 #[derive(Debug)]
 struct State {
@@ -95,13 +97,13 @@
 
     /// Registers or replaces a VM.
     pub fn register(&self, vm: Vm) {
-        let now = self.shared.clock.now();
+        let now = self.shared.now();
         self.shared.lock().list.put(vm, now);
     }
 
     /// Removes a VM from the list.
     pub fn remove(&self, name: &str) {
-        let now = self.shared.clock.now();
+        let now = self.shared.now();
         self.shared.lock().list.remove(name, now);
     }
 
@@ -122,9 +124,13 @@
         self.state.lock().expect("no thread panics with the lock")
     }
 
+    fn now(&self) -> Millis {
+        self.clock.now() + LONGEST_LAG
+    }
+
     /// The instant whose state a reader sees.
     fn as_of(&self, lag_ms: u64) -> Millis {
-        self.clock.now() - Millis(lag_ms)
+        self.now() - Millis(lag_ms)
     }
 }
 
@@ -145,13 +151,16 @@
         (&Method::GET, "/vms") => read_list(&shared).await,
         (&Method::POST, "/transactions") => commit(shared, req.into_body()).await,
         (&Method::GET, "/rows") => read_rows(&shared, &query).await,
-        _ => match (method, path.split_at(path[1..].find('/').map_or(0, |i| i + 2))) {
+        _ => match (
+            method,
+            path.split_at(path[1..].find('/').map_or(0, |i| i + 2)),
+        ) {
             (Method::GET, ("/rows/", name)) => read_row(&shared, name).await,
             (Method::GET, ("/objects/", hash)) => read_object(&shared, hash).await,
             (Method::PUT, ("/objects/", hash)) => write_object(&shared, hash, req).await,
             (Method::PUT, ("/vms/", _)) => register(&shared, req.into_body()).await,
             (Method::DELETE, ("/vms/", name)) => {
-                let now = shared.clock.now();
+                let now = shared.now();
                 shared.lock().list.remove(name, now);
                 text(StatusCode::OK, "")
             }
@@ -198,7 +207,7 @@
 
 async fn register(shared: &Shared, body: Incoming) -> Reply {
     server::with_json(body, |vm: Vm| {
-        let now = shared.clock.now();
+        let now = shared.now();
         shared.lock().list.put(vm, now);
         text(StatusCode::OK, "")
     })
@@ -283,7 +292,7 @@
     let (reply, lost) = {
         let mut state = shared.lock();
         state.counters.writes += 1;
-        let now = shared.clock.now();
+        let now = shared.now();
         let reply = state.table.commit(&transaction, now);
         (reply, state.faults.lose_answer(&transaction))
     };
--- a/standins/src/platform/list.rs
+++ b/standins/src/platform/list.rs
@@ -1,11 +1,9 @@
 //! VM list with its recent past, for readers that lag.
 
+use super::LONGEST_LAG;
 use fireflygauge::{clock::Millis, world::Vm};
 use std::collections::{BTreeMap, VecDeque};
 
-/// How far back a lagging reader can look.
-const KEPT: Millis = Millis(30_000);
-
 /// The VM list.
 #[derive(Debug, Default)]
 pub struct VmList {
@@ -35,7 +33,7 @@
     fn record(&mut self, now: Millis) {
         let vms = self.current.values().cloned().collect();
         self.past.push_back((now, vms));
-        while self.past.len() > 1 && self.past[1].0 + KEPT < now {
+        while self.past.len() > 1 && self.past[1].0 + LONGEST_LAG < now {
             self.past.pop_front();
         }
     }
--- a/standins/src/platform/table.rs
+++ b/standins/src/platform/table.rs
@@ -1,5 +1,6 @@
 //! Rows with versions, conditional transactions, and the recent past for stale reads.
 
+use super::LONGEST_LAG;
 use fireflygauge::{
     clock::Millis,
     store::api::{CommitReply, Row, Transaction},
@@ -10,9 +11,6 @@
     sync::Arc,
 };
 
-/// How far back a stale read can look.
-const KEPT: Millis = Millis(30_000);
-
 #[derive(Debug)]
 struct Revision {
     since: Millis,
@@ -85,7 +83,7 @@
             version,
             value,
         });
-        while revisions.len() > 1 && revisions[1].since + KEPT < now {
+        while revisions.len() > 1 && revisions[1].since + LONGEST_LAG < now {
             revisions.pop_front();
         }
         visible
--- a/standins/src/proxy/pipe.rs
+++ b/standins/src/proxy/pipe.rs
@@ -53,8 +53,22 @@
     let (client_rx, client_tx) = client.into_split();
     let (server_rx, server_tx) = server.into_split();
     let run = Run::default();
-    let out = direction(Way::ToUpstream, client_rx, server_tx, faults.clone(), upstream, &run);
-    let back = direction(Way::ToClient, server_rx, client_tx, faults.clone(), upstream, &run);
+    let out = direction(
+        Way::ToUpstream,
+        client_rx,
+        server_tx,
+        faults.clone(),
+        upstream,
+        &run,
+    );
+    let back = direction(
+        Way::ToClient,
+        server_rx,
+        client_tx,
+        faults.clone(),
+        upstream,
+        &run,
+    );
     select! {
         () = until_cut(faults) => {}
         // Both ways end in order, or one of them fails.
--- a/standins/src/target/work.rs
+++ b/standins/src/target/work.rs
@@ -7,7 +7,9 @@
 use fireflygauge::{
     clock::Millis,
     partition::Partition,
-    target_api::{DEADLINE_MS, IDEMPOTENCY_KEY, NOT_RUN, NotRunReason, OWNERSHIP_EPOCH, PARTITION, REQUEST_ID},
+    target_api::{
+        DEADLINE_MS, IDEMPOTENCY_KEY, NOT_RUN, NotRunReason, OWNERSHIP_EPOCH, PARTITION, REQUEST_ID,
+    },
 };
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
@@ -42,7 +44,9 @@
         Self {
             key: key.into(),
             token: token.unwrap_or_default().into(),
-            request_id: header::<String>(headers, REQUEST_ID).unwrap_or_default().into(),
+            request_id: header::<String>(headers, REQUEST_ID)
+                .unwrap_or_default()
+                .into(),
             idempotency_key: header::<String>(headers, IDEMPOTENCY_KEY).map(Into::into),
             method: req.method().as_str().into(),
             partition: header(headers, PARTITION).map(Partition),
@@ -128,7 +132,8 @@
             Some((partition, epoch)) if self.shared.options.checks_grants => {
                 // A request may finish after its partition has left the set, because the move
                 // waits for it, but not once the lease has lapsed: then the move did not wait.
-                let drains = state.lapses == self.lapses && state.lease.lease_left(now) > Millis::ZERO;
+                let drains =
+                    state.lapses == self.lapses && state.lease.lease_left(now) > Millis::ZERO;
                 if drains {
                     return Ok(());
                 }
