Add the open-loop load tool

Cause: the router's latency, goodput and fairness have to be measured with scheduled arrivals, because a closed loop hides stalls by sending less.

Change: fireflygauge-load draws a Poisson schedule from a seed (services of either user, Zipf keys whose hot keys change, several callers), counts latency from the scheduled time, judges every answer (own, whole, refusal contract), and prints a table or JSON and an SVG plot. Requests of a service can be split between daemons and targets for a comparison in one run. It reports processor time of given processes and the unserved time of partitions.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for what surrounds the router.
+
+pub mod load;
--- /dev/null
+++ b/standins/src/load.rs
@@ -0,0 +1,17 @@
+//! Open-loop load for the router and for targets themselves.
+//!
+//! Arrivals are scheduled in advance and latency counts from the scheduled time, so a stall in the
+//! router, a target or this tool shows as latency and isn't hidden by sending less.
+
+pub mod arrivals;
+pub mod client;
+pub mod keys;
+pub mod mix;
+pub mod options;
+pub mod outage;
+pub mod plot;
+pub mod processor;
+pub mod report;
+pub mod run;
+pub mod tally;
+pub mod verdict;
--- /dev/null
+++ b/standins/src/load/client.rs
@@ -0,0 +1,145 @@
+//! Sends one request and reads its whole answer.
+
+use super::{
+    arrivals::{Arrival, Route},
+    mix::{CallerShare, ServiceShare},
+    options::Options,
+    verdict::{Received, Verdict, judge},
+};
+use bytes::Bytes;
+use fireflygauge::{
+    partition::partition_of,
+    target_api::{CALLER, DEADLINE_MS, IDEMPOTENCY_KEY, PARTITION, REQUEST_ID, TIMEOUT_MS},
+};
+use http::{HeaderValue, Method, Request, header::CONTENT_TYPE, request::Builder};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// How long the tool waits beyond a request's own deadline for the refusal.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Sends requests to daemons and targets.
+#[derive(Clone, Debug)]
+pub struct Sender {
+    inner: Client<HttpConnector, Full<Bytes>>,
+    entries: Arc<[SocketAddr]>,
+    direct: Arc<[Vec<SocketAddr>]>,
+    services: Arc<[ServiceShare]>,
+    callers: Arc<[HeaderValue]>,
+    timeout_ms: u64,
+    padding: Arc<str>,
+    partitions: u32,
+    run_id: u64,
+}
+
+impl Sender {
+    /// A sender with an empty connection pool.
+    pub fn new(options: &Options, services: Arc<[ServiceShare]>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let inner = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        let direct = services
+            .iter()
+            .map(|share| direct_addrs(options, &share.service))
+            .collect();
+        Self {
+            inner,
+            entries: options.entries.clone().into(),
+            direct,
+            services,
+            callers: options.callers.iter().map(caller_header).collect(),
+            timeout_ms: options.timeout_ms,
+            padding: "x".repeat(options.body_bytes).into(),
+            partitions: options.partitions,
+            run_id: rand::random(),
+        }
+    }
+
+    /// Sends `arrival` and judges the answer.
+    pub async fn send(&self, arrival: &Arrival) -> Verdict {
+        let token = format!("t{:016x}-{}", self.run_id, arrival.number);
+        let Some(req) = self.request(arrival, &token) else {
+            return Verdict::Lost;
+        };
+        let limit = Duration::from_millis(self.timeout_ms) + GRACE;
+        match tokio::time::timeout(limit, self.exchange(req)).await {
+            Ok(Some(received)) => judge(arrival.route, &token, &received),
+            Ok(None) | Err(_) => Verdict::Lost,
+        }
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Option<Received> {
+        let answer = self.inner.request(req).await.ok()?;
+        let (parts, body) = answer.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        Some(Received {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+
+    fn request(&self, arrival: &Arrival, token: &str) -> Option<Request<Full<Bytes>>> {
+        let share = &self.services[arrival.service];
+        let key = format!("k{}", arrival.key);
+        let addrs = match arrival.route {
+            Route::Routed => &*self.entries,
+            Route::Direct => &self.direct[arrival.service],
+        };
+        let addr = addrs[arrival.number as usize % addrs.len()];
+        let uri = format!("http://{addr}/{}/{key}/{token}", share.service);
+        let mut builder = Request::builder()
+            .uri(uri)
+            .header(CALLER, self.callers[arrival.caller].clone())
+            .header(TIMEOUT_MS, self.timeout_ms);
+        if arrival.route == Route::Direct {
+            builder = self.as_daemon(builder, share, &key, token);
+        }
+        if arrival.keyed_once {
+            builder = builder.header(IDEMPOTENCY_KEY, token);
+        }
+        let (method, body) = if arrival.idempotent {
+            (Method::GET, Bytes::new())
+        } else {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+            (Method::POST, self.body(token))
+        };
+        builder.method(method).body(Full::new(body)).ok()
+    }
+
+    /// Adds the headers that a daemon adds, so that the target does the same work.
+    fn as_daemon(&self, builder: Builder, share: &ServiceShare, key: &str, token: &str) -> Builder {
+        let builder = builder
+            .header(REQUEST_ID, token)
+            .header(DEADLINE_MS, self.timeout_ms);
+        if share.keyed {
+            builder.header(PARTITION, partition_of(key, self.partitions).0)
+        } else {
+            builder
+        }
+    }
+
+    fn body(&self, token: &str) -> Bytes {
+        format!("{{\"token\":\"{token}\",\"padding\":\"{}\"}}", self.padding).into()
+    }
+}
+
+/// The direct targets of `service`.
+fn direct_addrs(options: &Options, service: &str) -> Vec<SocketAddr> {
+    options
+        .direct
+        .iter()
+        .filter(|target| &*target.service == service)
+        .map(|target| target.addr)
+        .collect()
+}
+
+fn caller_header(caller: &CallerShare) -> HeaderValue {
+    HeaderValue::from_str(&caller.name).unwrap_or_else(|_| HeaderValue::from_static("invalid"))
+}
--- /dev/null
+++ b/standins/src/load/processor.rs
@@ -0,0 +1,26 @@
+//! Processor time and memory of processes, as the kernel counts them.
+
+use std::{fs, time::Duration};
+
+/// Unit of processor time in /proc, per second. Linux reports it in hundredths on every machine.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Processor time (user and system) that process `pid` has used; `None` if it is gone.
+pub fn processor_time(pid: u32) -> Option<Duration> {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The command name may contain spaces; the fields after it start behind the last bracket.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let mut fields = fields.split_whitespace().skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(Duration::from_secs_f64(
+        (user + system) as f64 / TICKS_PER_SECOND,
+    ))
+}
+
+/// Resident memory of process `pid`, in KiB; `None` if it is gone.
+pub fn resident_kib(pid: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
