--- a/standins/src/load/client.rs
+++ b/standins/src/load/client.rs
@@ -4,7 +4,7 @@
     arrivals::{Arrival, Route},
     mix::{CallerShare, ServiceShare},
     options::Options,
-    verdict::{Received, Verdict, judge},
+    verdict::{Expected, Received, Verdict, judge},
 };
 use bytes::Bytes;
 use fireflygauge::{
@@ -22,6 +22,11 @@
 /// How long the tool waits beyond a request's own deadline for the refusal.
 const GRACE: Duration = Duration::from_secs(1);
 
+/// Request header that sets a stand-in target's service time, in milliseconds.
+const WORK_MS: &str = "x-work-ms";
+/// Request header that sets the length of a stand-in target's padding.
+const ANSWER_BYTES: &str = "x-answer-bytes";
+
 /// Sends requests to daemons and targets.
 #[derive(Clone, Debug)]
 pub struct Sender {
@@ -31,6 +36,8 @@
     services: Arc<[ServiceShare]>,
     callers: Arc<[HeaderValue]>,
     timeout_ms: u64,
+    work_ms: u64,
+    answer_bytes: usize,
     padding: Arc<str>,
     partitions: u32,
     run_id: u64,
@@ -55,6 +62,8 @@
             services,
             callers: options.callers.iter().map(caller_header).collect(),
             timeout_ms: options.timeout_ms,
+            work_ms: options.work_ms,
+            answer_bytes: options.answer_bytes,
             padding: "x".repeat(options.body_bytes).into(),
             partitions: options.partitions,
             run_id: rand::random(),
@@ -64,12 +73,22 @@
     /// Sends `arrival` and judges the answer.
     pub async fn send(&self, arrival: &Arrival) -> Verdict {
         let token = format!("t{:016x}-{}", self.run_id, arrival.number);
-        let Some(req) = self.request(arrival, &token) else {
+        let body = if arrival.idempotent {
+            Bytes::new()
+        } else {
+            self.body(&token)
+        };
+        let expected = Expected {
+            token,
+            body,
+            answer_bytes: self.answer_bytes,
+        };
+        let Some(req) = self.request(arrival, &expected) else {
             return Verdict::Lost;
         };
         let limit = Duration::from_millis(self.timeout_ms) + GRACE;
         match tokio::time::timeout(limit, self.exchange(req)).await {
-            Ok(Some(received)) => judge(arrival.route, &token, &received),
+            Ok(Some(received)) => judge(arrival.route, &expected, &received),
             Ok(None) | Err(_) => Verdict::Lost,
         }
     }
@@ -85,7 +104,7 @@
         })
     }
 
-    fn request(&self, arrival: &Arrival, token: &str) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, arrival: &Arrival, expected: &Expected) -> Option<Request<Full<Bytes>>> {
         let share = &self.services[arrival.service];
         let key = format!("k{}", arrival.key);
         let addrs = match arrival.route {
@@ -93,24 +112,34 @@
             Route::Direct => &self.direct[arrival.service],
         };
         let addr = addrs[arrival.number as usize % addrs.len()];
-        let uri = format!("http://{addr}/{}/{key}/{token}", share.service);
+        let token = &expected.token;
         let mut builder = Request::builder()
-            .uri(uri)
+            .uri(format!(
+                "http://{addr}/{}/{key}?token={token}",
+                share.service
+            ))
             .header(CALLER, self.callers[arrival.caller].clone())
-            .header(TIMEOUT_MS, self.timeout_ms);
+            .header(TIMEOUT_MS, self.timeout_ms)
+            .header(WORK_MS, self.work_ms)
+            .header(ANSWER_BYTES, self.answer_bytes);
         if arrival.route == Route::Direct {
             builder = self.as_daemon(builder, share, &key, token);
         }
         if arrival.keyed_once {
             builder = builder.header(IDEMPOTENCY_KEY, token);
         }
-        let (method, body) = if arrival.idempotent {
-            (Method::GET, Bytes::new())
+        let method = if arrival.idempotent {
+            Method::GET
         } else {
-            builder = builder.header(CONTENT_TYPE, "application/json");
-            (Method::POST, self.body(token))
+            Method::POST
         };
-        builder.method(method).body(Full::new(body)).ok()
+        if !arrival.idempotent {
+            builder = builder.header(CONTENT_TYPE, "application/json");
+        }
+        builder
+            .method(method)
+            .body(Full::new(expected.body.clone()))
+            .ok()
     }
 
     /// Adds the headers that a daemon adds, so that the target does the same work.
--- a/standins/src/load/options.rs
+++ b/standins/src/load/options.rs
@@ -57,6 +57,12 @@
     /// Bytes of padding in the body of a non-idempotent request.
     #[arg(long, default_value_t = 64)]
     pub body_bytes: usize,
+    /// Bytes of padding asked for in answers.
+    #[arg(long, default_value_t = 0)]
+    pub answer_bytes: usize,
+    /// Service time asked of targets, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub work_ms: u64,
     /// Deadline that requests carry, in milliseconds.
     #[arg(long, default_value_t = 2_000)]
     pub timeout_ms: u64,
--- a/standins/src/load/verdict.rs
+++ b/standins/src/load/verdict.rs
@@ -7,6 +7,7 @@
     target_api::{NOT_RUN, OUTCOME, REFERENCE},
 };
 use http::{HeaderMap, StatusCode};
+use serde::Deserialize;
 use strum::Display;
 
 /// What became of a request, as its caller sees it.
@@ -36,26 +37,45 @@
     pub body: Bytes,
 }
 
-/// Judges the answer to the request that carried `token` in its path.
-pub fn judge(route: Route, token: &str, received: &Received) -> Verdict {
+/// What the request's own answer contains.
+#[derive(Clone, Debug)]
+pub struct Expected {
+    /// Query parameter `token` of the request.
+    pub token: String,
+    /// Body of the request.
+    pub body: Bytes,
+    /// Bytes of padding that were asked for.
+    pub answer_bytes: usize,
+}
+
+/// The parts of a target's answer that tell whose it is and whether it is whole.
+#[derive(Deserialize)]
+struct Echo<'a> {
+    token: &'a str,
+    body: String,
+    padding: &'a str,
+}
+
+/// Judges the answer to a request.
+pub fn judge(route: Route, expected: &Expected, received: &Received) -> Verdict {
     match route {
-        Route::Direct => judge_direct(token, received),
-        Route::Routed => judge_routed(token, received),
+        Route::Direct => judge_direct(expected, received),
+        Route::Routed => judge_routed(expected, received),
     }
 }
 
-fn judge_direct(token: &str, received: &Received) -> Verdict {
+fn judge_direct(expected: &Expected, received: &Received) -> Verdict {
     if received.headers.contains_key(NOT_RUN) {
         Verdict::NotRun
     } else {
-        own_answer(token, received)
+        own_answer(expected, received)
     }
 }
 
-fn judge_routed(token: &str, received: &Received) -> Verdict {
+fn judge_routed(expected: &Expected, received: &Received) -> Verdict {
     let outcome = received.headers.get(OUTCOME).and_then(|v| v.to_str().ok());
     match outcome.and_then(|text| text.parse().ok()) {
-        Some(OutcomeKind::Answered) => own_answer(token, received),
+        Some(OutcomeKind::Answered) => own_answer(expected, received),
         Some(kind) if keeps_contract(kind, received) => match kind {
             OutcomeKind::NotRun => Verdict::NotRun,
             _ => Verdict::Unknown,
@@ -64,19 +84,18 @@
     }
 }
 
-fn own_answer(token: &str, received: &Received) -> Verdict {
-    let own = contains(&received.body, token.as_bytes());
-    if own {
+fn own_answer(expected: &Expected, received: &Received) -> Verdict {
+    let Ok(echo) = serde_json::from_slice::<Echo>(&received.body) else {
+        return Verdict::Wrong;
+    };
+    let own = echo.token == expected.token && echo.body.as_bytes() == expected.body;
+    if own && echo.padding.len() == expected.answer_bytes {
         Verdict::Answered
     } else {
         Verdict::Wrong
     }
 }
 
-fn contains(body: &[u8], token: &[u8]) -> bool {
-    body.windows(token.len()).any(|window| window == token)
-}
-
 /// Whether a refusal says the same in its status, headers and body, and names a human operator.
 fn keeps_contract(kind: OutcomeKind, received: &Received) -> bool {
     let Ok(body) = serde_json::from_slice::<RefusalBody>(&received.body) else {
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -13,7 +13,7 @@
     options::Options,
     outage::Outages,
     run::run,
-    verdict::{Received, Verdict, judge},
+    verdict::{Expected, Received, Verdict, judge},
 };
 use std::{
     convert::Infallible,
@@ -41,8 +41,12 @@
     Duration::from_millis(ms)
 }
 
-/// Answers every request with what `answer` makes of its number and path.
-fn serve(answer: fn(u64, &str) -> (Duration, String)) -> SocketAddr {
+fn echo(token: &str) -> Bytes {
+    format!(r#"{{"token":"{token}","body":"","padding":""}}"#).into()
+}
+
+/// Answers every request with what `answer` makes of its number and token.
+fn serve(answer: fn(u64, &str) -> (Duration, Bytes)) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let addr = listener.local_addr().expect("the listener has an address");
     listener
@@ -62,17 +66,19 @@
 async fn accept(
     listener: TcpListener,
     count: Arc<AtomicU64>,
-    answer: fn(u64, &str) -> (Duration, String),
+    answer: fn(u64, &str) -> (Duration, Bytes),
 ) {
     let listener = tokio::net::TcpListener::from_std(listener).expect("the runtime takes sockets");
     while let Ok((stream, _)) = listener.accept().await {
         let count = Arc::clone(&count);
         let service = service_fn(move |req: Request<Incoming>| {
             let number = count.fetch_add(1, Ordering::Relaxed);
-            let (delay, body) = answer(number, req.uri().path());
+            let query = req.uri().query().unwrap_or_default();
+            let token = query.strip_prefix("token=").unwrap_or_default();
+            let (delay, body) = answer(number, token);
             async move {
                 tokio::time::sleep(delay).await;
-                Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(body))))
+                Ok::<_, Infallible>(Response::new(Full::new(body)))
             }
         });
         tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
@@ -82,15 +88,13 @@
 /// Guards against a tool that takes any 200 for the caller's own answer.
 #[test]
 fn another_requests_answer_is_wrong() {
-    let addr = serve(|number, path| {
-        let stale = if number % 2 == 0 {
-            path
-        } else {
-            "/records/k1/stale"
-        };
-        (Duration::ZERO, stale.to_owned())
+    let addr = serve(|number, token| {
+        let whose = if number % 2 == 0 { token } else { "another" };
+        (Duration::ZERO, echo(whose))
     });
-    let args = format!("--direct records={addr} --only records --rate 200 --duration-s 0.5");
+    let args = format!(
+        "--direct records={addr} --only records --non-idempotent 0 --rate 200 --duration-s 0.5"
+    );
     let steps = run(&options(&args)).expect("the run starts");
     let report = steps[0].report();
     let line = &report.services[0];
@@ -101,11 +105,13 @@
 /// Guards against coordinated omission: a stall must not thin out the requests that it delays.
 #[test]
 fn a_stall_shows_in_latency_and_sends_no_less() {
-    let addr = serve(|number, path| {
+    let addr = serve(|number, token| {
         let delay = if number < 40 { ms(300) } else { Duration::ZERO };
-        (delay, path.to_owned())
+        (delay, echo(token))
     });
-    let args = format!("--direct records={addr} --only records --rate 200 --duration-s 1 --seed 7");
+    let args = format!(
+        "--direct records={addr} --only records --non-idempotent 0 --rate 200 --duration-s 1 --seed 7"
+    );
     let due = schedule(&args).len() as u64;
     let report = run(&options(&args)).expect("the run starts")[0].report();
     assert_eq!(report.services[0].sent, due, "seed 7");
@@ -119,9 +125,9 @@
 /// Guards against a run that never ends because nothing answers.
 #[test]
 fn a_silent_target_is_bounded_by_the_deadline() {
-    let addr = serve(|_, _| (ms(60_000), String::new()));
+    let addr = serve(|_, _| (ms(60_000), Bytes::new()));
     let args = format!(
-        "--direct records={addr} --only records --rate 100 --duration-s 0.2 --timeout-ms 50 \
+        "--direct records={addr} --only records --non-idempotent 0 --rate 100 --duration-s 0.2 --timeout-ms 50 \
          --max-in-flight 5"
     );
     let report = run(&options(&args.replace("  ", " "))).expect("the run starts")[0].report();
@@ -197,7 +203,30 @@
     expected: Verdict,
 ) {
     let received = refusal(status, header, outcome, contact);
-    assert_eq!(judge(Route::Routed, "token", &received), expected);
+    assert_eq!(judge(Route::Routed, &own(), &received), expected);
+}
+
+fn own() -> Expected {
+    Expected {
+        token: "t1".into(),
+        body: "b".into(),
+        answer_bytes: 2,
+    }
+}
+
+/// Guards against a check that overlooks a mixed-up or truncated answer.
+#[test_case(r#"{"token":"t1","body":"b","padding":"xx"}"#, Verdict::Answered; "own and whole")]
+#[test_case(r#"{"token":"t2","body":"b","padding":"xx"}"#, Verdict::Wrong; "of another request")]
+#[test_case(r#"{"token":"t1","body":"c","padding":"xx"}"#, Verdict::Wrong; "to another body")]
+#[test_case(r#"{"token":"t1","body":"b","padding":"x"}"#, Verdict::Wrong; "short padding")]
+#[test_case(r#"{"token":"t1","body":"b","padding":"#, Verdict::Wrong; "truncated")]
+fn answers_are_own_and_whole(body: &'static str, expected: Verdict) {
+    let received = Received {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: body.into(),
+    };
+    assert_eq!(judge(Route::Direct, &own(), &received), expected);
 }
 
 /// Guards against unserved time that is cut short by an answer to an older request.
