--- a/src/entry/snapshot.rs
+++ b/src/entry/snapshot.rs
@@ -34,6 +34,18 @@
     pub tables: Map<GroupId, Arc<RoutingTable>>,
 }
 
+impl Snapshot {
+    /// Whether callers can be served: a configuration is in force, and every keyed service has a
+    /// routing table.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some()
+            && self
+                .services
+                .values()
+                .all(|service| !service.contract.keyed || !service.owners.is_empty())
+    }
+}
+
 /// What the request path needs to know of a service.
 #[derive(Clone, Debug)]
 pub struct ServiceView {
