Add membership, anti-entropy and the sync loops

Change: pure membership (live, suspect, gone, vouching in a fixed order), pure SyncState with table and VM list differences, loops for partners, repair, probes of listed daemons and the delegates' reads of the platform, and a roll call of all members. SyncRequest.members is removed: only replies relay members.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,7 @@
 //! The configuration in force.
 
+pub mod reader;
+
 use crate::{
     collections::Set,
     declaration::{Declaration, DeclarationError, Preset},
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod http_client;
 pub mod logging;
+pub mod membership;
 pub mod operator;
 pub mod ownership;
 pub mod partition;
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,389 @@
+//! Which daemons are alive, as one daemon sees it.
+//!
+//! The platform's lagging VM list gives addresses to try; only a daemon's own reports make it a
+//! member. A report arrives directly or through a peer. Relayed reports carry their age. Between
+//! changes a relay sends nothing and vouches for its members by being heard itself. Vouching
+//! follows a fixed order (within a zone from the delegate upwards by name, and out of a member's
+//! zone), so that two daemons cannot keep a lost member alive for each other.
+
+use crate::{
+    clock::Millis,
+    collections::Map,
+    peer::message::MemberReport,
+    world::{Incarnation, Link, Vm, VmName, VmRole, VmState, ZoneName},
+};
+use rand::{Rng, seq::IteratorRandom};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use strum::Display;
+
+/// A member not heard from for this time is suspect: it gets no new duties.
+pub const SUSPECT_AFTER: Millis = Millis(1_000);
+/// A member not heard from for this time is gone.
+pub const GONE_AFTER: Millis = Millis(5_000);
+/// Members that are gone are kept for this time, so that peers learn of it.
+const FORGET_AFTER: Millis = Millis(60_000);
+/// Added to the daemon's clock, which starts at zero, so that ages of relayed reports fit.
+const CLOCK_OFFSET: Millis = FORGET_AFTER;
+
+/// How recently a member was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum MemberState {
+    /// Heard within [`SUSPECT_AFTER`].
+    Live,
+    /// Not heard for [`SUSPECT_AFTER`].
+    Suspect,
+    /// Not heard for [`GONE_AFTER`].
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    report: MemberReport,
+    /// Latest time at which the member is known to have spoken.
+    heard: Millis,
+    state: MemberState,
+    /// The peer that vouches for it between changes, and the age that it stated last.
+    voucher: Option<(VmName, Millis)>,
+    /// Revision of the list at its last change.
+    revision: u64,
+    /// The run before this one, whose late reports are ignored.
+    replaced: Option<Incarnation>,
+}
+
+/// An address to try, out of the platform's VM list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seed {
+    /// Name of the VM.
+    pub name: VmName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Address of its peer server.
+    pub peer_addr: SocketAddr,
+}
+
+/// The members that one daemon knows, without itself.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Link,
+    stopping: bool,
+    members: Map<VmName, Member>,
+    seeds: Vec<Seed>,
+    revision: u64,
+    changed: bool,
+}
+
+impl Membership {
+    /// A list without members, kept by the daemon `own`.
+    pub fn new(own: Link) -> Self {
+        Self {
+            own,
+            stopping: false,
+            members: Map::default(),
+            seeds: Vec::new(),
+            revision: 0,
+            changed: false,
+        }
+    }
+
+    /// Notes whether this daemon itself is stopping; it is then no delegate.
+    pub fn set_stopping(&mut self, stopping: bool) {
+        self.stopping = stopping;
+    }
+
+    /// Takes addresses from the platform's VM list.
+    pub fn seed(&mut self, vms: &[Vm]) {
+        self.seeds = vms
+            .iter()
+            .filter(|vm| vm.state == VmState::Live && vm.name != self.own.name)
+            .filter_map(|vm| match vm.role {
+                VmRole::Entry { peer_addr, .. } => Some(Seed {
+                    name: vm.name.clone(),
+                    zone: vm.zone.clone(),
+                    peer_addr,
+                }),
+                VmRole::Target { .. } => None,
+            })
+            .collect();
+    }
+
+    /// Takes a report that the member itself sent to this daemon.
+    pub fn hear(&mut self, report: MemberReport, now: Millis) {
+        let now = now + CLOCK_OFFSET;
+        let replaced = self.members.get(&report.link.name).and_then(|m| m.replaced);
+        if report.link.name != self.own.name && replaced != Some(report.link.incarnation) {
+            self.take(report, now, now);
+        }
+    }
+
+    /// Takes the changes that the peer `from` relays; by being heard it vouches for the others.
+    pub fn hear_relayed(&mut self, from: &Link, reports: Vec<MemberReport>, now: Millis) {
+        let now = now + CLOCK_OFFSET;
+        for report in reports {
+            if report.link.name != self.own.name && report.link.name != from.name {
+                self.take_relayed(from, report, now);
+            }
+        }
+        for member in self.members.values_mut() {
+            match &member.voucher {
+                Some((name, age)) if *name == from.name && *age < SUSPECT_AFTER => {
+                    member.heard = member.heard.max(now.since(*age));
+                }
+                _ => {}
+            }
+        }
+        self.update_states(now);
+    }
+
+    /// Forgets what the peer named `voucher` vouched for, because it has restarted.
+    pub fn drop_voucher(&mut self, voucher: &VmName) {
+        for member in self.members.values_mut() {
+            member.voucher.take_if(|(name, _)| name == voucher);
+        }
+    }
+
+    fn take_relayed(&mut self, from: &Link, report: MemberReport, now: Millis) {
+        let age = Millis(report.age_ms);
+        let heard = now.since(age);
+        let vouches = self.may_vouch(from, &report.link);
+        let link = report.link.clone();
+        if vouches || self.is_news(&report, heard) {
+            self.take(report, heard, now);
+        }
+        if let Some(member) = self.members.get_mut(&link.name)
+            && vouches
+            && member.report.link == link
+        {
+            member.voucher = Some((from.name.clone(), age));
+        }
+    }
+
+    /// Whether `report` shows that the member spoke after what is known of it.
+    fn is_news(&self, report: &MemberReport, heard: Millis) -> bool {
+        self.members.get(&report.link.name).is_none_or(|known| {
+            if known.report.link.incarnation == report.link.incarnation {
+                report.sequence > known.report.sequence
+            } else {
+                heard > known.heard
+            }
+        })
+    }
+
+    fn may_vouch(&self, from: &Link, member: &Link) -> bool {
+        let stopping = |name: &VmName| self.members.get(name).is_some_and(|m| m.report.stopping);
+        let before_own = from.zone == self.own.zone
+            && (stopping(&from.name), &from.name) < (self.stopping, &self.own.name);
+        if member.zone == self.own.zone {
+            before_own
+        } else {
+            before_own || from.zone == member.zone
+        }
+    }
+
+    fn take(&mut self, report: MemberReport, heard: Millis, now: Millis) {
+        let Some(known) = self.members.get_mut(&report.link.name) else {
+            return self.insert(report, heard, now, None);
+        };
+        let incarnation = known.report.link.incarnation;
+        if incarnation != report.link.incarnation {
+            if heard > known.heard && known.replaced != Some(report.link.incarnation) {
+                self.insert(report, heard, now, Some(incarnation));
+            }
+            return;
+        }
+        known.heard = known.heard.max(heard);
+        if report.sequence > known.report.sequence {
+            let relay = !same_content(&known.report, &report);
+            self.changed |= relay || known.report.config_version != report.config_version;
+            known.report = report;
+            if relay {
+                self.revision += 1;
+                known.revision = self.revision;
+            }
+        }
+    }
+
+    fn insert(
+        &mut self,
+        report: MemberReport,
+        heard: Millis,
+        now: Millis,
+        replaced: Option<Incarnation>,
+    ) {
+        self.revision += 1;
+        self.changed = true;
+        let member = Member {
+            state: state_at(heard, now),
+            report: report.clone(),
+            heard,
+            voucher: None,
+            revision: self.revision,
+            replaced,
+        };
+        self.members.insert(report.link.name, member);
+    }
+
+    /// Takes note of the time: silent members become suspect, then gone.
+    pub fn tick(&mut self, now: Millis) {
+        let now = now + CLOCK_OFFSET;
+        self.update_states(now);
+        self.members
+            .retain(|_, member| now.since(member.heard) < FORGET_AFTER);
+    }
+
+    fn update_states(&mut self, now: Millis) {
+        for member in self.members.values_mut() {
+            let state = state_at(member.heard, now);
+            if state != member.state {
+                log::info!(
+                    target: "peer",
+                    "Member changed state. name={} state={state} was={}",
+                    member.report.link.name,
+                    member.state
+                );
+                member.state = state;
+                self.revision += 1;
+                member.revision = self.revision;
+                self.changed = true;
+            }
+        }
+    }
+
+    /// Rises whenever peers need to be told of a change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// What changed after `revision`, for the peer named `asker`.
+    pub fn changes_since(&self, revision: u64, asker: &VmName, now: Millis) -> Vec<MemberReport> {
+        let now = now + CLOCK_OFFSET;
+        self.members
+            .values()
+            .filter(|member| member.revision > revision && member.report.link.name != *asker)
+            .map(|member| MemberReport {
+                age_ms: now.since(member.heard).0,
+                ..member.report.clone()
+            })
+            .collect()
+    }
+
+    /// The members that are not gone, if that list changed since the last call.
+    ///
+    /// `age_ms` is 0 for live members and [`SUSPECT_AFTER`] for suspect ones, and `sequence` only
+    /// rises with changes, so that equal lists compare equal.
+    pub fn take_changed(&mut self) -> Option<Vec<MemberReport>> {
+        if !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        let mut list: Vec<MemberReport> = self
+            .members
+            .values()
+            .filter(|member| member.state != MemberState::Gone)
+            .map(|member| MemberReport {
+                sequence: member.revision,
+                age_ms: match member.state {
+                    MemberState::Live => 0,
+                    MemberState::Suspect | MemberState::Gone => SUSPECT_AFTER.0,
+                },
+                ..member.report.clone()
+            })
+            .collect();
+        list.sort_by(|a, b| a.link.name.cmp(&b.link.name));
+        Some(list)
+    }
+
+    /// The state of the member named `name`; `None` if it is not known.
+    pub fn state(&self, name: &VmName) -> Option<MemberState> {
+        self.members.get(name).map(|member| member.state)
+    }
+
+    /// The delegate of `zone`: its live, not stopping member with the lowest name.
+    pub fn delegate(&self, zone: &ZoneName) -> Option<&Link> {
+        let own = (*zone == self.own.zone && !self.stopping).then_some(&self.own);
+        self.live()
+            .filter(|report| report.link.zone == *zone && !report.stopping)
+            .map(|report| &report.link)
+            .chain(own)
+            .min_by(|a, b| a.name.cmp(&b.name))
+    }
+
+    /// Whether this daemon is the delegate of its zone.
+    pub fn is_delegate(&self) -> bool {
+        self.delegate(&self.own.zone) == Some(&self.own)
+    }
+
+    /// The delegates of all zones, this daemon included.
+    pub fn delegates(&self) -> Vec<Link> {
+        let mut zones: Vec<&ZoneName> = self.live().map(|report| &report.link.zone).collect();
+        zones.push(&self.own.zone);
+        zones.sort();
+        zones.dedup();
+        zones
+            .into_iter()
+            .filter_map(|zone| self.delegate(zone).cloned())
+            .collect()
+    }
+
+    /// The peers that this daemon keeps in step with.
+    ///
+    /// A delegate follows the other delegates and the controllers, any other daemon its delegate.
+    pub fn partners(&self) -> Vec<Link> {
+        if let Some(delegate) = self.delegate(&self.own.zone)
+            && delegate.name != self.own.name
+        {
+            return vec![delegate.clone()];
+        }
+        let mut partners = self.delegates();
+        let controllers = self.live().filter(|report| !report.controls.is_empty());
+        partners.extend(controllers.map(|report| report.link.clone()));
+        partners.retain(|link| link.name != self.own.name);
+        partners.sort_by(|a, b| a.name.cmp(&b.name));
+        partners.dedup();
+        partners
+    }
+
+    /// A random live member other than `except`, to ask when the usual partner fails.
+    pub fn random_live(&self, except: &VmName, rng: &mut impl Rng) -> Option<Link> {
+        self.live()
+            .filter(|report| report.link.name != *except)
+            .map(|report| report.link.clone())
+            .choose(rng)
+    }
+
+    /// A random listed daemon that is not a live member, to find it or to heal a partition.
+    pub fn random_seed(&self, rng: &mut impl Rng) -> Option<Seed> {
+        self.seeds
+            .iter()
+            .filter(|seed| self.state(&seed.name) != Some(MemberState::Live))
+            .choose(rng)
+            .cloned()
+    }
+
+    /// Whether no other daemon is live.
+    pub fn is_alone(&self) -> bool {
+        self.live().next().is_none()
+    }
+
+    fn live(&self) -> impl Iterator<Item = &MemberReport> {
+        self.members
+            .values()
+            .filter(|member| member.state == MemberState::Live)
+            .map(|member| &member.report)
+    }
+}
+
+fn state_at(heard: Millis, now: Millis) -> MemberState {
+    match now.since(heard) {
+        silent if silent < SUSPECT_AFTER => MemberState::Live,
+        silent if silent < GONE_AFTER => MemberState::Suspect,
+        _ => MemberState::Gone,
+    }
+}
+
+/// Whether peers need not be told of the difference. Configuration versions change with every
+/// configuration on all daemons; `status` asks the delegates for them instead.
+fn same_content(a: &MemberReport, b: &MemberReport) -> bool {
+    a.link == b.link && a.ready == b.ready && a.stopping == b.stopping && a.controls == b.controls
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -106,8 +106,6 @@
 pub struct SyncRequest {
     /// The sender.
     pub sender: MemberReport,
-    /// Members whose state changed since the sender's last request to this receiver.
-    pub members: Vec<MemberReport>,
     /// The revision of the receiver's member list that the sender has seen; 0 asks for all.
     pub members_seen: u64,
     /// The sender's configuration version; 0 for none.
--- /dev/null
+++ b/src/peer/roll_call.rs
@@ -0,0 +1,93 @@
+//! Asks the zones' delegates which members they have and which configuration those have in force.
+//!
+//! Configuration versions are not relayed between daemons, since every daemon's changes with each
+//! configuration. The delegate of a zone hears its daemons directly and knows them.
+
+use super::loops::Shared;
+use crate::{
+    collections::Map,
+    membership::{MemberState, SUSPECT_AFTER},
+    peer::message::MemberReport,
+    world::{Link, VmName},
+};
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+
+/// What is known of a daemon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Its latest report.
+    pub report: MemberReport,
+    /// How recently it was heard.
+    pub state: MemberState,
+    /// Whether this is the present word of the daemon or its zone's delegate. Otherwise the
+    /// delegate did not answer, and the report may be out of date.
+    pub confirmed: bool,
+}
+
+/// All members that are not gone, this daemon included, in order of name.
+pub(super) async fn run(shared: &Shared) -> Vec<MemberStatus> {
+    let own = &shared.context.link;
+    let (report, known, delegates) = shared.with_state(|state, now| {
+        let known = state.membership.changes_since(0, &own.name, now);
+        (state.report(), known, state.membership.delegates())
+    });
+    let own_zone_known = delegates.iter().any(|link| link == own);
+    let mut members: Map<VmName, MemberStatus> = Map::default();
+    for report in known {
+        let confirmed = own_zone_known && report.link.zone == own.zone;
+        note(&mut members, report, confirmed);
+    }
+    note(&mut members, report, true);
+    for report in ask(shared, delegates).await {
+        note(&mut members, report, true);
+    }
+    let mut members: Vec<MemberStatus> = members
+        .into_values()
+        .filter(|member| member.state != MemberState::Gone)
+        .collect();
+    members.sort_by(|a, b| a.report.link.name.cmp(&b.report.link.name));
+    members
+}
+
+fn note(members: &mut Map<VmName, MemberStatus>, report: MemberReport, confirmed: bool) {
+    let state = if report.age_ms < SUSPECT_AFTER.0 {
+        MemberState::Live
+    } else if report.age_ms < crate::membership::GONE_AFTER.0 {
+        MemberState::Suspect
+    } else {
+        MemberState::Gone
+    };
+    let confirmed = confirmed && state == MemberState::Live;
+    let status = MemberStatus {
+        report,
+        state,
+        confirmed,
+    };
+    members.insert(status.report.link.name.clone(), status);
+}
+
+/// The delegates' reports of themselves and of the members of their zones.
+async fn ask(shared: &Shared, delegates: Vec<Link>) -> Vec<MemberReport> {
+    let mut asked = JoinSet::new();
+    for link in delegates {
+        if link.name == shared.context.link.name {
+            continue;
+        }
+        let request = shared.with_state(|state, now| state.roll_call(now));
+        let client = shared.client.clone();
+        asked.spawn(super::loops::exchange(client, link.peer_addr, request));
+    }
+    let mut reports = Vec::new();
+    while let Some(reply) = asked.join_next().await {
+        let Ok(Ok(reply)) = reply else {
+            continue;
+        };
+        let zone = reply.sender.link.zone.clone();
+        let own = &shared.context.link.name;
+        let of_zone = reply.members.into_iter();
+        reports.extend(of_zone.filter(|m| m.link.zone == zone && m.link.name != *own));
+        reports.push(reply.sender);
+    }
+    reports
+}
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -1,8 +1,10 @@
 //! The thread that runs the peer server and the loops that keep daemons in step.
 
 use super::{
-    client::{PeerClient, PeerError},
+    client::PeerError,
+    loops::{self, Shared},
     message::{ForwardReply, ForwardRequest, HoldReply, HoldRequest, PeerReply, PeerRequest},
+    roll_call::{self, MemberStatus},
     server::{self, Handler, Pending},
 };
 use crate::{
@@ -65,6 +67,11 @@
 /// Receives the reply to a request; it runs on the peer thread and must not block.
 pub type OnReply = Box<dyn FnOnce(Result<PeerReply, PeerError>) + Send>;
 
+enum Command {
+    Send(Box<Outgoing>),
+    RollCall(oneshot::Sender<Vec<MemberStatus>>),
+}
+
 struct Outgoing {
     to: Link,
     request: PeerRequest,
@@ -75,7 +82,7 @@
 /// Sends requests through the peer thread, from any thread or runtime.
 #[derive(Clone)]
 pub struct PeerHandle {
-    tx: mpsc::Sender<Outgoing>,
+    tx: mpsc::Sender<Command>,
 }
 
 impl fmt::Debug for PeerHandle {
@@ -93,8 +100,9 @@
             limit,
             on_reply,
         };
-        if let Err(e) = self.tx.try_send(outgoing) {
-            let outgoing = e.into_inner();
+        if let Err(e) = self.tx.try_send(Command::Send(Box::new(outgoing)))
+            && let Command::Send(outgoing) = e.into_inner()
+        {
             (outgoing.on_reply)(Err(PeerError::NotSent("the peer links are busy".into())));
         }
     }
@@ -117,6 +125,13 @@
         rx.await
             .unwrap_or_else(|_| Err(PeerError::Incomplete("this daemon is stopping".into())))
     }
+
+    /// Asks the zones' delegates for all members; `None` if this daemon is busy or stopping.
+    pub async fn members(&self) -> Option<Vec<MemberStatus>> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.try_send(Command::RollCall(tx)).ok()?;
+        rx.await.ok()
+    }
 }
 
 /// The running peer thread.
@@ -164,7 +179,7 @@
 async fn run(
     listener: TcpListener,
     context: PeerContext,
-    mut rx: mpsc::Receiver<Outgoing>,
+    mut rx: mpsc::Receiver<Command>,
     mut stop: watch::Receiver<bool>,
 ) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
@@ -174,31 +189,43 @@
             return;
         }
     };
-    let client = PeerClient::default();
-    let handler = handler(context);
+    let shared = Arc::new(Shared::new(context));
+    let handler = handler(Arc::clone(&shared));
+    let loops = tokio::spawn(loops::run(Arc::clone(&shared)));
     let server = tokio::spawn(server::serve(listener, handler, stop.clone()));
     loop {
         tokio::select! {
             () = server::stopped(&mut stop) => break,
-            Some(outgoing) = rx.recv() => {
-                tokio::spawn(deliver(client.clone(), outgoing));
+            Some(command) = rx.recv() => {
+                tokio::spawn(obey(Arc::clone(&shared), command));
             }
         }
     }
+    loops.abort();
     if tokio::time::timeout(STOP_TIMEOUT, server).await.is_err() {
         log::warn!(target: "peer", "Open streams did not finish in time.");
     }
 }
 
-async fn deliver(client: PeerClient, outgoing: Outgoing) {
-    let result = client
-        .send(outgoing.to.peer_addr, &outgoing.request, outgoing.limit)
-        .await;
-    (outgoing.on_reply)(result);
+async fn obey(shared: Arc<Shared>, command: Command) {
+    match command {
+        Command::Send(outgoing) => {
+            let result = shared
+                .client
+                .send(outgoing.to.peer_addr, &outgoing.request, outgoing.limit)
+                .await;
+            (outgoing.on_reply)(result);
+        }
+        Command::RollCall(reply) => {
+            // The asking side may have given up.
+            let _ = reply.send(roll_call::run(&shared).await);
+        }
+    }
 }
 
-fn handler(context: PeerContext) -> Handler<PeerRequest, PeerReply> {
+fn handler(shared: Arc<Shared>) -> Handler<PeerRequest, PeerReply> {
     Arc::new(move |request| -> Pending<PeerReply> {
+        let context = &shared.context;
         match request {
             PeerRequest::Hold(hold) => {
                 let answer = (context.answer_hold)(hold);
@@ -212,7 +239,10 @@
                 let answer = (context.forward)(forward);
                 Box::pin(async move { PeerReply::Forward(answer.await) })
             }
-            PeerRequest::Sync(_) => Box::pin(async { PeerReply::Error("not served yet".into()) }),
+            PeerRequest::Sync(sync) => {
+                let shared = Arc::clone(&shared);
+                Box::pin(async move { PeerReply::Sync(shared.answer(sync).await) })
+            }
         }
     })
 }
