Add real-process deployments, recording callers and the judge of histories

Cause: the guarantees are to be judged from what targets and callers saw. Change: standins::cluster starts daemons and targets as processes behind faulty links and reaps them; standins::caller records every request; standins::workload keeps requests coming; standins::judge finds violations. Not run yet: the daemon is not wired, so no deployment was started.

--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,232 @@
+//! Callers that record what became of every request.
+
+use crate::target::{TargetAnswer, history::machine_us};
+use bytes::Bytes;
+use fireflygauge::{
+    routing::outcome::{OutcomeKind, RefusalBody},
+    target_api::{CALLER, IDEMPOTENCY_KEY, OUTCOME, TIMEOUT_MS},
+};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+/// Time beyond its deadline that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// A request to make.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The service.
+    pub service: Arc<str>,
+    /// The key, or any path segment for a service that is not divided by key.
+    pub key: Arc<str>,
+    /// Method.
+    pub method: Method,
+    /// Idempotency key.
+    pub idempotency_key: Option<Arc<str>>,
+    /// Deadline in milliseconds.
+    pub timeout_ms: u64,
+    /// Service time at the target, in milliseconds.
+    pub work_ms: u64,
+    /// Length of the answer's padding.
+    pub answer_bytes: usize,
+}
+
+impl Ask {
+    /// A request with an empty answer, no service time and a deadline of 1 s.
+    pub fn new(method: Method, service: &str, key: &str) -> Self {
+        Self {
+            service: service.into(),
+            key: key.into(),
+            method,
+            idempotency_key: None,
+            timeout_ms: 1_000,
+            work_ms: 0,
+            answer_bytes: 0,
+        }
+    }
+
+    /// The same request under an idempotency key.
+    pub fn once(mut self, key: &str) -> Self {
+        self.idempotency_key = Some(key.into());
+        self
+    }
+
+    /// The same request with a service time in milliseconds.
+    pub fn working(mut self, work_ms: u64) -> Self {
+        self.work_ms = work_ms;
+        self
+    }
+
+    /// The same request with a deadline in milliseconds.
+    pub fn within(mut self, timeout_ms: u64) -> Self {
+        self.timeout_ms = timeout_ms;
+        self
+    }
+}
+
+/// What a caller can say of one of its requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallResult {
+    /// The target's answer.
+    Answered(StatusCode, Box<TargetAnswer>),
+    /// The daemon says that it did not run.
+    NotRun(StatusCode, RefusalBody),
+    /// The daemon says that it may have run.
+    Unknown(StatusCode, RefusalBody),
+    /// The daemon accepted no connection.
+    NotSent,
+    /// The daemon gave no complete answer.
+    Broken(String),
+    /// The daemon gave an answer that is none of these.
+    Malformed(String),
+}
+
+/// One request and its result.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// What was asked.
+    pub ask: Ask,
+    /// The caller's own mark, unique for each attempt.
+    pub token: Arc<str>,
+    /// The daemon asked.
+    pub daemon: SocketAddr,
+    /// When it was sent, in microseconds of the machine's boot-time clock.
+    pub sent_us: u64,
+    /// When its result was known, on the same clock.
+    pub done_us: u64,
+    /// What became of it.
+    pub result: CallResult,
+}
+
+impl Attempt {
+    /// Whether the target's answer arrived.
+    pub fn is_answered(&self) -> bool {
+        matches!(&self.result, CallResult::Answered(status, _) if status.is_success())
+    }
+}
+
+/// Makes requests and records them. Clones share the record.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    name: Arc<str>,
+    client: Client<HttpConnector, Full<Bytes>>,
+    attempts: Arc<Mutex<Vec<Attempt>>>,
+    count: Arc<AtomicU64>,
+}
+
+impl Caller {
+    /// Creates a caller with an empty record.
+    pub fn new(name: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            name: name.into(),
+            client,
+            attempts: Arc::default(),
+            count: Arc::default(),
+        }
+    }
+
+    /// Makes a request to the daemon at `daemon` and records it.
+    pub async fn ask(&self, daemon: SocketAddr, ask: &Ask) -> Attempt {
+        let number = self.count.fetch_add(1, Ordering::Relaxed);
+        let token: Arc<str> = format!("{}-{number}", self.name).into();
+        let sent_us = machine_us();
+        let limit = Duration::from_millis(ask.timeout_ms) + PATIENCE;
+        let result = match tokio::time::timeout(limit, self.exchange(daemon, ask, &token)).await {
+            Ok(result) => result,
+            Err(_) => CallResult::Broken(format!("no answer within {limit:?}")),
+        };
+        let attempt = Attempt {
+            ask: ask.clone(),
+            token,
+            daemon,
+            sent_us,
+            done_us: machine_us(),
+            result,
+        };
+        let mut attempts = self.attempts.lock().expect("no thread panics with it");
+        attempts.push(attempt.clone());
+        attempt
+    }
+
+    /// All attempts so far, in order of their ends.
+    pub fn attempts(&self) -> Vec<Attempt> {
+        let attempts = self.attempts.lock().expect("no thread panics with it");
+        attempts.clone()
+    }
+
+    async fn exchange(&self, daemon: SocketAddr, ask: &Ask, token: &str) -> CallResult {
+        let uri = format!(
+            "http://{daemon}/{}/{}/item?token={token}",
+            ask.service, ask.key
+        );
+        let mut req = Request::builder()
+            .method(&ask.method)
+            .uri(uri)
+            .header(CALLER, &*self.name)
+            .header(TIMEOUT_MS, ask.timeout_ms)
+            .header("x-work-ms", ask.work_ms)
+            .header("x-answer-bytes", ask.answer_bytes);
+        if let Some(key) = &ask.idempotency_key {
+            req = req.header(IDEMPOTENCY_KEY, &**key);
+        }
+        let body = match ask.method {
+            Method::GET => Bytes::new(),
+            _ => Bytes::copy_from_slice(token.as_bytes()),
+        };
+        let req = req.body(Full::new(body)).expect("the request is valid");
+        let answer = match self.client.request(req).await {
+            Ok(answer) => answer,
+            Err(e) if e.is_connect() => return CallResult::NotSent,
+            Err(e) => return CallResult::Broken(format!("{e:?}")),
+        };
+        let (head, body) = answer.into_parts();
+        match body.collect().await {
+            Ok(body) => understand(head.status, &head.headers, &body.to_bytes()),
+            Err(e) => CallResult::Broken(format!("{e:?}")),
+        }
+    }
+}
+
+/// Takes an answer apart; everything that a caller relies on must be there.
+fn understand(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> CallResult {
+    let text = || String::from_utf8_lossy(body);
+    let outcome = headers.get(OUTCOME).and_then(|v| v.to_str().ok());
+    let Some(outcome) = outcome.and_then(|text| text.parse::<OutcomeKind>().ok()) else {
+        return CallResult::Malformed(format!("{status} without an outcome: {}", text()));
+    };
+    if outcome == OutcomeKind::Answered {
+        return match serde_json::from_slice(body) {
+            Ok(answer) => CallResult::Answered(status, Box::new(answer)),
+            Err(e) => CallResult::Malformed(format!("{status} {e}: {}", text())),
+        };
+    }
+    match serde_json::from_slice::<RefusalBody>(body) {
+        Ok(refusal) if refusal.outcome == outcome && is_complete(&refusal) => match outcome {
+            OutcomeKind::NotRun => CallResult::NotRun(status, refusal),
+            _ => CallResult::Unknown(status, refusal),
+        },
+        _ => CallResult::Malformed(format!("{status} {outcome}: {}", text())),
+    }
+}
+
+fn is_complete(refusal: &RefusalBody) -> bool {
+    let parts = [&refusal.reference, &refusal.reason, &refusal.contact];
+    parts.iter().all(|part| !part.is_empty())
+}
--- /dev/null
+++ b/standins/src/cluster.rs
@@ -0,0 +1,236 @@
+//! A whole deployment of real processes on loopback, for failure tests and measurements.
+//!
+//! Daemons and targets are processes of their own. The platform and the faulty links between
+//! them run in the calling process: every daemon reaches the platform, and everyone reaches each
+//! target, through a link of its own.
+
+pub mod child;
+mod config;
+mod daemon;
+mod directory;
+mod target;
+
+pub use config::Declared;
+pub use daemon::Daemon;
+pub use directory::TempDir;
+pub use target::Target;
+
+use crate::{
+    platform::{Faults, Platform},
+    target::{Execution, read_history},
+};
+use fireflygauge::world::ServiceName;
+use std::{
+    future::Future,
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc, LazyLock,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, sleep},
+};
+
+/// Deployments running at once in one process; more would make results depend on the load of the
+/// machine.
+const CLUSTERS_AT_ONCE: usize = 3;
+/// How often a condition is checked that a test waits for.
+const POLL: Duration = Duration::from_millis(10);
+/// Time for a process to start on a busy machine.
+pub const START_TIME: Duration = Duration::from_secs(20);
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Availability zone of each daemon.
+    pub daemons: Vec<&'static str>,
+    /// Service, zone and further flags of each target.
+    pub targets: Vec<(&'static str, &'static str, Vec<String>)>,
+    /// The declaration in force from the start, if there is one.
+    pub declared: Option<Declared>,
+}
+
+/// The keyed service of test deployments.
+pub const KEYED: &str = "rounds";
+/// The service of test deployments that is not divided by key.
+pub const UNKEYED: &str = "records";
+
+impl Default for Layout {
+    /// Three zones with a daemon and a target of each service in each.
+    fn default() -> Self {
+        let zones = ["zone-a", "zone-b", "zone-c"];
+        let targets = [KEYED, UNKEYED]
+            .into_iter()
+            .flat_map(|service| zones.map(|zone| (service, zone, Vec::new())))
+            .collect();
+        Self {
+            daemons: zones.to_vec(),
+            targets,
+            declared: Some(Declared::default()),
+        }
+    }
+}
+
+/// A running deployment; everything stops when it is dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The platform.
+    pub platform: Platform,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The targets.
+    pub targets: Vec<Target>,
+    /// Logs and histories.
+    pub dir: TempDir,
+    ip: IpAddr,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Cluster {
+    /// Starts a deployment, waiting while too many others run.
+    ///
+    /// # Errors
+    /// The system's error if something cannot be started.
+    pub async fn start(layout: Layout) -> io::Result<Self> {
+        let permit = permit().await;
+        let ip = next_ip();
+        let mut cluster = Self {
+            platform: Platform::start(SocketAddr::new(ip, 0), Faults::default()).await?,
+            daemons: Vec::new(),
+            targets: Vec::new(),
+            dir: TempDir::new()?,
+            ip,
+            _permit: permit,
+        };
+        if let Some(declared) = &layout.declared {
+            cluster.platform.seed(declared);
+        }
+        for (service, zone, flags) in &layout.targets {
+            cluster.add_target(service, zone, flags).await?;
+        }
+        for zone in &layout.daemons {
+            cluster.add_daemon(zone).await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts a further target and registers it.
+    ///
+    /// # Errors
+    /// The system's error if it cannot be started.
+    pub async fn add_target(
+        &mut self,
+        service: &str,
+        zone: &str,
+        flags: &[String],
+    ) -> io::Result<usize> {
+        let index = self.targets.len();
+        let name = format!("{service}-{index}");
+        let target = Target::start(&name, service, zone, flags, self.ip, &self.dir).await?;
+        self.platform.register(target.vm());
+        self.targets.push(target);
+        Ok(index)
+    }
+
+    /// Starts a further daemon and registers it.
+    ///
+    /// # Errors
+    /// The system's error if it cannot be started.
+    pub async fn add_daemon(&mut self, zone: &str) -> io::Result<usize> {
+        let index = self.daemons.len();
+        let name = format!("entry-{index}");
+        let daemon = Daemon::start(&name, zone, self.ip, self.platform.addr(), &self.dir).await?;
+        self.platform.register(daemon.vm());
+        self.daemons.push(daemon);
+        Ok(index)
+    }
+
+    /// Indices of the targets of a service.
+    pub fn targets_of(&self, service: &str) -> Vec<usize> {
+        let service = ServiceName::from(service);
+        (0..self.targets.len())
+            .filter(|&i| self.targets[i].service() == &service)
+            .collect()
+    }
+
+    /// Index of the daemon that the controller row of the keyed service names as holder.
+    pub fn controller(&self) -> Option<usize> {
+        let row = self.platform.row(&format!("group/{KEYED}/0"))?;
+        let row: serde_json::Value = serde_json::from_str(&row.value).ok()?;
+        let holder = row.get("holder")?.to_string();
+        (0..self.daemons.len()).find(|&i| holder.contains(&format!("\"{}\"", self.daemons[i].name)))
+    }
+
+    /// Executions of all targets so far, in order of their ends.
+    pub fn executions(&self) -> Vec<Execution> {
+        let mut all: Vec<Execution> = self
+            .targets
+            .iter()
+            .flat_map(|t| read_history(t.history()).expect("the history is readable"))
+            .collect();
+        all.sort_by_key(|e| e.end_us);
+        all
+    }
+
+    /// Addresses for callers of the daemons that run.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let running = self.daemons.iter().filter(|d| d.is_running());
+        running.map(Daemon::caller_addr).collect()
+    }
+}
+
+async fn permit() -> OwnedSemaphorePermit {
+    static CLUSTERS: LazyLock<Arc<Semaphore>> =
+        LazyLock::new(|| Arc::new(Semaphore::new(CLUSTERS_AT_ONCE)));
+    let permit = Arc::clone(&CLUSTERS).acquire_owned().await;
+    permit.expect("the semaphore is never closed")
+}
+
+/// A loopback address of this process and deployment. Connections leave from 127.0.0.1, so a
+/// port found free on another address stays free until it is bound.
+fn next_ip() -> IpAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let id = std::process::id();
+    let [_, _, high, low] = id.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        high.max(1),
+        low,
+        (count % 250 + 1) as u8,
+    ))
+}
+
+/// Waits until `condition` gives a value.
+///
+/// # Panics
+/// With `what` if it has not done so within `limit`.
+pub async fn wait_for<T, F, Fut>(what: &str, limit: Duration, mut condition: F) -> T
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = Option<T>>,
+{
+    let end = Instant::now() + limit;
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
+        sleep(POLL).await;
+    }
+}
+
+/// Waits until `condition` holds.
+///
+/// # Panics
+/// With `what` if it does not hold within `limit`.
+pub async fn wait_until(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) {
+    wait_for(what, limit, || {
+        std::future::ready(condition().then_some(()))
+    })
+    .await;
+}
--- /dev/null
+++ b/standins/src/cluster/daemon.rs
@@ -0,0 +1,126 @@
+//! An entry daemon's process and its link to the platform.
+
+use super::{TempDir, child::Child};
+use crate::proxy::ProxyLink;
+use fireflygauge::world::{Vm, VmName, VmRole, VmState, ZoneName};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr, TcpListener},
+    path::PathBuf,
+};
+
+/// An entry daemon's process and its link to the platform.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Its name in the platform's list.
+    pub name: VmName,
+    /// The process; `None` after a kill.
+    pub child: Option<Child>,
+    /// Its link to the platform.
+    pub store_link: ProxyLink,
+    zone: ZoneName,
+    caller: SocketAddr,
+    peer: SocketAddr,
+    operator: SocketAddr,
+    dir: PathBuf,
+}
+
+impl Daemon {
+    pub(super) async fn start(
+        name: &str,
+        zone: &str,
+        ip: IpAddr,
+        platform: SocketAddr,
+        dir: &TempDir,
+    ) -> io::Result<Self> {
+        let [caller, peer, operator] = free_addrs(ip)?;
+        let mut daemon = Self {
+            name: name.into(),
+            child: None,
+            store_link: ProxyLink::start(SocketAddr::new(ip, 0), platform).await?,
+            zone: ZoneName(zone.into()),
+            caller,
+            peer,
+            operator,
+            dir: dir.path().to_owned(),
+        };
+        daemon.spawn()?;
+        Ok(daemon)
+    }
+
+    /// Starts the process, after a kill or a stop, under its old addresses.
+    ///
+    /// # Errors
+    /// The system's error if it cannot be started.
+    pub fn spawn(&mut self) -> io::Result<()> {
+        let args = [
+            format!("--name={}", self.name),
+            format!("--zone={}", self.zone),
+            format!("--caller-addr={}", self.caller),
+            format!("--peer-addr={}", self.peer),
+            format!("--operator-addr={}", self.operator),
+            format!("--platform-addr={}", self.store_link.addr()),
+        ];
+        self.child = None;
+        let child = Child::start("fireflygauge-entry", &args, &self.dir, &self.name.0)?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child = None;
+    }
+
+    /// Pauses the process.
+    pub fn freeze(&self) {
+        self.running().freeze();
+    }
+
+    /// Lets the paused process go on.
+    pub fn thaw(&self) {
+        self.running().thaw();
+    }
+
+    /// Whether a process was started and not killed.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Address that serves callers.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.caller
+    }
+
+    /// Address that serves operators.
+    pub fn operator_addr(&self) -> SocketAddr {
+        self.operator
+    }
+
+    /// The VM under which it is listed.
+    pub fn vm(&self) -> Vm {
+        Vm {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            addr: self.caller,
+            state: VmState::Live,
+            role: VmRole::Entry {
+                peer_addr: self.peer,
+                operator_addr: self.operator,
+            },
+        }
+    }
+
+    fn running(&self) -> &Child {
+        self.child.as_ref().expect("the daemon runs")
+    }
+}
+
+/// Free ports of `ip`. The listeners are closed, so another process could take them; nobody else
+/// uses this address.
+fn free_addrs(ip: IpAddr) -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((ip, 0));
+    let listeners = [bind()?, bind()?, bind()?];
+    let [a, b, c] = listeners.each_ref().map(TcpListener::local_addr);
+    Ok([a?, b?, c?])
+}
--- /dev/null
+++ b/standins/src/judge.rs
@@ -0,0 +1,185 @@
+//! Judges the guarantees from histories of targets and callers alone.
+
+use crate::{
+    caller::{Attempt, CallResult},
+    target::Execution,
+};
+use fireflygauge::collections::{Map, Set};
+use http::Method;
+use std::sync::Arc;
+
+/// What callers and targets saw in one run.
+#[derive(Clone, Debug, Default)]
+pub struct Histories {
+    /// Executions of all targets.
+    pub executions: Vec<Execution>,
+    /// Requests of all callers.
+    pub attempts: Vec<Attempt>,
+}
+
+impl Histories {
+    /// Every violation of a guarantee; empty if all of them held.
+    pub fn violations(&self) -> Vec<String> {
+        let mut all = self.owners();
+        all.extend(self.answers());
+        all.extend(self.refusals());
+        all.extend(self.repetitions());
+        all
+    }
+
+    /// # Panics
+    /// With every violation if there is one.
+    pub fn assert_kept(&self) {
+        let violations = self.violations();
+        assert!(violations.is_empty(), "{}", violations.join("\n"));
+    }
+
+    /// One owner: the executions of a partition that took effect follow each other without overlap
+    /// wherever the owner changes, ownership epochs never fall, and an epoch has one target.
+    pub fn owners(&self) -> Vec<String> {
+        let mut partitions: Map<(&str, u32), Vec<&Execution>> = Map::default();
+        for execution in self.executions.iter().filter(|e| e.effect) {
+            if let Some(partition) = execution.partition {
+                // Targets are named after their service.
+                let service = execution.target.0.rsplit_once('-').map_or("", |(s, _)| s);
+                let runs = partitions.entry((service, partition)).or_default();
+                runs.push(execution);
+            }
+        }
+        partitions.values_mut().flat_map(one_owner).collect()
+    }
+
+    /// Whole own answer: an answer carries its own request's mark, key and whole padding, and was
+    /// made by an execution that took effect. A repetition under an idempotency key may carry the
+    /// mark of an earlier attempt under that key.
+    pub fn answers(&self) -> Vec<String> {
+        let ran: Set<&str> = self.effects().map(|e| &*e.token).collect();
+        let mut marks: Map<&Arc<str>, Set<&str>> = Map::default();
+        for attempt in &self.attempts {
+            if let Some(key) = &attempt.ask.idempotency_key {
+                marks.entry(key).or_default().insert(&attempt.token);
+            }
+        }
+        let wrong = |attempt: &&Attempt| match &attempt.result {
+            CallResult::Malformed(_) => true,
+            CallResult::Answered(_, answer) => {
+                let key = attempt.ask.idempotency_key.as_ref();
+                let repeated = key
+                    .and_then(|key| marks.get(key))
+                    .is_some_and(|marks| marks.contains(&*answer.token));
+                let own = answer.token == attempt.token || repeated;
+                let whole = answer.padding.len() == attempt.ask.answer_bytes;
+                !(own && whole && answer.key == attempt.ask.key && ran.contains(&*answer.token))
+            }
+            _ => false,
+        };
+        let wrong = self.attempts.iter().filter(wrong);
+        wrong.map(|a| format!("wrong answer: {a:?}")).collect()
+    }
+
+    /// Not-run means not run: no execution of a request refused as not-run took effect.
+    pub fn refusals(&self) -> Vec<String> {
+        let ran: Set<&str> = self.effects().map(|e| &*e.token).collect();
+        let denied = |attempt: &&Attempt| {
+            matches!(attempt.result, CallResult::NotRun(..) | CallResult::NotSent)
+                && ran.contains(&*attempt.token)
+        };
+        let denied = self.attempts.iter().filter(denied);
+        denied
+            .map(|a| format!("ran in spite of its refusal: {a:?}"))
+            .collect()
+    }
+
+    /// At most once: a non-idempotent request took effect once at most, over all attempts with its
+    /// idempotency key.
+    pub fn repetitions(&self) -> Vec<String> {
+        let mut counts: Map<String, Vec<&Execution>> = Map::default();
+        for execution in self
+            .effects()
+            .filter(|e| e.method.as_ref() == Method::POST.as_str())
+        {
+            let name = match &execution.idempotency_key {
+                Some(key) => format!("idempotency key {key}"),
+                None => format!("request {}", execution.token),
+            };
+            counts.entry(name).or_default().push(execution);
+        }
+        counts.retain(|_, executions| executions.len() > 1);
+        counts
+            .iter()
+            .map(|(name, executions)| format!("{name} ran more than once: {executions:?}"))
+            .collect()
+    }
+
+    /// Attempts by outcome.
+    pub fn outcomes(&self) -> Map<&'static str, usize> {
+        let mut counts = Map::default();
+        for attempt in &self.attempts {
+            let name = match attempt.result {
+                CallResult::Answered(..) => "answered",
+                CallResult::NotRun(..) => "not-run",
+                CallResult::Unknown(..) => "unknown",
+                CallResult::NotSent => "not-sent",
+                CallResult::Broken(_) => "broken",
+                CallResult::Malformed(_) => "malformed",
+            };
+            *counts.entry(name).or_default() += 1;
+        }
+        counts
+    }
+
+    /// The longest time between two answers for one key, in milliseconds.
+    pub fn longest_unserved_ms(&self) -> u64 {
+        let mut last: Map<&Arc<str>, u64> = Map::default();
+        let mut longest = 0;
+        let mut answered: Vec<&Attempt> =
+            self.attempts.iter().filter(|a| a.is_answered()).collect();
+        answered.sort_by_key(|a| a.done_us);
+        for attempt in answered {
+            if let Some(previous) = last.insert(&attempt.ask.key, attempt.done_us) {
+                longest = longest.max(attempt.done_us - previous);
+            }
+        }
+        longest / 1_000
+    }
+
+    /// Partitions that more than one target ran requests for, one count for each change.
+    pub fn moves(&self) -> usize {
+        let mut epochs: Map<u32, Set<u64>> = Map::default();
+        for execution in self.effects() {
+            if let (Some(partition), Some(epoch)) = (execution.partition, execution.epoch) {
+                epochs.entry(partition).or_default().insert(epoch);
+            }
+        }
+        epochs.values().map(|epochs| epochs.len() - 1).sum()
+    }
+
+    fn effects(&self) -> impl Iterator<Item = &Execution> {
+        self.executions.iter().filter(|e| e.effect)
+    }
+}
+
+fn one_owner(runs: &mut Vec<&Execution>) -> Vec<String> {
+    runs.sort_by_key(|e| e.end_us);
+    let mut wrong = Vec::new();
+    let mut latest: Option<&Execution> = None;
+    for &run in &*runs {
+        if let Some(latest) = latest
+            && !may_follow(latest, run)
+        {
+            wrong.push(format!("two owners: {latest:?} and then {run:?}"));
+        }
+        latest = Some(run);
+    }
+    wrong
+}
+
+/// Whether `next`, which ended later, keeps to one owner after `last`.
+fn may_follow(last: &Execution, next: &Execution) -> bool {
+    let same_owner = (&last.target, last.incarnation) == (&next.target, next.incarnation);
+    if last.epoch == next.epoch {
+        // A restarted target may own its partitions again under the same epoch.
+        return last.target == next.target && (same_owner || next.start_us >= last.end_us);
+    }
+    last.epoch < next.epoch && next.start_us >= last.end_us
+}
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -16,7 +16,7 @@
 use fireflygauge::{
     clock::{Clock, Millis},
     collections::Map,
-    store::api::{CommitReply, Transaction},
+    store::api::{CommitReply, Row, Transaction},
     world::Vm,
 };
 use http::{Method, Request, Response, StatusCode};
@@ -107,6 +107,24 @@
         self.shared.lock().list.remove(name, now);
     }
 
+    /// Reads a row past all faults.
+    pub fn row(&self, name: &str) -> Option<Row> {
+        let now = self.shared.now();
+        self.shared.lock().table.read(name, now)
+    }
+
+    /// Commits a transaction past all faults.
+    pub fn commit(&self, transaction: &Transaction) -> CommitReply {
+        let now = self.shared.now();
+        self.shared.lock().table.commit(transaction, now)
+    }
+
+    /// Keeps an object past all faults.
+    pub fn put_object(&self, hash: &str, body: impl Into<Bytes>) {
+        let mut state = self.shared.lock();
+        state.objects.insert(hash.to_owned(), body.into());
+    }
+
     /// What was read and written so far.
     pub fn counters(&self) -> Counters {
         self.shared.lock().counters
--- /dev/null
+++ b/standins/src/workload.rs
@@ -0,0 +1,178 @@
+//! Steady requests of many callers while a test injects faults.
+
+use crate::caller::{Ask, Attempt, CallResult, Caller};
+use http::Method;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    sync::watch,
+    task::JoinSet,
+    time::{MissedTickBehavior, interval},
+};
+
+/// Attempts under one idempotency key.
+const REPETITIONS: usize = 3;
+
+/// What to request.
+#[derive(Clone, Debug)]
+pub struct Mix {
+    /// The service.
+    pub service: &'static str,
+    /// Number of keys; each has a caller of its own with one request at a time.
+    pub keys: usize,
+    /// Time between the starts of a key's requests.
+    pub interval: Duration,
+    /// Deadline of each request, in milliseconds.
+    pub timeout_ms: u64,
+    /// Longest service time at the target, in milliseconds.
+    pub work_ms: u64,
+    /// Seeds the choices of daemon, method and service time.
+    pub seed: u64,
+}
+
+impl Mix {
+    /// 24 keys of the keyed service, a request for each every 25 ms.
+    pub fn keyed(seed: u64) -> Self {
+        Self {
+            service: crate::cluster::KEYED,
+            keys: 24,
+            interval: Duration::from_millis(25),
+            timeout_ms: 300,
+            work_ms: 4,
+            seed,
+        }
+    }
+}
+
+/// The daemons that callers may use, as the platform's balancer would tell them.
+pub type Balancer = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// Requests that go on until stopped.
+#[derive(Debug)]
+pub struct Workload {
+    /// The daemons in use.
+    pub balancer: Balancer,
+    caller: Caller,
+    stop: watch::Sender<bool>,
+    tasks: JoinSet<()>,
+}
+
+impl Workload {
+    /// Starts requests to the daemons at `entries`.
+    pub fn start(mix: &Mix, entries: Vec<SocketAddr>) -> Self {
+        let balancer: Balancer = Arc::new(Mutex::new(entries));
+        let caller = Caller::new(mix.service);
+        let (stop, stopped) = watch::channel(false);
+        let mut tasks = JoinSet::new();
+        for key in 0..mix.keys {
+            let one = OneKey {
+                mix: mix.clone(),
+                key: format!("k{key}").into(),
+                balancer: Arc::clone(&balancer),
+                caller: caller.clone(),
+                rng: StdRng::seed_from_u64(mix.seed.wrapping_add(key as u64)),
+            };
+            tasks.spawn(one.run(stopped.clone()));
+        }
+        Self {
+            balancer,
+            caller,
+            stop,
+            tasks,
+        }
+    }
+
+    /// Attempts so far.
+    pub fn attempts(&self) -> Vec<Attempt> {
+        self.caller.attempts()
+    }
+
+    /// Whether every key was answered since `since_us` of the machine's boot-time clock.
+    pub fn all_answered_since(&self, since_us: u64, keys: usize) -> bool {
+        let attempts = self.attempts();
+        let answered: std::collections::BTreeSet<&str> = attempts
+            .iter()
+            .filter(|a| a.sent_us >= since_us && a.is_answered())
+            .map(|a| &*a.ask.key)
+            .collect();
+        answered.len() == keys
+    }
+
+    /// Replaces the daemons in use.
+    pub fn use_daemons(&self, entries: Vec<SocketAddr>) {
+        *self.balancer.lock().expect("no thread panics with it") = entries;
+    }
+
+    /// Lets the requests under way end and returns all attempts.
+    pub async fn finish(mut self) -> Vec<Attempt> {
+        self.stop.send_replace(true);
+        while let Some(ended) = self.tasks.join_next().await {
+            ended.expect("a caller does not panic");
+        }
+        self.caller.attempts()
+    }
+}
+
+/// The caller of one key.
+struct OneKey {
+    mix: Mix,
+    key: Arc<str>,
+    balancer: Balancer,
+    caller: Caller,
+    rng: StdRng,
+}
+
+impl OneKey {
+    async fn run(mut self, stopped: watch::Receiver<bool>) {
+        let mut ticks = interval(self.mix.interval);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut number = 0;
+        while !*stopped.borrow() {
+            ticks.tick().await;
+            number += 1;
+            let ask = self.next_ask(number);
+            self.ask(&ask).await;
+        }
+    }
+
+    /// Reads, creations and creations under an idempotency key in equal parts.
+    fn next_ask(&mut self, number: u64) -> Ask {
+        let method = [Method::GET, Method::POST, Method::POST][number as usize % 3].clone();
+        let work_ms = self.rng.random_range(0..=self.mix.work_ms);
+        let ask = Ask::new(method, self.mix.service, &self.key)
+            .within(self.mix.timeout_ms)
+            .working(work_ms);
+        if number % 3 == 2 {
+            let name = format!(
+                "{}-{}-{}-{number}",
+                self.mix.service, self.mix.seed, self.key
+            );
+            return ask.once(&name);
+        }
+        ask
+    }
+
+    /// Asks, and repeats what has an idempotency key, until it is answered.
+    async fn ask(&mut self, ask: &Ask) {
+        let tries = ask.idempotency_key.as_ref().map_or(1, |_| REPETITIONS);
+        for _ in 0..tries {
+            let Some(daemon) = self.choose() else {
+                return;
+            };
+            let attempt = self.caller.ask(daemon, ask).await;
+            if matches!(attempt.result, CallResult::Answered(..)) {
+                return;
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Option<SocketAddr> {
+        let entries = self.balancer.lock().expect("no thread panics with it");
+        let index = self.rng.random_range(0..entries.len().max(1));
+        entries.get(index).copied()
+    }
+}
