--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what surrounds the router, and the load tool.
 
+pub mod cluster;
 pub mod load;
 pub mod platform;
 pub mod proxy;
