Keep the exchangeable policies out of the request path's context

Cause: the daemon's runtime builds the context and needs no choice of policies. Change: serve_with takes the policies for measurements; serve uses the usual ones.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -8,6 +8,7 @@
         path::{RequestPath, RequestPathContext},
         prober,
         request::Head,
+        targets::Policies,
     },
     target_api::OUTCOME,
 };
@@ -71,6 +72,19 @@
     cx: RequestPathContext,
     listener: std::net::TcpListener,
     stop: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<Stopped>> {
+    serve_with(cx, Policies::default(), listener, stop)
+}
+
+/// Like [`serve`], with policies that are to be measured against the usual ones.
+///
+/// # Errors
+/// If the listener cannot be used or a thread cannot be started.
+pub fn serve_with(
+    cx: RequestPathContext,
+    policies: Policies,
+    listener: std::net::TcpListener,
+    stop: watch::Receiver<bool>,
 ) -> io::Result<JoinHandle<Stopped>> {
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -85,7 +99,7 @@
     thread::Builder::new()
         .name("request-main".into())
         .spawn(move || {
-            let stopped = runtime.block_on(run(&cx, listener, stop));
+            let stopped = runtime.block_on(run(&cx, policies, listener, stop));
             runtime.shutdown_timeout(Duration::from_millis(100));
             stopped
         })
@@ -93,10 +107,11 @@
 
 async fn run(
     cx: &RequestPathContext,
+    policies: Policies,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) -> Stopped {
-    let path = RequestPath::new(cx);
+    let path = RequestPath::new(cx, policies);
     if let Err(e) = prober::start(cx.directory.clone(), path.targets(), cx.clock, stop.clone()) {
         log::error!(target: "request", "Prober not started. error=\"{e}\"");
     }
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -53,8 +53,6 @@
     pub workers: usize,
     /// Longest time to finish requests in flight at a stop.
     pub stop_timeout: Duration,
-    /// Policies of admission and choice.
-    pub policies: Policies,
     /// Counters.
     pub metrics: Metrics,
     /// Refusals for the operator's tool.
@@ -147,14 +145,14 @@
 
 impl RequestPath {
     /// Creates the request path. It needs the runtime that it will be used on.
-    pub fn new(cx: &RequestPathContext) -> Self {
+    pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
         Self {
             shared: Arc::new(Shared {
                 link: cx.link.clone(),
                 clock: cx.clock,
                 directory: cx.directory.clone(),
                 metrics: cx.metrics.clone(),
-                targets: Arc::new(Targets::new(cx.policies, cx.clock)),
+                targets: Arc::new(Targets::new(policies, cx.clock)),
                 journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
                 recent: cx.recent.clone(),
                 budgets: Mutex::default(),
--- a/tests/routing/daemon.rs
+++ b/tests/routing/daemon.rs
@@ -9,10 +9,7 @@
         http::{Stopped, serve},
         metrics::Metrics,
     },
-    routing::{
-        RecentRefusals, RequestPathContext, outcome::OutcomeKind, outcome::RefusalBody,
-        targets::Policies,
-    },
+    routing::{RecentRefusals, RequestPathContext, outcome::OutcomeKind, outcome::RefusalBody},
     store::StoreClient,
     table::{Owner, RoutingTable, TableVersion},
     world::{GroupId, Incarnation, Link, Vm, VmName, VmRole, VmState},
@@ -131,7 +128,6 @@
             store: StoreClient::new(store.unwrap_or(closed), Duration::from_millis(200)),
             workers: 1,
             stop_timeout: LIMIT,
-            policies: Policies::default(),
             metrics: Metrics::default(),
             recent: RecentRefusals::default(),
         };
