--- a/tests/routing/journal.rs
+++ b/tests/routing/journal.rs
@@ -81,6 +81,31 @@
     assert_eq!(target.received().len(), runs);
 }
 
+/// Guards against telling a caller to send again while its key is still blocked, here because the
+/// first write that frees it fails.
+#[tokio::test]
+async fn key_is_free_before_the_refusal() {
+    let script = |n| {
+        if n == 1 {
+            Fault::Unavailable
+        } else {
+            Fault::None
+        }
+    };
+    let store = FakeStore::start(script).await;
+    let script = |n| {
+        if n == 0 {
+            Reply::NotRun(503, "deadline")
+        } else {
+            Reply::Ok("receipt")
+        }
+    };
+    let target = FakeTarget::start(script).await;
+    let daemon = Daemon::start(&[target.addr], &[], Some(store.addr)).await;
+    assert_eq!(deposit(&daemon, "a", "10").await.outcome(), NotRun);
+    assert_eq!(deposit(&daemon, "a", "10").await.code(), "answered");
+}
+
 /// Guards against sending without a settled row, and against blocking a key for nothing.
 #[test_case(|_| Fault::Unavailable, "journal-unavailable", 0; "store_down")]
 #[test_case(|n| if n == 0 { Fault::LostAnswer } else { Fault::None }, "answered", 1; "lost_answer")]
@@ -126,7 +151,8 @@
 #[tokio::test]
 async fn answer_is_recorded_although_the_caller_left() {
     let store = FakeStore::start(|_| Fault::None).await;
-    let target = FakeTarget::start(|_| Reply::Late(Duration::from_millis(100), "receipt")).await;
+    // Longer than the time for which a stop lingers anyway.
+    let target = FakeTarget::start(|_| Reply::Late(Duration::from_millis(800), "receipt")).await;
     let mut daemon = Daemon::start(&[target.addr], &[], Some(store.addr)).await;
     let mut stream = TcpStream::connect(daemon.addr).await.expect("a connection");
     let head = b"POST /rounds/k/deposit HTTP/1.1\r\nhost: x\r\nidempotency-key: a\r\n\
