Bound the memory of bodies, close idle connections and count only known services

Cause: bodies of waiting requests had no common limit, idle connections stayed open until their next use, a connect that outlasted the deadline was claimed as may have run, and metrics were keyed by names that callers choose. Change: 64 MiB for all bodies with an overloaded refusal, idle connections closed by the prober's refresh (sooner where daemons outnumber connections), connecting apart from the exchange, and unknown service names dropped. The connect timeout itself is not tested: a blackholed address cannot be had on loopback.

--- a/src/routing.rs
+++ b/src/routing.rs
@@ -1,6 +1,7 @@
 //! The path of a caller's request.
 
 pub mod admission;
+pub mod answer;
 pub mod choice;
 pub mod dispatch;
 pub mod exchange;
@@ -17,6 +18,7 @@
 pub mod refusal;
 pub mod request;
 pub mod retry;
+pub mod shared;
 pub mod targets;
 
 pub use path::{RequestPath, RequestPathContext};
--- /dev/null
+++ b/src/routing/answer.rs
@@ -0,0 +1,131 @@
+//! Answers to callers: a target's own answer, or a refusal that says whom to ask.
+
+use super::{
+    outcome::{Outcome, RefusalBody},
+    reference::{Reference, unix_ms},
+    refusal::{Code, RefusalRecord},
+    shared::Shared,
+};
+use crate::{
+    clock::Millis,
+    target_api::{OUTCOME, REFERENCE},
+    world::ServiceName,
+};
+use bytes::Bytes;
+use http::{HeaderValue, Response, header};
+use std::sync::Arc;
+
+/// Contact that is given while no configuration is in force.
+const NO_CONTACT: &str = "the operator of this service";
+
+/// What is known of a request that is being answered.
+#[derive(Debug)]
+pub struct Progress {
+    /// Identifies the request.
+    pub id: u64,
+    /// When it arrived.
+    pub arrived: Millis,
+    /// The service, if there is one of that name.
+    pub service: Option<ServiceName>,
+    /// Who is asking.
+    pub caller: Arc<str>,
+    /// The key of a keyed request.
+    pub key: Option<Arc<str>>,
+    /// The last target that was tried.
+    pub target: Option<Arc<str>>,
+    /// Requests sent to targets.
+    pub attempts: u32,
+}
+
+/// Answers a request with its outcome or the reason for its refusal.
+pub fn answer(
+    shared: &Shared,
+    result: Result<Outcome, Code>,
+    progress: &Progress,
+) -> Response<Bytes> {
+    let code = match &result {
+        Ok(Outcome::Answered(_)) => Code::Answered,
+        Ok(Outcome::NotRun(refusal) | Outcome::Unknown(refusal)) => {
+            refusal.code.parse().unwrap_or(Code::Internal)
+        }
+        Err(code) => *code,
+    };
+    let reference = Reference {
+        daemon: shared.link.name.clone(),
+        at_ms: unix_ms(),
+        code,
+        id: progress.id,
+    };
+    let elapsed = shared.clock.now().since(progress.arrived);
+    let service = progress.service.as_ref().map(|s| &*s.0);
+    shared.metrics.answered(service, code.kind(), elapsed);
+    let reference: Arc<str> = reference.to_string().into();
+    let mut response = match result.unwrap_or_else(Code::outcome) {
+        Outcome::Answered(answer) => {
+            let mut response = Response::new(answer.body);
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = answer.headers;
+            response
+        }
+        Outcome::NotRun(_) | Outcome::Unknown(_) => {
+            refuse(shared, code, &reference, elapsed, progress)
+        }
+    };
+    let headers = response.headers_mut();
+    let kind: &'static str = code.kind().into();
+    headers.insert(OUTCOME, HeaderValue::from_static(kind));
+    if let Ok(value) = HeaderValue::from_str(&reference) {
+        headers.insert(REFERENCE, value);
+    }
+    response
+}
+
+fn refuse(
+    shared: &Shared,
+    code: Code,
+    reference: &Arc<str>,
+    elapsed: Millis,
+    progress: &Progress,
+) -> Response<Bytes> {
+    let record = RefusalRecord {
+        reference: Arc::clone(reference),
+        outcome: code.kind(),
+        code,
+        service: progress.service.clone(),
+        caller: Arc::clone(&progress.caller),
+        key: progress.key.clone(),
+        target: progress.target.clone(),
+        attempts: progress.attempts,
+        elapsed_ms: elapsed.0,
+    };
+    log::info!(
+        target: "request",
+        "Request refused. reference={reference} outcome={} code={code} attempts={} \
+         target={} elapsed_ms={}",
+        record.outcome,
+        record.attempts,
+        record.target.as_deref().unwrap_or("none"),
+        record.elapsed_ms,
+    );
+    shared.recent.push(record);
+    let body = RefusalBody {
+        outcome: code.kind(),
+        reference: Arc::clone(reference),
+        code: <&str>::from(code).into(),
+        reason: code.reason().into(),
+        contact: contact(shared),
+    };
+    let body = serde_json::to_vec(&body).expect("a refusal is valid JSON");
+    let mut response = Response::new(Bytes::from(body));
+    *response.status_mut() = code.status();
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn contact(shared: &Shared) -> Arc<str> {
+    match &shared.directory.snapshot().load().config {
+        Some(config) => Arc::clone(&config.preset.contact),
+        None => NO_CONTACT.into(),
+    }
+}
--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -3,11 +3,11 @@
 use super::{
     choice::choose,
     exchange::Exchange,
-    path::Shared,
     reference::Base36,
     refusal::Code,
     request::CallerRequest,
     retry::{Again, again, delay},
+    shared::Shared,
     targets::{TargetState, ended},
 };
 use crate::{
@@ -184,21 +184,26 @@
             cx.metrics.queued(name, waiting);
         }
         let sent = cx.clock.now();
-        let left: Duration = req.deadline.since(sent).into();
+        let given: Duration = req.deadline.since(sent).into();
+        let result = self.exchange(route, state, given).await;
+        let now = cx.clock.now();
+        permit.end(ended(&result, now.since(sent)));
+        state.learn(&result, given, now);
+        result
+    }
+
+    async fn exchange(&mut self, route: Route, state: &TargetState, given: Duration) -> Exchange {
+        let Some(connection) = state.pool.connection(given).await else {
+            return Exchange::NotRun(Code::ConnectFailed);
+        };
+        let left = self.cx.clock.until(self.req.deadline);
         if left.is_zero() {
             return Exchange::NotRun(Code::TooLate);
         }
         self.attempts += 1;
-        let id = format!("{}-{}", Base36(req.id), self.attempts);
-        let message = message(req, route, &id, left);
-        let result = match timeout(left, state.pool.send(message, &id)).await {
-            Ok(result) => result,
-            Err(_) => Exchange::MayHaveRun(Code::Timeout),
-        };
-        let now = cx.clock.now();
-        permit.end(ended(&result, now.since(sent)));
-        state.learn(&result, left, now);
-        result
+        let id = format!("{}-{}", Base36(self.req.id), self.attempts);
+        let message = message(self.req, route, &id, left);
+        connection.exchange(message, &id, left).await
     }
 
     fn snapshot(&self) -> Arc<Snapshot> {
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -1,39 +1,29 @@
 //! A caller's request from its arrival to its answer.
 
 use super::{
+    answer::{Progress, answer},
     dispatch::{Dispatched, dispatch},
     exchange::Exchange,
-    journal::{Begun, Journal},
-    outcome::{Outcome, OutcomeKind, RefusalBody},
-    reference::{Reference, unix_ms},
-    refusal::{Code, RecentRefusals, RefusalRecord},
+    journal::Begun,
+    outcome::{Outcome, OutcomeKind},
+    refusal::{Code, RecentRefusals},
     request::{CallerRequest, Head, MAX_BODY_BYTES},
-    retry::RetryBudget,
+    shared::{Detached, Shared},
     targets::{Policies, Targets},
 };
 use crate::{
-    clock::{Clock, Millis},
-    collections::Map,
-    entry::{directory::Directory, metrics::Metrics},
+    clock::Clock,
+    entry::{directory::Directory, metrics::Metrics, snapshot::Snapshot},
     store::StoreClient,
-    target_api::{OUTCOME, REFERENCE},
     world::{Link, ServiceName},
 };
 use bytes::Bytes;
-use http::{HeaderValue, Response, header};
+use http::Response;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
-use tokio::{
-    sync::{oneshot, watch},
-    time::timeout,
-};
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::oneshot, time::timeout};
 
-/// Contact that is given while no configuration is in force.
-const NO_CONTACT: &str = "the operator of this service";
 /// Time to wait for a body when no configuration gives a deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -59,105 +49,17 @@
     pub recent: RecentRefusals,
 }
 
-/// What all requests share.
-#[derive(Debug)]
-pub struct Shared {
-    /// This daemon.
-    pub link: Link,
-    /// The daemon's clock.
-    pub clock: Clock,
-    /// What the daemon knows.
-    pub directory: Directory,
-    /// Counters.
-    pub metrics: Metrics,
-    /// State of targets.
-    pub targets: Arc<Targets>,
-    journal: Journal,
-    recent: RecentRefusals,
-    budgets: Mutex<Map<ServiceName, RetryBudget>>,
-    /// Journaled requests that run apart from their connections.
-    detached: watch::Sender<usize>,
-}
-
-impl Shared {
-    /// Counts a first try, which earns a share of a retry.
-    pub fn count_first_try(&self, service: &ServiceName) {
-        let snapshot = self.directory.snapshot().load();
-        let percent = snapshot
-            .config
-            .as_ref()
-            .map_or(0, |c| c.preset.retry_percent);
-        let mut budgets = self.budgets();
-        match budgets.get_mut(service) {
-            Some(budget) => budget.first_try(percent),
-            None => budgets
-                .entry(service.clone())
-                .or_default()
-                .first_try(percent),
-        }
-    }
-
-    /// Spends a retry if one is left.
-    pub fn spend_retry(&self, service: &ServiceName) -> bool {
-        let mut budgets = self.budgets();
-        budgets.get_mut(service).is_some_and(RetryBudget::spend)
-    }
-
-    fn budgets(&self) -> MutexGuard<'_, Map<ServiceName, RetryBudget>> {
-        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Counts a detached request while it exists.
-#[derive(Debug)]
-struct Detached(Arc<Shared>);
-
-impl Detached {
-    fn new(shared: &Arc<Shared>) -> Self {
-        shared.detached.send_modify(|count| *count += 1);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for Detached {
-    fn drop(&mut self) {
-        self.0.detached.send_modify(|count| *count -= 1);
-    }
-}
-
 /// Handle to the request path.
 #[derive(Clone, Debug)]
 pub struct RequestPath {
     shared: Arc<Shared>,
 }
 
-/// What is known of a request that is being answered.
-#[derive(Debug)]
-struct Progress {
-    id: u64,
-    arrived: Millis,
-    service: Option<ServiceName>,
-    caller: Arc<str>,
-    key: Option<Arc<str>>,
-    target: Option<Arc<str>>,
-    attempts: u32,
-}
-
 impl RequestPath {
     /// Creates the request path. It needs the runtime that it will be used on.
     pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
         Self {
-            shared: Arc::new(Shared {
-                link: cx.link.clone(),
-                clock: cx.clock,
-                directory: cx.directory.clone(),
-                metrics: cx.metrics.clone(),
-                targets: Arc::new(Targets::new(policies, cx.clock)),
-                journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
-                recent: cx.recent.clone(),
-                budgets: Mutex::default(),
-                detached: watch::Sender::new(0),
-            }),
+            shared: Arc::new(Shared::new(cx, policies)),
         }
     }
 
@@ -172,7 +74,7 @@
             target: None,
             attempts: 0,
         };
-        self.answer(Err(Code::Internal), &progress)
+        answer(&self.shared, Err(Code::Internal), &progress)
     }
 
     /// State of targets, for the prober.
@@ -182,9 +84,7 @@
 
     /// Waits until no journaled request runs.
     pub async fn idle(&self) {
-        let mut detached = self.shared.detached.subscribe();
-        // The sender is part of `shared`, so waiting cannot fail.
-        let _ = detached.wait_for(|&count| count == 0).await;
+        self.shared.idle().await;
     }
 
     /// Answers one request.
@@ -193,16 +93,19 @@
         B: Body<Data = Bytes> + Send + Unpin,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
+        let snapshot = self.shared.directory.snapshot().load_full();
+        // Unknown names are not kept: they are chosen by callers without bound.
+        let known = |name: &ServiceName| snapshot.services.contains_key(name);
         let mut progress = Progress {
             id: rand::random(),
             arrived: head.arrived,
-            service: head.service(),
+            service: head.service().filter(known),
             caller: head.caller(),
             key: None,
             target: None,
             attempts: 0,
         };
-        let outcome = match self.accept(head, body, &mut progress).await {
+        let outcome = match self.accept(&snapshot, head, body, &mut progress).await {
             Ok(req) => {
                 let done = self.run(req).await;
                 progress.target = done.target.clone();
@@ -211,7 +114,7 @@
             }
             Err(code) => Err(code),
         };
-        self.answer(outcome, &progress)
+        answer(&self.shared, outcome, &progress)
     }
 
     async fn run(&self, req: CallerRequest) -> Dispatched {
@@ -232,6 +135,7 @@
 
     async fn accept<B>(
         &self,
+        snapshot: &Snapshot,
         head: Head,
         body: B,
         progress: &mut Progress,
@@ -240,9 +144,9 @@
         B: Body<Data = Bytes> + Send + Unpin,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let snapshot = self.shared.directory.snapshot().load_full();
-        let mut req = head.check(&snapshot, progress.id)?;
+        let mut req = head.check(snapshot, progress.id)?;
         progress.key = req.key.clone();
+        req.held = self.shared.reserve(body.size_hint().exact())?;
         let left = self.shared.clock.until(req.deadline).min(BODY_TIMEOUT);
         let body = timeout(left, Limited::new(body, MAX_BODY_BYTES).collect());
         req.body = match body.await {
@@ -252,94 +156,6 @@
         };
         Ok(req)
     }
-
-    fn answer(&self, result: Result<Outcome, Code>, progress: &Progress) -> Response<Bytes> {
-        let code = match &result {
-            Ok(Outcome::Answered(_)) => Code::Answered,
-            Ok(Outcome::NotRun(refusal) | Outcome::Unknown(refusal)) => {
-                refusal.code.parse().unwrap_or(Code::Internal)
-            }
-            Err(code) => *code,
-        };
-        let reference = Reference {
-            daemon: self.shared.link.name.clone(),
-            at_ms: unix_ms(),
-            code,
-            id: progress.id,
-        };
-        let elapsed = self.shared.clock.now().since(progress.arrived);
-        let service = progress.service.as_ref().map(|s| &*s.0);
-        self.shared.metrics.answered(service, code.kind(), elapsed);
-        let reference: Arc<str> = reference.to_string().into();
-        let mut response = match result.unwrap_or_else(Code::outcome) {
-            Outcome::Answered(answer) => {
-                let mut response = Response::new(answer.body);
-                *response.status_mut() = answer.status;
-                *response.headers_mut() = answer.headers;
-                response
-            }
-            Outcome::NotRun(_) | Outcome::Unknown(_) => {
-                self.refuse(code, &reference, elapsed, progress)
-            }
-        };
-        let headers = response.headers_mut();
-        let kind: &'static str = code.kind().into();
-        headers.insert(OUTCOME, HeaderValue::from_static(kind));
-        if let Ok(value) = HeaderValue::from_str(&reference) {
-            headers.insert(REFERENCE, value);
-        }
-        response
-    }
-
-    fn refuse(
-        &self,
-        code: Code,
-        reference: &Arc<str>,
-        elapsed: Millis,
-        progress: &Progress,
-    ) -> Response<Bytes> {
-        let record = RefusalRecord {
-            reference: Arc::clone(reference),
-            outcome: code.kind(),
-            code,
-            service: progress.service.clone(),
-            caller: Arc::clone(&progress.caller),
-            key: progress.key.clone(),
-            target: progress.target.clone(),
-            attempts: progress.attempts,
-            elapsed_ms: elapsed.0,
-        };
-        log::info!(
-            target: "request",
-            "Request refused. reference={reference} outcome={} code={code} attempts={} \
-             target={} elapsed_ms={}",
-            record.outcome,
-            record.attempts,
-            record.target.as_deref().unwrap_or("none"),
-            record.elapsed_ms,
-        );
-        self.shared.recent.push(record);
-        let body = RefusalBody {
-            outcome: code.kind(),
-            reference: Arc::clone(reference),
-            code: <&str>::from(code).into(),
-            reason: code.reason().into(),
-            contact: self.contact(),
-        };
-        let body = serde_json::to_vec(&body).expect("a refusal is valid JSON");
-        let mut response = Response::new(Bytes::from(body));
-        *response.status_mut() = code.status();
-        let json = HeaderValue::from_static("application/json");
-        response.headers_mut().insert(header::CONTENT_TYPE, json);
-        response
-    }
-
-    fn contact(&self) -> Arc<str> {
-        match &self.shared.directory.snapshot().load().config {
-            Some(config) => Arc::clone(&config.preset.contact),
-            None => NO_CONTACT.into(),
-        }
-    }
 }
 
 /// Runs a request that is recorded under `key`, and passes its outcome to `tx`.
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -21,9 +21,8 @@
 
 /// Time to wait for a connection; opening one takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time after which a connection is not used again, so that it rarely meets a target's own
-/// idle limit.
-const MAX_IDLE: Duration = Duration::from_secs(5);
+/// Idle time after which a connection is closed, so that it rarely meets a target's own idle limit.
+pub const MAX_IDLE: Duration = Duration::from_secs(5);
 /// Time for a connection to become ready after its last exchange.
 const READY_TIMEOUT: Duration = Duration::from_millis(2);
 
@@ -42,6 +41,35 @@
     idle: Mutex<Vec<Idle>>,
 }
 
+/// A connection that is ready for one exchange.
+#[derive(Debug)]
+pub struct Connection<'a> {
+    pool: &'a Pool,
+    sender: Sender,
+}
+
+impl Connection<'_> {
+    /// Sends `req`, whose `x-request-id` is `id`, and reads the whole answer within `left`.
+    ///
+    /// The connection returns to the pool if it may be used again. Dropping the future closes it.
+    pub async fn exchange(
+        mut self,
+        req: Request<Full<Bytes>>,
+        id: &str,
+        left: Duration,
+    ) -> Exchange {
+        match timeout(left, exchange::exchange(&mut self.sender, req, id)).await {
+            Ok((result, reusable)) => {
+                if reusable && !self.sender.is_closed() {
+                    self.pool.give_back(self.sender);
+                }
+                result
+            }
+            Err(_) => Exchange::MayHaveRun(Code::Timeout),
+        }
+    }
+}
+
 impl Pool {
     /// Creates an empty pool of connections to `addr`.
     pub fn new(addr: SocketAddr) -> Self {
@@ -51,30 +79,25 @@
         }
     }
 
-    /// Sends `req` on an idle or new connection and reads the whole answer.
-    ///
-    /// Dropping the future closes the connection.
-    pub async fn send(&self, req: Request<Full<Bytes>>, id: &str) -> Exchange {
-        let mut sender = match self.take().await {
+    /// An idle or new connection, within `left`; `None` if there is none. Nothing is sent.
+    pub async fn connection(&self, left: Duration) -> Option<Connection<'_>> {
+        let sender = match self.take().await {
             Some(sender) => sender,
-            None => match self.connect().await {
-                Some(sender) => sender,
-                None => return Exchange::NotRun(Code::ConnectFailed),
-            },
+            None => self.connect(left.min(CONNECT_TIMEOUT)).await?,
         };
-        let (result, reusable) = exchange::exchange(&mut sender, req, id).await;
-        if reusable && !sender.is_closed() {
-            self.idle().push(Idle {
-                sender,
-                since: Instant::now(),
-            });
-        }
-        result
+        Some(Connection { pool: self, sender })
     }
 
-    /// Idle connections.
-    pub fn idle_len(&self) -> usize {
-        self.idle().len()
+    /// Closes connections that were idle for longer than `max_idle`.
+    pub fn close_idle(&self, max_idle: Duration) {
+        self.idle().retain(|idle| idle.since.elapsed() <= max_idle);
+    }
+
+    fn give_back(&self, sender: Sender) {
+        self.idle().push(Idle {
+            sender,
+            since: Instant::now(),
+        });
     }
 
     async fn take(&self) -> Option<Sender> {
@@ -91,8 +114,8 @@
         }
     }
 
-    async fn connect(&self) -> Option<Sender> {
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await;
+    async fn connect(&self, limit: Duration) -> Option<Sender> {
+        let connected = timeout(limit, TcpStream::connect(self.addr)).await;
         let stream = connected.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
--- a/src/routing/refusal.rs
+++ b/src/routing/refusal.rs
@@ -70,6 +70,8 @@
     TargetDeadline,
     /// Too little time is left to finish the request.
     TooLate,
+    /// The daemon holds as many bodies as it may.
+    Overloaded,
     /// Too many requests wait for the target.
     QueueFull,
     /// No connection to the target was made.
@@ -159,6 +161,7 @@
             Self::Cold => "The server is starting and did not take the request.",
             Self::TargetDeadline => "The time limit passed before the server began the request.",
             Self::TooLate => "The request cannot be finished within its time limit.",
+            Self::Overloaded => "This daemon holds too many requests.",
             Self::QueueFull => "Too many requests are waiting for the server.",
             Self::ConnectFailed => "The server could not be reached.",
             Self::NeverWritten => "The connection closed before the request was sent.",
--- a/src/routing/request.rs
+++ b/src/routing/request.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, Uri, header};
 use std::{net::IpAddr, sync::Arc};
+use tokio::sync::OwnedSemaphorePermit;
 
 /// Longest key, in bytes.
 pub const MAX_KEY_BYTES: usize = 512;
@@ -47,6 +48,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Memory reserved for the body.
+    pub held: Option<Arc<OwnedSemaphorePermit>>,
     /// When the request arrived.
     pub arrived: Millis,
     /// When the request must have ended, shortly before the caller stops waiting.
@@ -123,6 +126,7 @@
             headers: passed_on(&self.headers),
             method: self.method,
             body: Bytes::new(),
+            held: None,
             arrived: self.arrived,
             deadline: self.arrived + Millis(timeout - margin(timeout)),
             contract,
--- /dev/null
+++ b/src/routing/shared.rs
@@ -0,0 +1,129 @@
+//! State that all requests share.
+
+use super::{
+    journal::Journal,
+    path::RequestPathContext,
+    refusal::{Code, RecentRefusals},
+    request::MAX_BODY_BYTES,
+    retry::RetryBudget,
+    targets::{Policies, Targets},
+};
+use crate::{
+    clock::Clock,
+    collections::Map,
+    entry::{directory::Directory, metrics::Metrics},
+    world::{Link, ServiceName},
+};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+
+/// Bytes of requests' bodies that the daemon holds at once.
+const BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// What all requests share.
+#[derive(Debug)]
+pub struct Shared {
+    /// This daemon.
+    pub link: Link,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// What the daemon knows.
+    pub directory: Directory,
+    /// Counters.
+    pub metrics: Metrics,
+    /// State of targets.
+    pub targets: Arc<Targets>,
+    /// The journal.
+    pub journal: Journal,
+    /// Refusals for the operator's tool.
+    pub recent: RecentRefusals,
+    body_bytes: Arc<Semaphore>,
+    budgets: Mutex<Map<ServiceName, RetryBudget>>,
+    /// Journaled requests that run apart from their connections.
+    detached: watch::Sender<usize>,
+}
+
+impl Shared {
+    /// Creates the state. It needs the runtime that it will be used on.
+    pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
+        Self {
+            link: cx.link.clone(),
+            clock: cx.clock,
+            directory: cx.directory.clone(),
+            metrics: cx.metrics.clone(),
+            targets: Arc::new(Targets::new(policies, cx.clock)),
+            journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
+            recent: cx.recent.clone(),
+            body_bytes: Arc::new(Semaphore::new(BODY_BYTES)),
+            budgets: Mutex::default(),
+            detached: watch::Sender::new(0),
+        }
+    }
+
+    /// Reserves memory for a body of this length, if it is known.
+    ///
+    /// # Errors
+    /// [`Code::Overloaded`] if the daemon holds as many bytes as it may.
+    pub fn reserve(&self, length: Option<u64>) -> Result<Option<Arc<OwnedSemaphorePermit>>, Code> {
+        let most = MAX_BODY_BYTES as u64;
+        let bytes = length.unwrap_or(most).min(most) as u32;
+        if bytes == 0 {
+            return Ok(None);
+        }
+        let held = Arc::clone(&self.body_bytes).try_acquire_many_owned(bytes);
+        held.map(|held| Some(Arc::new(held)))
+            .map_err(|_| Code::Overloaded)
+    }
+
+    /// Waits until no journaled request runs.
+    pub async fn idle(&self) {
+        let mut detached = self.detached.subscribe();
+        // The sender is part of `self`, so waiting cannot fail.
+        let _ = detached.wait_for(|&count| count == 0).await;
+    }
+
+    /// Counts a first try, which earns a share of a retry.
+    pub fn count_first_try(&self, service: &ServiceName) {
+        let snapshot = self.directory.snapshot().load();
+        let percent = snapshot
+            .config
+            .as_ref()
+            .map_or(0, |c| c.preset.retry_percent);
+        let mut budgets = self.budgets();
+        match budgets.get_mut(service) {
+            Some(budget) => budget.first_try(percent),
+            None => budgets
+                .entry(service.clone())
+                .or_default()
+                .first_try(percent),
+        }
+    }
+
+    /// Spends a retry if one is left.
+    pub fn spend_retry(&self, service: &ServiceName) -> bool {
+        let mut budgets = self.budgets();
+        budgets.get_mut(service).is_some_and(RetryBudget::spend)
+    }
+
+    fn budgets(&self) -> MutexGuard<'_, Map<ServiceName, RetryBudget>> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a detached request while it exists.
+#[derive(Debug)]
+pub struct Detached(pub Arc<Shared>);
+
+impl Detached {
+    /// Counts one more.
+    pub fn new(shared: &Arc<Shared>) -> Self {
+        shared.detached.send_modify(|count| *count += 1);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for Detached {
+    fn drop(&mut self) {
+        self.0.detached.send_modify(|count| *count -= 1);
+    }
+}
--- a/src/routing/targets.rs
+++ b/src/routing/targets.rs
@@ -6,7 +6,7 @@
     exchange::Exchange,
     limit::{Ended, LimitPolicy},
     observed::Observed,
-    pool::Pool,
+    pool::{MAX_IDLE, Pool},
     refusal::Code,
 };
 use crate::{
@@ -17,7 +17,10 @@
 };
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -79,6 +82,8 @@
 #[derive(Debug)]
 pub struct Targets {
     states: RwLock<Map<(TargetKey, SocketAddr), Arc<TargetState>>>,
+    /// Other daemons that are alive.
+    others: AtomicUsize,
     policies: Policies,
     clock: Clock,
 }
@@ -88,6 +93,7 @@
     pub fn new(policies: Policies, clock: Clock) -> Self {
         Self {
             states: RwLock::default(),
+            others: AtomicUsize::new(0),
             policies,
             clock,
         }
@@ -106,10 +112,11 @@
             return Arc::clone(state);
         }
         drop(states);
+        let cap = self.cap(contract, self.others.load(Ordering::Relaxed));
         let mut states = self.states.write().unwrap_or_else(PoisonError::into_inner);
         let state = states.entry(id).or_insert_with(|| {
             Arc::new(TargetState {
-                admission: Admission::new(self.policies.limit, contract.slots, self.clock),
+                admission: Admission::new(self.policies.limit, cap, self.clock),
                 pool: Pool::new(target.addr),
                 observed: Mutex::new(Observed::new(self.clock.now())),
             })
@@ -119,6 +126,8 @@
 
     /// Forgets targets that are gone, and divides slots and connections among the daemons anew.
     pub fn refresh(&self, snapshot: &Snapshot) {
+        let others = snapshot.members.len();
+        self.others.store(others, Ordering::Relaxed);
         let mut states = self.states.write().unwrap_or_else(PoisonError::into_inner);
         states.retain(|(key, addr), _| {
             let target = snapshot.targets.get(*key);
@@ -127,8 +136,13 @@
         for ((key, _), state) in states.iter() {
             let target = &snapshot.targets[*key];
             if let Some(view) = snapshot.services.get(&target.service) {
-                let cap = self.cap(&view.contract, snapshot.members.len());
-                state.admission.gate().limit_mut().set_cap(cap);
+                let contract = &view.contract;
+                state
+                    .admission
+                    .gate()
+                    .limit_mut()
+                    .set_cap(self.cap(contract, others));
+                state.pool.close_idle(max_idle(contract, others));
             }
         }
     }
@@ -180,3 +194,10 @@
         }
     }
 }
+
+/// Time that a connection stays open unused. Where daemons outnumber the connections that the
+/// contract allows, they have to take turns.
+fn max_idle(contract: &Contract, others: usize) -> Duration {
+    let share = f64::from(contract.connections) / (others + 1) as f64;
+    MAX_IDLE.mul_f64(share.min(1.0))
+}
--- a/tests/routing/http.rs
+++ b/tests/routing/http.rs
@@ -68,6 +68,33 @@
     assert!(target.received().is_empty());
 }
 
+/// Guards against bodies that together take more memory than the daemon has.
+#[tokio::test]
+async fn bodies_share_a_memory_limit() {
+    let target = FakeTarget::start(|_| Reply::Ok("yes")).await;
+    let daemon = Daemon::start(&[target.addr], &[], None).await;
+    let mut unfinished = Vec::new();
+    for _ in 0..64 {
+        let mut stream = TcpStream::connect(daemon.addr).await.expect("a connection");
+        let head = b"POST /rounds/k HTTP/1.1\r\nhost: x\r\ncontent-length: 1048576\r\n\r\n";
+        stream.write_all(head).await.expect("sent");
+        unfinished.push(stream);
+    }
+    let refused = async {
+        while daemon.call(request("POST", "/rounds/k"), "x").await.code() != "overloaded" {}
+    };
+    timeout(LIMIT, refused).await.expect("the limit is reached");
+    let empty = daemon.call(request("GET", "/rounds/k"), "").await;
+    assert_eq!(empty.outcome(), OutcomeKind::Answered);
+    drop(unfinished);
+    let accepted = async {
+        while daemon.call(request("POST", "/rounds/k"), "x").await.code() == "overloaded" {}
+    };
+    timeout(LIMIT, accepted)
+        .await
+        .expect("the memory is free again");
+}
+
 /// Guards against a refusal that an operator cannot explain.
 #[tokio::test]
 async fn refusal_says_whom_to_ask() {
