--- /dev/null
+++ b/src/ownership/controller.rs
@@ -0,0 +1,278 @@
+//! The controller of one control group: a state machine that takes events and returns actions.
+//!
+//! A daemon runs one for every group. It observes the controller row until it may take over;
+//! as the holder of the row's lease it grants leases to targets and moves partitions.
+//!
+//! All writes go through the controller row: every transaction replaces it, conditional on its
+//! version, which renews the lease and orders the writes of a group in one line. So a write whose
+//! outcome is unknown is settled by the operation id in that row alone.
+
+mod granting;
+mod holding;
+mod moving;
+mod observing;
+
+use super::{
+    facts::Facts,
+    row::{GroupRow, group_row_name},
+    term::Watch,
+};
+use crate::{
+    clock::Millis,
+    collections::Set,
+    peer::message::{HoldReply, HoldRequest},
+    store::{CommitOutcome, Row, StoreError, Transaction},
+    table::RoutingTable,
+    target_api::{GrantReply, GrantRequest},
+    world::{GroupId, Link, VmName},
+};
+use holding::Holding;
+use observing::Observing;
+use std::{net::SocketAddr, sync::Arc};
+
+/// Something that the controller is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Its surroundings have changed.
+    Facts(Facts),
+    /// Answer to [`Action::ReadRow`].
+    RowRead(Result<Option<Row>, StoreError>),
+    /// Answer to [`Action::ReadAssignments`].
+    AssignmentsRead(Result<Vec<Row>, StoreError>),
+    /// Answer to [`Action::Commit`].
+    Committed {
+        /// Operation id of the commit.
+        operation: Arc<str>,
+        /// What became of it.
+        outcome: CommitOutcome,
+    },
+    /// Answer to [`Action::Grant`].
+    Granted {
+        /// The target.
+        target: VmName,
+        /// Sequence number of the request.
+        sequence: u64,
+        /// The target's answer; `None` if there was none in time.
+        reply: Option<GrantReply>,
+    },
+    /// Answer to [`Action::AskHold`].
+    HoldAnswered(HoldReply),
+    /// Time has passed.
+    Tick,
+}
+
+/// Something that the driver is to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Read the controller row, quickly or not at all.
+    ReadRow,
+    /// Read all assignment rows.
+    ReadAssignments,
+    /// Commit a transaction.
+    Commit {
+        /// Its operation id.
+        operation: Arc<str>,
+        /// The transaction.
+        transaction: Transaction,
+    },
+    /// Send a grant.
+    Grant {
+        /// The target.
+        target: VmName,
+        /// Its address.
+        addr: SocketAddr,
+        /// The request.
+        request: GrantRequest,
+    },
+    /// Ask a standby for hold mode.
+    AskHold {
+        /// The standby.
+        to: Link,
+        /// The request.
+        request: HoldRequest,
+    },
+    /// Publish a routing table.
+    Publish(RoutingTable),
+    /// Write a log line.
+    Log(log::Level, String),
+}
+
+/// What a controller reports to operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControllerStatus {
+    /// `holder`, `standby`, `delegate` or `bystander`.
+    pub role: &'static str,
+    /// Epoch of the latest row known.
+    pub epoch: u64,
+    /// Time left of the lease of a holder.
+    pub lease_left: Millis,
+    /// The standbys.
+    pub standbys: Vec<VmName>,
+    /// Whether hold mode is in force.
+    pub hold: bool,
+    /// Partitions being moved.
+    pub moves: usize,
+    /// Targets that may hold a long lease.
+    pub outstanding: Vec<VmName>,
+}
+
+/// The controller of one control group, in one daemon.
+#[derive(Debug)]
+pub struct Controller {
+    common: Common,
+    role: Role,
+}
+
+#[derive(Debug)]
+enum Role {
+    Observing(Box<Observing>),
+    Holding(Box<Holding>),
+}
+
+/// What all roles need.
+#[derive(Debug)]
+struct Common {
+    me: Link,
+    group: GroupId,
+    row_name: Arc<str>,
+    partitions: u32,
+    facts: Facts,
+    /// Targets that the platform has listed at some time.
+    seen: Set<VmName>,
+    /// Highest epoch under which this daemon has acknowledged a hold.
+    acknowledged: u64,
+    operations: u64,
+    stopping: bool,
+    now: Millis,
+    out: Vec<Action>,
+}
+
+impl Common {
+    fn log(&mut self, level: log::Level, text: std::fmt::Arguments<'_>) {
+        let line = format!("{text} group={}", self.group);
+        self.out.push(Action::Log(level, line));
+    }
+
+    fn info(&mut self, text: std::fmt::Arguments<'_>) {
+        self.log(log::Level::Info, text);
+    }
+
+    fn next_operation(&mut self) -> Arc<str> {
+        self.operations += 1;
+        format!("{:016x}-{}", self.me.incarnation.0, self.operations).into()
+    }
+
+    /// Whether the platform listed the target once and does not any more.
+    fn is_gone(&self, target: &VmName) -> bool {
+        self.seen.contains(target) && !self.facts.targets.contains_key(target)
+    }
+
+    fn watch(&self, row: Option<&GroupRow>) -> Watch {
+        let place = row.and_then(|row| row.standbys.iter().position(|s| *s == self.me));
+        match place {
+            Some(place) => Watch::Standby(place),
+            None if self.facts.delegates(&self.me).contains(&&self.me) => Watch::Delegate,
+            None => Watch::Bystander,
+        }
+    }
+}
+
+impl Controller {
+    /// Creates the controller of `group`, which has `partitions` partitions, in the daemon `me`.
+    pub fn new(me: Link, group: GroupId, partitions: u32) -> Self {
+        let row_name = group_row_name(&group).into();
+        Self {
+            common: Common {
+                me,
+                group,
+                row_name,
+                partitions,
+                facts: Facts::default(),
+                seen: Set::default(),
+                acknowledged: 0,
+                operations: 0,
+                stopping: false,
+                now: Millis::ZERO,
+                out: Vec::new(),
+            },
+            role: Role::Observing(Box::default()),
+        }
+    }
+
+    /// Takes an event at time `now` and returns what is to be done.
+    pub fn handle(&mut self, event: Event, now: Millis) -> Vec<Action> {
+        self.common.now = now;
+        match event {
+            Event::Facts(facts) => {
+                self.common.seen.extend(facts.targets.keys().cloned());
+                self.common.facts = facts;
+            }
+            event => self.dispatch(event),
+        }
+        self.advance();
+        std::mem::take(&mut self.common.out)
+    }
+
+    /// Answers the hold request of a controller. It is acknowledged if this daemon's own reads of
+    /// the store fail and it has not begun a takeover.
+    pub fn answer_hold(&mut self, request: &HoldRequest) -> HoldReply {
+        let common = &mut self.common;
+        let epoch = request.controller_epoch;
+        let acknowledged = match &self.role {
+            Role::Observing(observing) => {
+                request.standby == common.me.incarnation && observing.may_acknowledge(epoch)
+            }
+            Role::Holding(_) => false,
+        };
+        if acknowledged {
+            common.acknowledged = common.acknowledged.max(epoch);
+        }
+        HoldReply {
+            group: request.group.clone(),
+            controller_epoch: epoch,
+            standby: common.me.incarnation,
+            acknowledged,
+        }
+    }
+
+    /// Prepares a planned stop: this daemon grants nothing from now on, releases the controller
+    /// row with its next events and takes over no more.
+    pub fn stop(&mut self) {
+        self.common.stopping = true;
+    }
+
+    /// Whether this daemon holds the controller lease.
+    pub fn is_holder(&self, now: Millis) -> bool {
+        matches!(&self.role, Role::Holding(holding) if holding.is_valid(now))
+    }
+
+    /// Whether this daemon has nothing to release.
+    pub fn is_released(&self) -> bool {
+        matches!(&self.role, Role::Observing(observing) if !observing.is_taking_over())
+    }
+
+    /// What to show to operators.
+    pub fn status(&self, now: Millis) -> ControllerStatus {
+        match &self.role {
+            Role::Holding(holding) => holding.status(now),
+            Role::Observing(observing) => observing.status(&self.common),
+        }
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        let next = match &mut self.role {
+            Role::Observing(observing) => observing.handle(event, &mut self.common),
+            Role::Holding(holding) => holding.handle(event, &mut self.common),
+        };
+        if let Some(role) = next {
+            self.role = role;
+        }
+    }
+
+    fn advance(&mut self) {
+        match &mut self.role {
+            Role::Observing(observing) => observing.advance(&mut self.common),
+            Role::Holding(holding) => holding.advance(&mut self.common),
+        }
+    }
+}
--- /dev/null
+++ b/src/ownership/controller/holding.rs
@@ -0,0 +1,359 @@
+//! The controller while it holds the lease: its writes.
+
+use super::{Action, Common, ControllerStatus, Event, Role, moving::Move, observing::Observing};
+use crate::{
+    clock::Millis,
+    collections::Map,
+    ownership::{
+        assignments::{Assignments, Change},
+        granter::{GrantSet, TargetLease},
+        heat::{Heat, MoveBudget},
+        hold::HoldMode,
+        placement::Candidate,
+        row::{GroupRow, OutstandingHold, to_json},
+        term::{Attempt, Settled, Writes},
+        timing::{
+            COMMIT_PATIENCE, CONTROLLER_LEASE, CONTROLLER_RENEWAL, TARGET_LEASE, WRITE_INTERVAL,
+            WRITE_RETRY, latest_end,
+        },
+    },
+    partition::Partition,
+    store::Transaction,
+    table::{RoutingTable, TableVersion},
+    world::VmName,
+};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Unsettled writes with moves beyond which further writes only renew the lease.
+const MAX_UNSETTLED_MOVES: usize = 4;
+
+/// Grants, moves and renews.
+#[derive(Debug)]
+pub(super) struct Holding {
+    /// The row as last confirmed.
+    pub row: GroupRow,
+    pub writes: Writes,
+    pub lease_ends: Millis,
+    /// A time before the sending of the last confirmed write.
+    pub confirmed: Millis,
+    pub assignments: Assignments,
+    pub targets: BTreeMap<VmName, TargetLease>,
+    /// Lengths of the long leases that targets may hold, in milliseconds.
+    pub hold_lengths: Map<VmName, u64>,
+    pub sets: Map<VmName, GrantSet>,
+    pub sets_changed: bool,
+    pub moves: BTreeMap<Partition, Move>,
+    pub candidates: Vec<Candidate>,
+    pub next_placement: Millis,
+    pub heat: Heat,
+    pub budget: MoveBudget,
+    pub hold: HoldMode,
+    pub taken_over: Millis,
+    last_write: Millis,
+    revision: u64,
+    loading: bool,
+    retry_load: Millis,
+}
+
+impl Holding {
+    /// Starts a term with the takeover `attempt`, which gave the row `version`.
+    pub fn new(version: u64, attempt: Attempt, assignments: Assignments, cx: &mut Common) -> Self {
+        let sent = attempt.sent;
+        let mut targets = BTreeMap::new();
+        for target in assignments.targets() {
+            let lease = TargetLease::inherited(latest_end(sent, TARGET_LEASE), false);
+            targets.insert(target, lease);
+        }
+        let mut hold_lengths = Map::default();
+        for hold in &attempt.row.outstanding {
+            let ends = latest_end(sent, Millis(hold.hold_ms));
+            let lease = TargetLease::inherited(ends, true);
+            targets.insert(hold.target.clone(), lease);
+            hold_lengths.insert(hold.target.clone(), hold.hold_ms);
+        }
+        cx.info(format_args!(
+            "Took over. epoch={} standbys={} outstanding_holds={}",
+            attempt.row.epoch,
+            attempt.row.standbys.len(),
+            attempt.row.outstanding.len()
+        ));
+        let mut holding = Self {
+            row: attempt.row,
+            writes: Writes::new(version),
+            lease_ends: sent + CONTROLLER_LEASE,
+            confirmed: sent,
+            assignments,
+            targets,
+            hold_lengths,
+            sets: Map::default(),
+            sets_changed: true,
+            moves: BTreeMap::new(),
+            candidates: Vec::new(),
+            next_placement: Millis::ZERO,
+            heat: Heat::new(cx.partitions, cx.now),
+            budget: MoveBudget::new(cx.now),
+            hold: HoldMode::default(),
+            taken_over: cx.now,
+            last_write: sent,
+            revision: 0,
+            loading: false,
+            retry_load: Millis::ZERO,
+        };
+        holding.publish(cx);
+        holding
+    }
+
+    /// Whether the lease is in force at `now`.
+    pub fn is_valid(&self, now: Millis) -> bool {
+        now < self.lease_ends
+    }
+
+    pub fn status(&self, now: Millis) -> ControllerStatus {
+        let held = self.targets.iter().filter(|(_, lease)| lease.is_held());
+        ControllerStatus {
+            role: "holder",
+            epoch: self.row.epoch,
+            lease_left: self.lease_ends.since(now),
+            standbys: self.row.standbys.iter().map(|s| s.name.clone()).collect(),
+            hold: self.hold.is_active(),
+            moves: self.moves.len(),
+            outstanding: held.map(|(name, _)| name.clone()).collect(),
+        }
+    }
+
+    pub fn handle(&mut self, event: Event, cx: &mut Common) -> Option<Role> {
+        match event {
+            Event::Committed { operation, outcome } => {
+                let settled = self
+                    .writes
+                    .settle(&cx.me, &cx.row_name, &operation, outcome);
+                self.settled(settled, cx)
+            }
+            Event::RowRead(Ok(Some(row))) => {
+                let content = serde_json::from_str(&row.value).ok()?;
+                let settled = self.writes.observe(&cx.me, row.version, content);
+                self.settled(settled, cx)
+            }
+            Event::AssignmentsRead(result) => {
+                self.loading = false;
+                if let Ok(rows) = result {
+                    self.assignments.learn_versions(&rows);
+                }
+                None
+            }
+            Event::Granted {
+                target,
+                sequence,
+                reply,
+            } => {
+                self.granted(&target, sequence, reply, cx);
+                None
+            }
+            Event::HoldAnswered(reply) => {
+                self.hold.answer(&reply, self.row.epoch);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    pub fn advance(&mut self, cx: &mut Common) {
+        // A planned stop grants nothing any more, so that a successor need not wait.
+        if self.is_valid(cx.now) && !cx.stopping {
+            self.sync_targets(cx);
+            self.advance_hold(cx);
+            self.advance_moves(cx);
+            self.send_grants(cx);
+        }
+        self.write_if_due(cx);
+        if !self.assignments.is_writable() && !self.loading && cx.now >= self.retry_load {
+            self.loading = true;
+            self.retry_load = cx.now + WRITE_RETRY;
+            cx.out.push(Action::ReadAssignments);
+        }
+    }
+
+    fn settled(&mut self, settled: Settled, cx: &mut Common) -> Option<Role> {
+        match settled {
+            Settled::Nothing | Settled::Unsettled => None,
+            Settled::Mismatch(rows) => {
+                let names: Vec<&str> = rows.iter().map(|row| &*row.name).collect();
+                let names = names.join(",");
+                self.assignments.forget_all_versions();
+                cx.log(
+                    log::Level::Error,
+                    format_args!("Assignment rows changed without the controller. rows={names}"),
+                );
+                None
+            }
+            Settled::Superseded(version, row) => {
+                cx.info(format_args!(
+                    "Stepped down. epoch={} successor={} successor_epoch={}",
+                    self.row.epoch, row.holder.name, row.epoch
+                ));
+                let observing = Observing::with_row(version, *row, cx.now);
+                Some(Role::Observing(Box::new(observing)))
+            }
+            Settled::Won {
+                attempt,
+                row,
+                versions,
+            } => self.adopt(attempt, *row, versions, cx),
+        }
+    }
+
+    /// Takes over a write of ours that took effect.
+    fn adopt(
+        &mut self,
+        attempt: Option<Box<Attempt>>,
+        row: GroupRow,
+        versions: Option<Vec<(Arc<str>, u64)>>,
+        cx: &mut Common,
+    ) -> Option<Role> {
+        let changes = attempt.as_ref().map_or(&[][..], |a| &a.changes[..]);
+        if let Some(attempt) = &attempt {
+            self.lease_ends = self.lease_ends.max(attempt.sent + CONTROLLER_LEASE);
+            self.confirmed = self.confirmed.max(attempt.sent);
+        }
+        self.assignments.apply(changes);
+        match versions {
+            Some(versions) => self.assignments.set_versions(&versions),
+            None => self.assignments.forget_versions(changes),
+        }
+        let ended_hold = row.epoch > self.row.epoch;
+        self.row = row;
+        if ended_hold {
+            self.hold = HoldMode::default();
+            self.revision = 0;
+            cx.info(format_args!("The store is back. epoch={}", self.row.epoch));
+        }
+        if !changes.is_empty() {
+            self.moved(changes, cx);
+        }
+        if ended_hold || !changes.is_empty() {
+            self.publish(cx);
+        }
+        if !self.row.released {
+            return None;
+        }
+        cx.info(format_args!("Released. epoch={}", self.row.epoch));
+        let version = self.writes.version();
+        let observing = Observing::with_row(version, self.row.clone(), cx.now);
+        Some(Role::Observing(Box::new(observing)))
+    }
+
+    fn publish(&mut self, cx: &mut Common) {
+        self.revision += 1;
+        cx.out.push(Action::Publish(RoutingTable {
+            group: cx.group.clone(),
+            version: TableVersion {
+                controller_epoch: self.row.epoch,
+                revision: self.revision,
+            },
+            owners: self.assignments.owners().to_vec(),
+        }));
+    }
+
+    fn write_if_due(&mut self, cx: &mut Common) {
+        if self.writes.awaits(cx.now - COMMIT_PATIENCE) {
+            return;
+        }
+        let changes = self.changes_to_write(cx);
+        let urgent = !changes.is_empty() || cx.stopping || self.hold.is_begun();
+        let interval = match (urgent, self.writes.attempts().is_empty()) {
+            (true, true) => WRITE_INTERVAL,
+            (true, false) => WRITE_RETRY,
+            (false, _) => CONTROLLER_RENEWAL,
+        };
+        if cx.now >= self.last_write + interval {
+            self.write(changes, cx);
+        }
+    }
+
+    fn changes_to_write(&mut self, cx: &Common) -> Vec<Change> {
+        let unsettled = self.writes.attempts().iter();
+        let with_moves = unsettled.filter(|a| !a.changes.is_empty()).count();
+        if !self.is_valid(cx.now)
+            || cx.stopping
+            || self.hold.is_begun()
+            || !self.assignments.is_writable()
+            || with_moves >= MAX_UNSETTLED_MOVES
+        {
+            return Vec::new();
+        }
+        self.ready_changes(cx)
+    }
+
+    fn write(&mut self, changes: Vec<Change>, cx: &mut Common) {
+        let operation = cx.next_operation();
+        let row = self.next_row(&operation, cx);
+        let version = self.writes.version();
+        let mut transaction = Transaction::default().replace(&cx.row_name, version, to_json(&row));
+        if !changes.is_empty() {
+            transaction = self
+                .assignments
+                .write(transaction, &changes, row.epoch, &operation);
+        }
+        self.last_write = cx.now;
+        self.writes.begin(Attempt {
+            operation: Arc::clone(&operation),
+            sent: cx.now,
+            row,
+            changes,
+            answered: false,
+        });
+        cx.out.push(Action::Commit {
+            operation,
+            transaction,
+        });
+    }
+
+    fn next_row(&self, operation: &Arc<str>, cx: &Common) -> GroupRow {
+        // While a write is unsettled, its standbys stay: hold mode asks those of every row that
+        // may be in force.
+        let latest = self.writes.attempts().last().map_or(&self.row, |a| &a.row);
+        let settled = self.writes.attempts().is_empty() && !self.hold.is_begun();
+        let (standbys, hold_ms) = if settled {
+            let standbys = cx.facts.choose_standbys(&cx.me, &self.row.standbys);
+            (standbys, cx.facts.hold_ms)
+        } else {
+            (latest.standbys.clone(), latest.hold_ms)
+        };
+        GroupRow {
+            epoch: self.row.epoch + u64::from(self.hold.is_begun()),
+            holder: cx.me.clone(),
+            lease: latest.lease + 1,
+            standbys,
+            hold_ms,
+            outstanding: self.outstanding(cx),
+            released: cx.stopping,
+            operation: Arc::clone(operation),
+        }
+    }
+
+    /// Targets that may hold a long lease when a write sent now takes effect. Once hold mode has
+    /// begun, that may be any: it may be entered before the outcome of this write is known.
+    fn outstanding(&self, cx: &Common) -> Vec<OutstandingHold> {
+        let any = self.hold.is_begun() && !cx.stopping;
+        let owners = self.assignments.targets();
+        self.targets
+            .iter()
+            .filter(|(name, lease)| {
+                !cx.is_gone(name) && (lease.is_held() || any && owners.contains(name))
+            })
+            .map(|(name, _)| {
+                let length = self.hold_lengths.get(name).copied().unwrap_or_default();
+                OutstandingHold {
+                    target: name.clone(),
+                    hold_ms: length.max(self.hold_length()),
+                }
+            })
+            .collect()
+    }
+
+    /// Length of long leases, in milliseconds: the shortest that a row in force may name.
+    pub fn hold_length(&self) -> u64 {
+        let attempts = self.writes.attempts().iter().map(|a| a.row.hold_ms);
+        attempts.fold(self.row.hold_ms, u64::min)
+    }
+}
--- /dev/null
+++ b/src/ownership/controller/moving.rs
@@ -0,0 +1,200 @@
+//! The controller while it holds the lease: its moves.
+
+use super::{Common, holding::Holding};
+use crate::{
+    collections::Set,
+    ownership::{
+        assignments::Change,
+        placement::{self, Candidate, MoveReason, PlacementInput, PlannedMove, TargetState},
+        timing::{MAX_MOVES, PLACEMENT_INTERVAL, SETTLE},
+    },
+    partition::Partition,
+    world::VmName,
+};
+
+/// A partition on its way to another target: fence, write, grant.
+///
+/// While this exists, no grant that is sent contains the partition.
+#[derive(Clone, Debug)]
+pub(super) struct Move {
+    from: Option<VmName>,
+    to: VmName,
+    /// Last request sent to the present owner that may contain the partition.
+    fence_after: u64,
+    /// Whether the present owner is proved not to admit the partition any more.
+    fenced: bool,
+}
+
+impl Holding {
+    /// Updates what is known of the targets and plans moves.
+    pub(super) fn advance_moves(&mut self, cx: &mut Common) {
+        let candidates = self.candidates(cx);
+        let changed = candidates != self.candidates;
+        if changed {
+            self.log_changes(&candidates, cx);
+            self.candidates = candidates;
+        }
+        if self.hold.is_begun() || !(changed || cx.now >= self.next_placement) {
+            return;
+        }
+        self.next_placement = cx.now + PLACEMENT_INTERVAL;
+        self.cancel_pointless_moves();
+        if self.has_settled(cx) {
+            self.plan(cx);
+        }
+    }
+
+    /// Ends all moves that no unsettled write contains; the owners are granted them again.
+    pub(super) fn cancel_moves(&mut self) {
+        self.cancel_if(|_| true);
+    }
+
+    /// Moves that are ready to be written.
+    pub(super) fn ready_changes(&mut self, cx: &Common) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (&partition, mv) in &mut self.moves {
+            mv.fenced = mv.fenced
+                || match mv.from.as_ref().and_then(|from| self.targets.get(from)) {
+                    None => true,
+                    Some(lease) => {
+                        let gone = mv.from.as_ref().is_some_and(|from| cx.is_gone(from));
+                        lease.ends() <= cx.now
+                            || lease.has_fenced(partition, mv.fence_after)
+                            || gone && lease.is_failing()
+                    }
+                };
+            if mv.fenced {
+                changes.push(self.assignments.change_to(partition, mv.to.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Takes notice of committed moves.
+    pub(super) fn moved(&mut self, changes: &[Change], cx: &mut Common) {
+        for change in changes {
+            self.moves.remove(&change.partition);
+        }
+        self.sets_changed = true;
+        cx.info(format_args!(
+            "Partitions moved. count={} epoch={}",
+            changes.len(),
+            self.row.epoch
+        ));
+    }
+
+    fn candidates(&self, cx: &Common) -> Vec<Candidate> {
+        self.targets
+            .iter()
+            .map(|(name, lease)| {
+                let listed = cx.facts.targets.get(name);
+                let reachable = listed.is_some() && lease.is_reachable(cx.now);
+                let leaving = listed.is_some_and(|facts| facts.leaving) || lease.is_leaving();
+                let gone = cx.is_gone(name) && lease.is_failing();
+                let state = match reachable {
+                    true if leaving => TargetState::Leaving,
+                    true => TargetState::Usable,
+                    false if gone || lease.ends() <= cx.now => TargetState::Lost,
+                    false => TargetState::Suspect,
+                };
+                Candidate {
+                    name: name.clone(),
+                    zone: listed.map(|facts| facts.zone.clone()),
+                    state,
+                }
+            })
+            .collect()
+    }
+
+    fn log_changes(&self, candidates: &[Candidate], cx: &mut Common) {
+        for candidate in candidates {
+            let known = self.candidates.iter().find(|c| c.name == candidate.name);
+            let former = known.map(|c| c.state);
+            if former != Some(candidate.state) {
+                cx.info(format_args!(
+                    "Target state changed. target={} state={:?}",
+                    candidate.name, candidate.state
+                ));
+            }
+        }
+    }
+
+    /// Whether the listed targets had a chance to answer, so that the first ones to do so are not
+    /// given everything.
+    fn has_settled(&self, cx: &Common) -> bool {
+        let mut listed = self.candidates.iter().filter(|c| c.zone.is_some());
+        cx.now >= self.taken_over + SETTLE || listed.all(|c| c.state == TargetState::Usable)
+    }
+
+    fn plan(&mut self, cx: &mut Common) {
+        let moving: Set<Partition> = self.moves.keys().copied().collect();
+        let owners: Vec<Option<VmName>> = self
+            .assignments
+            .owners()
+            .iter()
+            .enumerate()
+            .map(|(i, owner)| match self.moves.get(&Partition(i as u32)) {
+                Some(mv) => Some(mv.to.clone()),
+                None => owner.as_ref().map(|owner| owner.target.clone()),
+            })
+            .collect();
+        let budget = match cx.facts.quiet {
+            true => 0,
+            false => self.budget.available(cx.facts.moves_per_minute, cx.now),
+        };
+        let planned = placement::plan(&PlacementInput {
+            owners: &owners,
+            moving: &moving,
+            targets: &self.candidates,
+            heat: self.heat.rates(cx.now),
+            weights: cx.facts.weights,
+            budget,
+            limit: MAX_MOVES.saturating_sub(self.moves.len()),
+        });
+        let balancing = planned.iter().filter(|m| m.reason == MoveReason::Balance);
+        self.budget.spend(balancing.count() as u32);
+        for planned in planned {
+            self.begin_move(planned);
+        }
+    }
+
+    fn begin_move(&mut self, planned: PlannedMove) {
+        let from = self.assignments.owner(planned.partition);
+        let from = from.map(|owner| owner.target.clone());
+        let lease = from.as_ref().and_then(|from| self.targets.get(from));
+        let mv = Move {
+            fence_after: lease.map_or(0, |lease| lease.sequence()),
+            to: planned.to,
+            fenced: false,
+            from,
+        };
+        self.moves.insert(planned.partition, mv);
+        self.sets_changed = true;
+    }
+
+    /// Ends moves to targets that are no longer usable.
+    fn cancel_pointless_moves(&mut self) {
+        let usable: Set<VmName> = self
+            .candidates
+            .iter()
+            .filter(|c| c.state == TargetState::Usable)
+            .map(|c| c.name.clone())
+            .collect();
+        self.cancel_if(|mv| !usable.contains(&mv.to));
+    }
+
+    /// A move that an unsettled write contains may have been made already and cannot be ended.
+    fn cancel_if(&mut self, unwanted: impl Fn(&Move) -> bool) {
+        let unsettled: Set<Partition> = self
+            .writes
+            .attempts()
+            .iter()
+            .flat_map(|attempt| &attempt.changes)
+            .map(|change| change.partition)
+            .collect();
+        let before = self.moves.len();
+        self.moves
+            .retain(|partition, mv| unsettled.contains(partition) || !unwanted(mv));
+        self.sets_changed |= self.moves.len() != before;
+    }
+}
--- /dev/null
+++ b/src/ownership/controller/observing.rs
@@ -0,0 +1,286 @@
+//! The controller while another daemon holds the lease, and its takeover.
+
+use super::{Action, Common, ControllerStatus, Event, Role, holding::Holding};
+use crate::{
+    clock::Millis,
+    collections::{Map, Set},
+    ownership::{
+        assignments::Assignments,
+        row::{GroupRow, OutstandingHold, to_json},
+        term::{Attempt, Observer, Settled, Watch, Writes},
+        timing::{COMMIT_PATIENCE, WRITE_RETRY},
+    },
+    store::{Row, StoreError, Transaction},
+    world::VmName,
+};
+use std::sync::Arc;
+
+/// Watches the controller row and takes over when its lease has ended.
+#[derive(Debug, Default)]
+pub(super) struct Observing {
+    observer: Observer,
+    takeover: Option<Takeover>,
+    retry_at: Millis,
+}
+
+/// A takeover under way: the assignment rows are read, and the controller row is written on the
+/// condition that neither it nor they have changed. So a takeover never starts from stale reads.
+#[derive(Debug)]
+struct Takeover {
+    loading: bool,
+    writes: Writes,
+    /// The assignments that each write is conditional on.
+    assignments: Map<Arc<str>, Assignments>,
+}
+
+impl Observing {
+    /// Starts to observe a row that another daemon has written.
+    pub fn with_row(version: u64, row: GroupRow, now: Millis) -> Self {
+        Self {
+            observer: Observer::with_row(version, row, now),
+            ..Self::default()
+        }
+    }
+
+    /// Whether this daemon may acknowledge hold mode under `epoch`.
+    ///
+    /// Once its own takeover may take effect, it may not: the takeover was written without
+    /// regard to long leases.
+    pub fn may_acknowledge(&self, epoch: u64) -> bool {
+        let known = self.observer.row().map_or(0, |row| row.epoch);
+        self.observer.is_failing() && self.takeover.is_none() && known <= epoch
+    }
+
+    /// Whether a takeover may yet take effect.
+    pub fn is_taking_over(&self) -> bool {
+        self.takeover.is_some()
+    }
+
+    pub fn status(&self, cx: &Common) -> ControllerStatus {
+        let row = self.observer.row();
+        let role = match cx.watch(row) {
+            Watch::Standby(_) => "standby",
+            Watch::Delegate => "delegate",
+            Watch::Bystander => "bystander",
+        };
+        let names = |row: &GroupRow| row.standbys.iter().map(|s| s.name.clone()).collect();
+        let held = |row: &GroupRow| row.outstanding.iter().map(|h| h.target.clone()).collect();
+        ControllerStatus {
+            role,
+            epoch: row.map_or(0, |row| row.epoch),
+            lease_left: Millis::ZERO,
+            standbys: row.map(names).unwrap_or_default(),
+            hold: false,
+            moves: 0,
+            outstanding: row.map(held).unwrap_or_default(),
+        }
+    }
+
+    pub fn handle(&mut self, event: Event, cx: &mut Common) -> Option<Role> {
+        match event {
+            Event::RowRead(result) => self.row_read(result, cx),
+            Event::AssignmentsRead(result) => {
+                self.assignments_read(result, cx);
+                None
+            }
+            Event::Committed { operation, outcome } => {
+                let writes = &mut self.takeover.as_mut()?.writes;
+                let settled = writes.settle(&cx.me, &cx.row_name, &operation, outcome);
+                self.settled(settled, cx)
+            }
+            _ => None,
+        }
+    }
+
+    pub fn advance(&mut self, cx: &mut Common) {
+        let watch = cx.watch(self.observer.row());
+        if self.observer.start_read(watch, cx.now) {
+            cx.out.push(Action::ReadRow);
+        }
+        if cx.stopping || cx.now < self.retry_at {
+            return;
+        }
+        if self.takeover.is_none() {
+            if !self.observer.may_take_over(watch, cx.now) {
+                return;
+            }
+            self.takeover = self.observer.version().map(Takeover::new);
+        }
+        let Some(takeover) = &mut self.takeover else {
+            return;
+        };
+        if !takeover.loading && !takeover.writes.awaits(cx.now - COMMIT_PATIENCE) {
+            takeover.loading = true;
+            cx.out.push(Action::ReadAssignments);
+        }
+    }
+
+    fn row_read(
+        &mut self,
+        result: Result<Option<Row>, StoreError>,
+        cx: &mut Common,
+    ) -> Option<Role> {
+        let Ok(row) = result else {
+            self.observer.read_failed();
+            return None;
+        };
+        let version = row.as_ref().map_or(0, |row| row.version);
+        let content: Option<GroupRow> = match row.map(|row| serde_json::from_str(&row.value)) {
+            Some(Ok(content)) => Some(content),
+            Some(Err(e)) => {
+                self.observer.read_failed();
+                cx.log(
+                    log::Level::Error,
+                    format_args!("The controller row cannot be read. error=\"{e}\""),
+                );
+                return None;
+            }
+            None => None,
+        };
+        if let (Some(takeover), Some(content)) = (&mut self.takeover, &content) {
+            let settled = takeover.writes.observe(&cx.me, version, content.clone());
+            let next = self.settled(settled, cx);
+            if next.is_some() {
+                return next;
+            }
+        }
+        if self.observer.read_done(version, content, cx.now) {
+            self.takeover = None;
+        }
+        None
+    }
+
+    fn assignments_read(&mut self, result: Result<Vec<Row>, StoreError>, cx: &mut Common) {
+        let Some(takeover) = self.takeover.as_mut().filter(|takeover| takeover.loading) else {
+            return;
+        };
+        takeover.loading = false;
+        let assignments = result
+            .map_err(|e| e.to_string())
+            .and_then(|rows| Assignments::from_rows(&cx.group, cx.partitions, &rows));
+        match assignments {
+            Ok(assignments) if !cx.stopping => self.write_takeover(assignments, cx),
+            Ok(_) => {}
+            Err(e) => {
+                if takeover.writes.attempts().is_empty() {
+                    self.takeover = None;
+                }
+                self.retry_at = cx.now + WRITE_RETRY;
+                cx.log(
+                    log::Level::Warn,
+                    format_args!("The assignments cannot be read. error=\"{e}\""),
+                );
+            }
+        }
+    }
+
+    fn write_takeover(&mut self, assignments: Assignments, cx: &mut Common) {
+        let Some(takeover) = &mut self.takeover else {
+            return;
+        };
+        let operation = cx.next_operation();
+        let former = self.observer.row();
+        let row = GroupRow {
+            epoch: former.map_or(0, |row| row.epoch) + 1,
+            holder: cx.me.clone(),
+            lease: 1,
+            standbys: cx.facts.choose_standbys(&cx.me, &[]),
+            hold_ms: cx.facts.hold_ms,
+            outstanding: inherited_holds(former, &assignments.targets(), cx),
+            released: false,
+            operation: Arc::clone(&operation),
+        };
+        let version = takeover.writes.version();
+        let transaction = Transaction::default().replace(&cx.row_name, version, to_json(&row));
+        let transaction = assignments.require_all(transaction);
+        takeover.writes.begin(Attempt {
+            operation: Arc::clone(&operation),
+            sent: cx.now,
+            row,
+            changes: Vec::new(),
+            answered: false,
+        });
+        takeover
+            .assignments
+            .insert(Arc::clone(&operation), assignments);
+        cx.out.push(Action::Commit {
+            operation,
+            transaction,
+        });
+    }
+
+    fn settled(&mut self, settled: Settled, cx: &mut Common) -> Option<Role> {
+        match settled {
+            Settled::Nothing => {}
+            Settled::Unsettled | Settled::Mismatch(_) => self.retry_at = cx.now + WRITE_RETRY,
+            Settled::Superseded(version, row) => self.learn(version, *row, cx),
+            Settled::Won { attempt, row, .. } => {
+                let takeover = self.takeover.take()?;
+                let version = takeover.writes.version();
+                let won = attempt.and_then(|attempt| {
+                    let assignments = takeover.assignments.get(&attempt.operation)?.clone();
+                    Some((attempt, assignments))
+                });
+                match won {
+                    Some((attempt, assignments)) => {
+                        let holding = Holding::new(version, *attempt, assignments, cx);
+                        return Some(Role::Holding(Box::new(holding)));
+                    }
+                    // A forgotten write of ours took effect; it is succeeded like any other.
+                    None => self.learn(version, *row, cx),
+                }
+            }
+        }
+        None
+    }
+
+    fn learn(&mut self, version: u64, row: GroupRow, cx: &Common) {
+        if self.observer.read_done(version, Some(row), cx.now) {
+            self.takeover = None;
+        }
+    }
+}
+
+impl Takeover {
+    fn new(version: u64) -> Self {
+        Self {
+            loading: false,
+            writes: Writes::new(version),
+            assignments: Map::default(),
+        }
+    }
+}
+
+/// The targets that may hold a long lease of the former controller.
+///
+/// The former controller granted long leases under its epoch only after all its standbys had
+/// acknowledged. A standby that has not done so, a released row and a holder's own row leave only
+/// those that the row lists; any other daemon must expect them everywhere.
+fn inherited_holds(
+    former: Option<&GroupRow>,
+    owners: &Set<VmName>,
+    cx: &Common,
+) -> Vec<OutstandingHold> {
+    let Some(former) = former else {
+        return Vec::new();
+    };
+    let unasked_standby = former.standbys.contains(&cx.me) && cx.acknowledged < former.epoch;
+    if former.released || former.holder == cx.me || unasked_standby {
+        return former.outstanding.clone();
+    }
+    let mut holds: Vec<OutstandingHold> = owners
+        .iter()
+        .map(|target| OutstandingHold {
+            target: target.clone(),
+            hold_ms: former.hold_ms,
+        })
+        .collect();
+    for listed in &former.outstanding {
+        match holds.iter_mut().find(|h| h.target == listed.target) {
+            Some(hold) => hold.hold_ms = hold.hold_ms.max(listed.hold_ms),
+            None => holds.push(listed.clone()),
+        }
+    }
+    holds.sort_by(|a, b| a.target.cmp(&b.target));
+    holds
+}
--- a/src/ownership/driver.rs
+++ b/src/ownership/driver.rs
@@ -1,16 +1,36 @@
 //! The thread that runs one controller for each keyed service and carries out its actions.
 
+mod duties;
+
+use super::{
+    controller::{Controller, Event},
+    facts::{Facts, is_quiet},
+};
 use crate::{
     clock::Clock,
-    entry::directory::Directory,
+    collections::{Map, Set},
+    entry::{directory::Directory, snapshot::Snapshot},
     http_client::HttpClient,
     peer::message::{HoldReply, HoldRequest},
     store::StoreClient,
     target_api::{GrantReply, GrantRequest},
     world::{GroupId, Link, VmName},
 };
+use duties::Duties;
 use serde::{Deserialize, Serialize};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+use tokio::{sync::mpsc, time::MissedTickBehavior};
+
+/// Events that may wait for the driver; tasks that deliver more wait.
+const RING_LENGTH: usize = 4_096;
+/// Time between ticks of the controllers.
+const TICK: Duration = Duration::from_millis(20);
+/// Time between checks whether a release is complete.
+const RELEASE_POLL: Duration = Duration::from_millis(5);
 
 /// Takes a hold reply into the driver.
 pub type HoldReplyFn = Box<dyn FnOnce(HoldReply) + Send>;
@@ -32,7 +52,8 @@
     pub clock: Clock,
     /// The platform's store.
     pub store: StoreClient,
-    /// Sends grants to targets that check them.
+    /// Sends grants to targets that check them. The driver's thread must be its only user, since
+    /// its connections belong to the runtime that opened them.
     pub http: HttpClient,
     /// Source of configuration, VMs and members; receives the tables.
     pub directory: Directory,
@@ -42,17 +63,6 @@
     pub send_grant: SendGrant,
 }
 
-/// Starts the driver's thread.
-pub fn spawn(context: DriverContext) -> DriverHandle {
-    DriverHandle { link: context.link }
-}
-
-/// Handle to the driver's thread.
-#[derive(Clone)]
-pub struct DriverHandle {
-    link: Link,
-}
-
 /// What the driver reports to operators.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DriverStatus {
@@ -81,30 +91,202 @@
     pub outstanding_holds: Vec<VmName>,
 }
 
+/// Handle to the driver's thread, which ends once all handles are gone.
+#[derive(Clone)]
+pub struct DriverHandle {
+    shared: Arc<Shared>,
+    _alive: mpsc::Sender<()>,
+}
+
+struct Shared {
+    context: DriverContext,
+    groups: Mutex<Map<GroupId, Controller>>,
+}
+
+/// An event on its way to a controller.
+type Delivery = (GroupId, Event);
+
+/// Starts the driver's thread.
+pub fn spawn(context: DriverContext) -> DriverHandle {
+    let shared = Arc::new(Shared {
+        context,
+        groups: Mutex::default(),
+    });
+    let (alive_tx, alive) = mpsc::channel(1);
+    let in_thread = Arc::clone(&shared);
+    thread::Builder::new()
+        .name("ownership".into())
+        .spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("the system can start a runtime");
+            runtime.block_on(run(in_thread, alive));
+        })
+        .expect("the system can start a thread");
+    DriverHandle {
+        shared,
+        _alive: alive_tx,
+    }
+}
+
 impl DriverHandle {
-    /// Answers the hold request of a controller that names this daemon as a standby.
+    /// Answers the hold request of a controller that names this daemon as a standby. Does not
+    /// wait for any I/O.
     pub fn answer_hold(&self, req: HoldRequest) -> HoldReply {
-        HoldReply {
-            group: req.group,
+        let refusal = HoldReply {
+            group: req.group.clone(),
             controller_epoch: req.controller_epoch,
-            standby: self.link.incarnation,
+            standby: self.shared.context.link.incarnation,
             acknowledged: false,
+        };
+        match self.shared.lock().get_mut(&req.group) {
+            Some(controller) => controller.answer_hold(&req),
+            None => refusal,
         }
     }
 
     /// The groups that this daemon controls.
     pub fn controls(&self) -> Vec<GroupId> {
-        Vec::new()
+        let now = self.shared.context.clock.now();
+        let groups = self.shared.lock();
+        let held = groups.iter().filter(|(_, c)| c.is_holder(now));
+        held.map(|(group, _)| group.clone()).collect()
     }
 
     /// What to show to operators.
     pub fn status(&self) -> DriverStatus {
-        DriverStatus::default()
+        let now = self.shared.context.clock.now();
+        let groups = self.shared.lock();
+        let mut groups: Vec<GroupStatus> = groups
+            .iter()
+            .map(|(group, controller)| {
+                let status = controller.status(now);
+                GroupStatus {
+                    group: group.clone(),
+                    role: status.role.into(),
+                    epoch: status.epoch,
+                    lease_left_ms: status.lease_left.0,
+                    standbys: status.standbys,
+                    hold: status.hold,
+                    moves: status.moves as u32,
+                    outstanding_holds: status.outstanding,
+                }
+            })
+            .collect();
+        groups.sort_by(|a, b| a.group.cmp(&b.group));
+        DriverStatus { groups }
     }
 
     /// Releases all groups for a planned stop; blocks until that is done or `limit` has passed.
-    /// Returns whether all groups were released.
-    pub fn release(&self, _limit: Duration) -> bool {
-        true
+    /// Returns whether all groups were released. This daemon takes over no group afterwards.
+    pub fn release(&self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        for controller in self.shared.lock().values_mut() {
+            controller.stop();
+        }
+        loop {
+            let released = self.shared.lock().values().all(Controller::is_released);
+            if released || Instant::now() >= deadline {
+                return released;
+            }
+            thread::sleep(RELEASE_POLL);
+        }
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Map<GroupId, Controller>> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds controllers for new keyed services and removes those of services that are gone.
+    fn sync_groups(&self, snapshot: &Snapshot) -> Vec<GroupId> {
+        let Some(config) = &snapshot.config else {
+            return Vec::new();
+        };
+        let services = config.declaration.services.iter().filter(|s| s.keyed);
+        let wanted: Map<GroupId, u32> = services
+            .map(|contract| {
+                let group = GroupId {
+                    service: contract.name.clone(),
+                    index: 0,
+                };
+                (group, contract.partitions)
+            })
+            .collect();
+        let mut groups = self.lock();
+        groups.retain(|group, _| wanted.contains_key(group));
+        for (group, partitions) in &wanted {
+            groups.entry(group.clone()).or_insert_with(|| {
+                let link = self.context.link.clone();
+                Controller::new(link, group.clone(), *partitions)
+            });
+        }
+        wanted.into_keys().collect()
+    }
+}
+
+async fn run(shared: Arc<Shared>, mut alive: mpsc::Receiver<()>) {
+    let (tx, mut rx) = mpsc::channel::<Delivery>(RING_LENGTH);
+    let duties = Duties::new(shared.context.clone(), tx);
+    let mut changes = shared.context.directory.changes();
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut quiet = Set::default();
+    refresh(&shared, &duties, &mut quiet);
+    loop {
+        tokio::select! {
+            _ = alive.recv() => return,
+            Some((group, event)) = rx.recv() => deliver(&shared, &duties, &group, event),
+            _ = tick.tick() => tick_all(&shared, &duties, &mut quiet),
+            Ok(()) = changes.changed() => refresh(&shared, &duties, &mut quiet),
+        }
+    }
+}
+
+fn deliver(shared: &Shared, duties: &Duties, group: &GroupId, event: Event) {
+    let actions = match shared.lock().get_mut(group) {
+        Some(controller) => controller.handle(event, shared.context.clock.now()),
+        None => return,
+    };
+    for action in actions {
+        duties.carry_out(group, action);
+    }
+}
+
+fn tick_all(shared: &Shared, duties: &Duties, quiet: &mut Set<Arc<str>>) {
+    if is_preset_quiet(shared).is_some_and(|(name, now)| quiet.contains(&name) != now) {
+        refresh(shared, duties, quiet);
+    }
+    let groups: Vec<GroupId> = shared.lock().keys().cloned().collect();
+    for group in groups {
+        deliver(shared, duties, &group, Event::Tick);
     }
 }
+
+/// Tells all controllers of the present surroundings; `quiet` keeps the name of the preset in
+/// force during its quiet hours.
+fn refresh(shared: &Shared, duties: &Duties, quiet: &mut Set<Arc<str>>) {
+    let snapshot = shared.context.directory.snapshot().load_full();
+    let preset = is_preset_quiet(shared);
+    quiet.clear();
+    let is_quiet = preset.as_ref().is_some_and(|(_, now)| *now);
+    quiet.extend(preset.filter(|_| is_quiet).map(|(name, _)| name));
+    for group in shared.sync_groups(&snapshot) {
+        if let Some(facts) = Facts::from_snapshot(&snapshot, &group.service, is_quiet) {
+            deliver(shared, duties, &group, Event::Facts(facts));
+        }
+    }
+}
+
+/// Name of the preset in force and whether these are its quiet hours.
+fn is_preset_quiet(shared: &Shared) -> Option<(Arc<str>, bool)> {
+    let snapshot = shared.context.directory.snapshot().load();
+    let preset = &snapshot.config.as_ref()?.preset;
+    let time = jiff::Timestamp::now().to_zoned(jiff::tz::TimeZone::UTC);
+    let minute =
+        u32::from(time.hour().unsigned_abs()) * 60 + u32::from(time.minute().unsigned_abs());
+    let quiet = is_quiet(&preset.quiet_hours, minute);
+    Some((Arc::clone(&preset.name), quiet))
+}
--- /dev/null
+++ b/src/ownership/driver/duties.rs
@@ -0,0 +1,113 @@
+//! Carries out the actions of controllers, each in a task of its own.
+
+use super::{Delivery, DriverContext};
+use crate::{
+    entry::directory::News,
+    ownership::{
+        controller::{Action, Event},
+        row::{assignment_prefix, group_row_name},
+        timing::{GRANT_TIMEOUT, READ_TIMEOUT},
+    },
+    store::StoreError,
+    target_api::{GRANTS_PATH, GrantReply, GrantRequest},
+    world::{GroupId, VmName},
+};
+use http::Method;
+use std::net::SocketAddr;
+use tokio::sync::mpsc;
+
+/// Starts the tasks and delivers what comes of them.
+pub(super) struct Duties {
+    context: DriverContext,
+    tx: mpsc::Sender<Delivery>,
+}
+
+impl Duties {
+    pub fn new(context: DriverContext, tx: mpsc::Sender<Delivery>) -> Self {
+        Self { context, tx }
+    }
+
+    /// Carries out `action` of the controller of `group`. Called in the driver's runtime.
+    pub fn carry_out(&self, group: &GroupId, action: Action) {
+        match action {
+            Action::ReadRow => self.read_row(group),
+            Action::ReadAssignments => self.read_assignments(group),
+            Action::Commit {
+                operation,
+                transaction,
+            } => {
+                let store = self.context.store.clone();
+                self.start(group, async move {
+                    let outcome = store.commit(&transaction).await;
+                    Event::Committed { operation, outcome }
+                });
+            }
+            Action::Grant {
+                target,
+                addr,
+                request,
+            } => self.grant(group, target, addr, request),
+            Action::AskHold { to, request } => {
+                let (tx, group) = (self.tx.clone(), group.clone());
+                let deliver = Box::new(move |reply| {
+                    // If the ring is full, the request is repeated like a lost one.
+                    let _ = tx.try_send((group, Event::HoldAnswered(reply)));
+                });
+                (self.context.send_hold)(to, request, deliver);
+            }
+            Action::Publish(table) => self.context.directory.tell(News::Table(table)),
+            Action::Log(level, line) => log::log!(target: "ownership", level, "{line}"),
+        }
+    }
+
+    /// Runs `duty` and delivers its event.
+    fn start(&self, group: &GroupId, duty: impl Future<Output = Event> + Send + 'static) {
+        let (tx, group) = (self.tx.clone(), group.clone());
+        tokio::spawn(async move {
+            let event = duty.await;
+            // Fails only when the driver has ended.
+            let _ = tx.send((group, event)).await;
+        });
+    }
+
+    fn read_row(&self, group: &GroupId) {
+        let store = self.context.store.clone();
+        let name = group_row_name(group);
+        self.start(group, async move {
+            let read = tokio::time::timeout(READ_TIMEOUT.into(), store.read_row(&name));
+            Event::RowRead(read.await.unwrap_or_else(|_| {
+                let limit = format!("no answer within {READ_TIMEOUT}");
+                Err(StoreError::Unavailable(limit))
+            }))
+        });
+    }
+
+    fn read_assignments(&self, group: &GroupId) {
+        let store = self.context.store.clone();
+        let prefix = assignment_prefix(group);
+        self.start(group, async move {
+            Event::AssignmentsRead(store.read_rows(&prefix).await)
+        });
+    }
+
+    fn grant(&self, group: &GroupId, target: VmName, addr: SocketAddr, request: GrantRequest) {
+        let http = self.context.http.clone();
+        self.start(group, async move {
+            let sequence = request.sequence;
+            let body = serde_json::to_vec(&request).expect("a grant is valid JSON");
+            let limit = GRANT_TIMEOUT.into();
+            let answer = http
+                .send(Method::POST, addr, GRANTS_PATH, body, limit)
+                .await;
+            let reply: Option<GrantReply> = match answer {
+                Ok((status, body)) if status.is_success() => serde_json::from_slice(&body).ok(),
+                _ => None,
+            };
+            Event::Granted {
+                target,
+                sequence,
+                reply,
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/ownership/granter.rs
@@ -0,0 +1,312 @@
+//! What the controller has granted to one target, and when that ends at the latest.
+
+use super::timing::{DRAIN_POLL, GRANT_RETRY, REACHABLE, TARGET_LEASE, TARGET_RENEWAL, latest_end};
+use crate::{
+    clock::Millis,
+    collections::Set,
+    partition::Partition,
+    target_api::{GrantReply, GrantRequest},
+    world::{GroupId, Incarnation},
+};
+use std::{net::SocketAddr, sync::Arc};
+use xxhash_rust::xxh3::Xxh3;
+
+/// A set of partitions to grant, identified by its content.
+#[derive(Clone, Debug, Default)]
+pub struct GrantSet {
+    id: u64,
+    partitions: Arc<Vec<(Partition, u64)>>,
+}
+
+impl GrantSet {
+    /// Creates a set; `partitions` are in rising order.
+    pub fn new(partitions: Vec<(Partition, u64)>) -> Self {
+        let mut hash = Xxh3::new();
+        for (partition, epoch) in &partitions {
+            hash.update(&partition.0.to_le_bytes());
+            hash.update(&epoch.to_le_bytes());
+        }
+        Self {
+            id: hash.digest(),
+            partitions: Arc::new(partitions),
+        }
+    }
+
+    /// Whether it has no partitions.
+    pub fn is_empty(&self) -> bool {
+        self.partitions.is_empty()
+    }
+}
+
+/// What a reply shows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Learnt {
+    /// Nothing, because a later reply has been seen or there was none.
+    Nothing,
+    /// The target is as expected.
+    Current,
+    /// The target is another run, which holds nothing.
+    Restarted,
+    /// The target follows a controller with a higher epoch.
+    Superseded,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    sequence: u64,
+    ends: Millis,
+    hold: bool,
+}
+
+/// The lease of one target as the controller knows it.
+#[derive(Clone, Debug, Default)]
+pub struct TargetLease {
+    addr: Option<SocketAddr>,
+    /// No request is sent before this time; see [`at_address`](Self::at_address).
+    blocked_until: Millis,
+    incarnation: Option<Incarnation>,
+    reading: Option<(u64, Millis)>,
+    /// Bound on leases that are not in `sent`.
+    inherited: Sent,
+    /// Grants that the target may follow.
+    sent: Vec<Sent>,
+    /// Sequence numbers of requests that grant something and have no answer.
+    granting: Vec<u64>,
+    sequence: u64,
+    answered: u64,
+    confirmed: u64,
+    set_id: Option<u64>,
+    last_set: Option<u64>,
+    draining: Set<Partition>,
+    leaving: bool,
+    in_flight: Option<u64>,
+    last_sent: Option<Millis>,
+    last_answer: Option<Millis>,
+    failing: bool,
+}
+
+impl TargetLease {
+    /// A target that may hold a lease of a former controller until `ends`; `hold` says whether it
+    /// may be a long one.
+    pub fn inherited(ends: Millis, hold: bool) -> Self {
+        Self {
+            inherited: Sent {
+                sequence: 0,
+                ends,
+                hold,
+            },
+            ..Self::default()
+        }
+    }
+
+    /// Number of the latest request sent.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// The latest time at which a lease of the target ends.
+    pub fn ends(&self) -> Millis {
+        self.sent
+            .iter()
+            .map(|sent| sent.ends)
+            .fold(self.inherited.ends, Millis::max)
+    }
+
+    /// Whether the target may hold a long lease.
+    pub fn is_held(&self) -> bool {
+        self.inherited.hold || self.sent.iter().any(|sent| sent.hold)
+    }
+
+    /// Whether the target has answered lately.
+    pub fn is_reachable(&self, now: Millis) -> bool {
+        self.incarnation.is_some() && self.last_answer.is_some_and(|last| now < last + REACHABLE)
+    }
+
+    /// Whether the latest exchange failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing
+    }
+
+    /// Whether the target asked to be emptied.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether the target has confirmed a set sent after request `sequence` and has ended the
+    /// requests of `partition`, which no such set contains.
+    pub fn has_fenced(&self, partition: Partition, sequence: u64) -> bool {
+        self.confirmed > sequence && !self.draining.contains(&partition)
+    }
+
+    /// Sets the address. Another address is another machine under the same name: an answer from
+    /// there proves nothing about the former one, so its lease must end first.
+    pub fn at_address(&mut self, addr: SocketAddr) {
+        if self.addr.is_some_and(|known| known != addr) {
+            let ends = self.ends();
+            *self = Self {
+                blocked_until: ends,
+                sequence: self.sequence,
+                answered: self.sequence,
+                ..Self::inherited(ends, self.is_held())
+            };
+        }
+        self.addr = Some(addr);
+    }
+
+    /// Whether a request should be sent now.
+    pub fn is_due(&self, set: &GrantSet, now: Millis) -> bool {
+        if self.in_flight.is_some() || now < self.blocked_until {
+            return false;
+        }
+        let interval = if self.failing {
+            GRANT_RETRY
+        } else if self.incarnation.is_none() || !self.is_fresh(now) {
+            DRAIN_POLL
+        } else if self.set_id != Some(set.id) {
+            if self.last_set == Some(set.id) {
+                DRAIN_POLL
+            } else {
+                Millis::ZERO
+            }
+        } else if self.draining.is_empty() && !self.is_held() {
+            TARGET_RENEWAL
+        } else {
+            DRAIN_POLL
+        };
+        self.last_sent.is_none_or(|last| now >= last + interval)
+    }
+
+    /// Whether a long lease should be sent now.
+    pub fn is_hold_due(&self, now: Millis) -> bool {
+        let confirmed = self
+            .sent
+            .iter()
+            .any(|sent| sent.hold && sent.sequence <= self.confirmed);
+        let retry = self.last_sent.is_none_or(|last| now >= last + DRAIN_POLL);
+        self.in_flight.is_none() && now >= self.blocked_until && !confirmed && retry
+    }
+
+    /// The next request to send; `hold` is the length of a long lease. The caller holds the
+    /// controller lease at `now`, so the echoed reading was received before that lease's end.
+    ///
+    /// Without a fresh reading the request is a contact that only asks for one.
+    pub fn request(
+        &mut self,
+        group: &GroupId,
+        epoch: u64,
+        set: &GrantSet,
+        hold: Option<Millis>,
+        now: Millis,
+    ) -> GrantRequest {
+        self.sequence += 1;
+        self.in_flight = Some(self.sequence);
+        self.last_sent = Some(now);
+        let mut req = GrantRequest {
+            group: group.clone(),
+            controller_epoch: epoch,
+            sequence: self.sequence,
+            incarnation: None,
+            echo: None,
+            lease_ms: 0,
+            set_id: set.id,
+            partitions: None,
+        };
+        let reading = self.reading.filter(|_| self.is_fresh(now));
+        let (Some(incarnation), Some((reading, received))) = (self.incarnation, reading) else {
+            return req;
+        };
+        let lease = hold.unwrap_or(TARGET_LEASE);
+        req.incarnation = Some(incarnation);
+        req.echo = Some(reading);
+        req.lease_ms = lease.0;
+        if self.set_id != Some(set.id) {
+            req.partitions = Some(set.partitions.to_vec());
+        }
+        self.last_set = Some(set.id);
+        self.granting.push(self.sequence);
+        // Leases that have ended can be forgotten even if the target follows them.
+        self.sent.retain(|sent| sent.ends > now);
+        self.sent.push(Sent {
+            sequence: self.sequence,
+            ends: latest_end(received, lease),
+            hold: hold.is_some(),
+        });
+        req
+    }
+
+    /// Takes the answer to request `sequence` under `epoch`, or `None` if there was none.
+    pub fn answer(
+        &mut self,
+        sequence: u64,
+        epoch: u64,
+        reply: Option<&GrantReply>,
+        now: Millis,
+    ) -> Learnt {
+        if self.in_flight == Some(sequence) {
+            self.in_flight = None;
+            self.failing = reply.is_none();
+        }
+        let Some(reply) = reply.filter(|_| sequence > self.answered) else {
+            return Learnt::Nothing;
+        };
+        self.answered = sequence;
+        self.failing = false;
+        if reply.controller_epoch > epoch {
+            return Learnt::Superseded;
+        }
+        let restarted = self.incarnation.is_some_and(|i| i != reply.incarnation);
+        if restarted {
+            self.forget_run();
+        } else if reply.accepted {
+            self.accepted(sequence, reply, now);
+        }
+        self.granting.retain(|&granting| granting > sequence);
+        self.incarnation = Some(reply.incarnation);
+        self.reading = Some((reply.reading, now));
+        self.set_id = reply.set_id;
+        self.leaving = reply.leaving;
+        self.last_answer = Some(now);
+        if restarted {
+            Learnt::Restarted
+        } else {
+            Learnt::Current
+        }
+    }
+
+    /// The target ignores all earlier requests from now on, and those of former controllers.
+    fn accepted(&mut self, sequence: u64, reply: &GrantReply, now: Millis) {
+        self.draining = reply.draining.iter().copied().collect();
+        if self.granting.contains(&sequence) {
+            self.confirmed = sequence;
+            self.inherited = Sent::default();
+        } else {
+            // A contact leaves the target's lease to its end.
+            let ends = latest_end(now, Millis(reply.lease_left_ms)).min(self.ends());
+            let hold = self.is_held() && reply.lease_left_ms > 0;
+            self.inherited = Sent {
+                sequence: 0,
+                ends,
+                hold,
+            };
+        }
+        self.sent.retain(|sent| sent.sequence >= sequence);
+    }
+
+    /// The run that was granted to is gone, and its leases with it.
+    fn forget_run(&mut self) {
+        *self = Self {
+            addr: self.addr,
+            sequence: self.sequence,
+            answered: self.answered,
+            in_flight: self.in_flight,
+            last_sent: self.last_sent,
+            ..Self::default()
+        };
+    }
+
+    /// Whether a lease that echoes the latest reading would last for a while.
+    fn is_fresh(&self, now: Millis) -> bool {
+        self.reading
+            .is_some_and(|(_, received)| now < received + REACHABLE)
+    }
+}
--- /dev/null
+++ b/src/ownership/row.rs
@@ -0,0 +1,106 @@
+//! The rows of a control group in the table service.
+
+use crate::{
+    table::Owner,
+    world::{GroupId, Link, VmName},
+};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// The controller row of a group: who controls it and under which epoch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRow {
+    /// Rises with every takeover and at the end of hold mode.
+    pub epoch: u64,
+    /// The controller.
+    pub holder: Link,
+    /// Number of the write within the holder's term.
+    pub lease: u64,
+    /// Daemons that must acknowledge hold mode and take over first.
+    pub standbys: Vec<Link>,
+    /// Length of the leases that the holder may grant in hold mode, in milliseconds.
+    pub hold_ms: u64,
+    /// Targets that may hold a long lease.
+    pub outstanding: Vec<OutstandingHold>,
+    /// The holder has stopped and waits for no lease to end.
+    pub released: bool,
+    /// Identifies the write, to settle one whose answer was lost.
+    pub operation: Arc<str>,
+}
+
+/// A target that may hold a lease granted in hold mode.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutstandingHold {
+    /// The target.
+    pub target: VmName,
+    /// Length of its lease, in milliseconds.
+    pub hold_ms: u64,
+}
+
+/// An assignment row: the owners of consecutive partitions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AssignmentRow {
+    /// Epoch of the controller that wrote it.
+    pub controller_epoch: u64,
+    /// Identifies the write.
+    pub operation: Arc<str>,
+    /// Targets named in `owners`.
+    targets: Vec<VmName>,
+    /// Index into `targets` and ownership epoch of each partition; epoch 0 stands for no owner.
+    owners: Vec<(u32, u64)>,
+}
+
+impl AssignmentRow {
+    /// Creates a row for `owners`.
+    pub fn new(owners: &[Option<Owner>], controller_epoch: u64, operation: Arc<str>) -> Self {
+        let mut targets: Vec<VmName> = owners.iter().flatten().map(|o| o.target.clone()).collect();
+        targets.sort();
+        targets.dedup();
+        let owners = owners
+            .iter()
+            .map(|owner| match owner {
+                Some(owner) => {
+                    let index = targets.binary_search(&owner.target).unwrap_or_default();
+                    (index as u32, owner.epoch)
+                }
+                None => (0, 0),
+            })
+            .collect();
+        Self {
+            controller_epoch,
+            operation,
+            targets,
+            owners,
+        }
+    }
+
+    /// The owner of each partition of the row.
+    pub fn owners(&self) -> impl Iterator<Item = Option<Owner>> + '_ {
+        self.owners.iter().map(|&(index, epoch)| {
+            let target = self.targets.get(index as usize)?.clone();
+            (epoch > 0).then_some(Owner { target, epoch })
+        })
+    }
+}
+
+/// Name of the controller row of `group`.
+pub fn group_row_name(group: &GroupId) -> String {
+    format!("group/{group}")
+}
+
+/// Prefix of the names of the assignment rows of `group`.
+pub fn assignment_prefix(group: &GroupId) -> String {
+    format!("assign/{group}/")
+}
+
+/// Name of the assignment row `index` of `group`.
+pub fn assignment_row_name(group: &GroupId, index: usize) -> String {
+    format!("assign/{group}/{index}")
+}
+
+/// Serializes a row's content.
+pub fn to_json<T: Serialize>(content: &T) -> Arc<str> {
+    serde_json::to_string(content)
+        .expect("rows are valid JSON")
+        .into()
+}
--- a/src/ownership/timing.rs
+++ b/src/ownership/timing.rs
@@ -27,6 +27,23 @@
 pub const DRIFT_PERCENT: u64 = 5;
 /// Time after which a grant exchange without an answer has failed. Three fit into a lease.
 pub const GRANT_TIMEOUT: Millis = Millis(350);
+/// Time after a failed grant exchange until the next one.
+pub const GRANT_RETRY: Millis = Millis(100);
+/// Time between grants to a target that has not confirmed its set or drained its requests.
+pub const DRAIN_POLL: Millis = Millis(25);
+/// Time since its last answer for which a target counts as reachable.
+pub const REACHABLE: Millis = Millis(900);
+
+/// Time after which another write is sent although the last one has no answer. A late answer
+/// still counts.
+pub const COMMIT_PATIENCE: Millis = Millis(250);
+/// Time between a write without a known outcome and the next one.
+pub const WRITE_RETRY: Millis = Millis(100);
+/// Time between writes of moves; collects moves that become ready together.
+pub const WRITE_INTERVAL: Millis = Millis(10);
+/// Time limit of an observer's read of the controller row. A failed read must be known well
+/// before the end of the controller lease, or hold mode would always be refused.
+pub const READ_TIMEOUT: Millis = Millis(150);
 
 /// Time without a confirmed renewal after which the controller asks for hold mode.
 pub const HOLD_AFTER: Millis = Millis(400);
@@ -35,6 +52,8 @@
 
 /// Time between rounds of placement.
 pub const PLACEMENT_INTERVAL: Millis = Millis(500);
+/// Longest wait after a takeover for listed targets to answer before partitions are placed.
+pub const SETTLE: Millis = Millis(400);
 /// Most moves under way at once; one transaction carries all that are ready.
 pub const MAX_MOVES: usize = 512;
 /// Partitions in an assignment row.
