--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,8 @@
 //! The daemon that runs on every entry VM.
 
 pub mod directory;
+pub mod http;
+pub mod metrics;
+pub mod runtime;
 pub mod settings;
 pub mod snapshot;
