--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -1,6 +1,8 @@
 //! What the controller has granted to one target, and when that ends at the latest.
 
-use super::timing::{DRAIN_POLL, GRANT_RETRY, REACHABLE, TARGET_LEASE, TARGET_RENEWAL, latest_end};
+use super::timing::{
+    DRAIN_POLL, FRESH_READING, GRANT_RETRY, REACHABLE, TARGET_LEASE, TARGET_RENEWAL, latest_end,
+};
 use crate::{
     clock::Millis,
     collections::Set,
@@ -76,7 +78,8 @@
     answered: u64,
     confirmed: u64,
     set_id: Option<u64>,
-    last_set: Option<u64>,
+    /// Set and time of the latest request that grants something.
+    last_grant: Option<(u64, Millis)>,
     draining: Set<Partition>,
     leaving: bool,
     in_flight: Option<u64>,
@@ -158,22 +161,21 @@
         if self.in_flight.is_some() || now < self.blocked_until {
             return false;
         }
-        let interval = if self.failing {
-            GRANT_RETRY
-        } else if self.incarnation.is_none() || !self.is_fresh(now) {
-            DRAIN_POLL
-        } else if self.set_id != Some(set.id) {
-            if self.last_set == Some(set.id) {
-                DRAIN_POLL
-            } else {
-                Millis::ZERO
-            }
-        } else if self.draining.is_empty() && !self.is_held() {
-            TARGET_RENEWAL
-        } else {
-            DRAIN_POLL
+        if self.failing {
+            return self.last_sent.is_none_or(|last| now >= last + GRANT_RETRY);
+        }
+        let awaited = self.set_id != Some(set.id) || !self.draining.is_empty() || self.is_held();
+        let interval = match self.last_grant {
+            _ if self.incarnation.is_none() => DRAIN_POLL,
+            Some((id, _)) if awaited && id == set.id => DRAIN_POLL,
+            Some((id, _)) if id == set.id => TARGET_RENEWAL,
+            _ => Millis::ZERO,
+        };
+        let last = match self.incarnation {
+            Some(_) => self.last_grant.map(|(_, sent)| sent),
+            None => self.last_sent,
         };
-        self.last_sent.is_none_or(|last| now >= last + interval)
+        last.is_none_or(|last| now >= last + interval)
     }
 
     /// Whether a long lease should be sent now.
@@ -222,7 +224,7 @@
         if self.set_id != Some(set.id) {
             req.partitions = Some(set.partitions.to_vec());
         }
-        self.last_set = Some(set.id);
+        self.last_grant = Some((set.id, now));
         self.granting.push(self.sequence);
         // Leases that have ended can be forgotten even if the target follows them.
         self.sent.retain(|sent| sent.ends > now);
@@ -252,6 +254,7 @@
         self.answered = sequence;
         self.failing = false;
         if reply.controller_epoch > epoch {
+            self.failing = true;
             return Learnt::Superseded;
         }
         let restarted = self.incarnation.is_some_and(|i| i != reply.incarnation);
@@ -304,9 +307,9 @@
         };
     }
 
-    /// Whether a lease that echoes the latest reading would last for a while.
+    /// Whether the latest reading may be echoed.
     fn is_fresh(&self, now: Millis) -> bool {
         self.reading
-            .is_some_and(|(_, received)| now < received + REACHABLE)
+            .is_some_and(|(_, received)| now <= received + FRESH_READING)
     }
 }
--- a/src/ownership/timing.rs
+++ b/src/ownership/timing.rs
@@ -27,6 +27,10 @@
 pub const DRIFT_PERCENT: u64 = 5;
 /// Time after which a grant exchange without an answer has failed. Three fit into a lease.
 pub const GRANT_TIMEOUT: Millis = Millis(350);
+/// Age up to which a reading is echoed. A renewal that echoed the previous renewal's answer would
+/// leave as little as half of the lease to a successor of the controller; an older reading is
+/// therefore refreshed first, by a contact right before the grant.
+pub const FRESH_READING: Millis = Millis(100);
 /// Time after a failed grant exchange until the next one.
 pub const GRANT_RETRY: Millis = Millis(100);
 /// Time between grants to a target that has not confirmed its set or drained its requests.
