--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -1,8 +1,7 @@
 //! A whole deployment of real processes on loopback, for failure tests and measurements.
 //!
-//! Daemons and targets are processes of their own. The platform and the faulty links between
-//! them run in the calling process: every daemon reaches the platform, and everyone reaches each
-//! target, through a link of its own.
+//! Daemons and targets are processes of their own. The platform and the faulty links run in the
+//! calling process: every daemon has a link of its own to the platform and to each target.
 
 pub mod child;
 mod config;
@@ -17,6 +16,7 @@
 
 use crate::{
     platform::{Faults, Platform},
+    proxy::Flow,
     target::{Execution, read_history},
 };
 use fireflygauge::world::ServiceName;
@@ -131,6 +131,9 @@
         let index = self.targets.len();
         let name = format!("{service}-{index}");
         let target = Target::start(&name, service, zone, flags, self.ip, &self.dir).await?;
+        for daemon in &mut self.daemons {
+            daemon.connect(target.name(), target.addr()).await?;
+        }
         self.platform.register(target.vm());
         self.targets.push(target);
         Ok(index)
@@ -143,12 +146,25 @@
     pub async fn add_daemon(&mut self, zone: &str) -> io::Result<usize> {
         let index = self.daemons.len();
         let name = format!("entry-{index}");
-        let daemon = Daemon::start(&name, zone, self.ip, self.platform.addr(), &self.dir).await?;
+        let platform = &mut self.platform;
+        let mut daemon = Daemon::new(&name, zone, self.ip, platform, &self.dir).await?;
+        for target in &self.targets {
+            daemon.connect(target.name(), target.addr()).await?;
+        }
+        daemon.spawn()?;
         self.platform.register(daemon.vm());
         self.daemons.push(daemon);
         Ok(index)
     }
 
+    /// Sets the flow of every link to a target.
+    pub fn set_flow_to(&self, target: usize, flow: Flow) {
+        let name = self.targets[target].name();
+        for daemon in &self.daemons {
+            daemon.target_links[name].set_flow(flow);
+        }
+    }
+
     /// Indices of the targets of a service.
     pub fn targets_of(&self, service: &str) -> Vec<usize> {
         let service = ServiceName::from(service);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,8 +1,9 @@
-//! Stand-ins for what surrounds the router.
+//! Stand-ins for what surrounds the router, and the load tool.
 
 pub mod caller;
 pub mod cluster;
 pub mod judge;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 pub mod server;
