--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod scenario;
 pub mod server;
 pub mod target;
 pub mod workload;
--- /dev/null
+++ b/standins/tests/one_owner.rs
@@ -0,0 +1,124 @@
+//! A key has at most one owner, whatever is frozen, cut or delayed.
+
+use standins::{
+    cluster::{KEYED, Layout, wait_until},
+    proxy::{Flow, LinkFaults},
+    scenario::{Scenario, seed},
+    workload::Mix,
+};
+use std::time::Duration;
+use test_case::test_case;
+
+/// Time for a takeover or a move while a fault is present.
+const REACTION: Duration = Duration::from_secs(15);
+
+async fn start(default_seed: u64) -> Scenario {
+    let mix = Mix::keyed(seed(default_seed));
+    let started = Scenario::start(Layout::default(), mix).await;
+    started.expect("the deployment starts")
+}
+
+/// Waits until another daemon than `old` holds the controller row.
+async fn succeeded(scenario: &Scenario, old: usize) {
+    let succeeded = || scenario.cluster.controller().is_some_and(|new| new != old);
+    wait_until("another daemon takes over", REACTION, succeeded).await;
+}
+
+fn controller(scenario: &Scenario) -> usize {
+    scenario
+        .cluster
+        .controller()
+        .expect("there is a controller")
+}
+
+/// Guards against a target that serves after its lease ended: requests wait in its sockets while
+/// it is frozen, and its keys belong to others when it goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn target_frozen_past_its_lease_runs_nothing_when_it_returns() {
+    let scenario = start(11).await;
+    let frozen = scenario.cluster.targets_of(KEYED)[0];
+    scenario.cluster.targets[frozen].child.freeze();
+    scenario.served(REACTION).await;
+    scenario.cluster.targets[frozen].child.thaw();
+    scenario.served(REACTION).await;
+    let histories = scenario.finish().await;
+    assert!(histories.moves() > 0, "the frozen target's keys moved");
+}
+
+/// Guards against a controller that grants or writes after its lease ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn controller_frozen_past_its_lease_changes_nothing_when_it_returns() {
+    let scenario = start(12).await;
+    let old = controller(&scenario);
+    scenario.cluster.daemons[old].freeze();
+    let others: Vec<_> = (0..scenario.cluster.daemons.len())
+        .filter(|&i| i != old)
+        .collect();
+    let entries = others
+        .iter()
+        .map(|&i| scenario.cluster.daemons[i].caller_addr());
+    let all = scenario.cluster.entries();
+    scenario.load.use_daemons(entries.collect());
+    succeeded(&scenario, old).await;
+    scenario.served(REACTION).await;
+    scenario.cluster.daemons[old].thaw();
+    scenario.load.use_daemons(all);
+    scenario.served(REACTION).await;
+    scenario.finish().await;
+}
+
+/// Guards against a controller that goes on granting while another one has taken over: it reaches
+/// the targets but not the store, or its writes take effect without answers.
+#[test_case(Flow::Cut, 13; "reset")]
+#[test_case(Flow::Freeze, 14; "silent")]
+#[test_case(Flow::ToUpstream, 15; "answers lost")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn controller_cut_from_the_store(flow: Flow, seed: u64) {
+    let scenario = start(seed).await;
+    let old = controller(&scenario);
+    scenario.cluster.daemons[old].store_link.set_flow(flow);
+    succeeded(&scenario, old).await;
+    scenario.served(REACTION).await;
+    scenario.cluster.daemons[old]
+        .store_link
+        .set_flow(Flow::Pass);
+    scenario.served(REACTION).await;
+    scenario.finish().await;
+}
+
+/// Guards against grants and moves by a controller that reaches the store but no target.
+#[test_case(Flow::Cut, 16; "reset")]
+#[test_case(Flow::Freeze, 17; "silent")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn controller_cut_from_the_targets(flow: Flow, seed: u64) {
+    let scenario = start(seed).await;
+    let old = controller(&scenario);
+    let daemon = &scenario.cluster.daemons[old];
+    daemon.set_target_flow(flow);
+    // Its targets' leases end; nobody may serve their keys twice while it moves them about.
+    let unserved = scenario.served(REACTION);
+    let _ = tokio::time::timeout(Duration::from_secs(4), unserved).await;
+    daemon.set_target_flow(Flow::Pass);
+    scenario.served(REACTION).await;
+    scenario.finish().await;
+}
+
+/// Guards against a lease that counts from the arrival of a renewal: delayed and replayed ones
+/// must not extend it.
+#[test_case(LinkFaults { delay_ms: 400, ..LinkFaults::default() }, 18; "delayed")]
+#[test_case(LinkFaults { replay_after_ms: Some(1_500), ..LinkFaults::default() }, 19; "replayed")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn late_renewals_do_not_extend_a_lease(faults: LinkFaults, seed: u64) {
+    let scenario = start(seed).await;
+    let frozen = scenario.cluster.targets_of(KEYED)[0];
+    let controller = controller(&scenario);
+    let name = scenario.cluster.targets[frozen].name();
+    scenario.cluster.daemons[controller].target_links[name].set(faults);
+    scenario.served(REACTION).await;
+    scenario.cluster.targets[frozen].child.freeze();
+    scenario.served(REACTION).await;
+    scenario.cluster.targets[frozen].child.thaw();
+    scenario.served(REACTION).await;
+    scenario.cluster.daemons[controller].target_links[name].set_flow(Flow::Pass);
+    scenario.finish().await;
+}
