--- a/standins/src/bin/fireflygauge-local.rs
+++ b/standins/src/bin/fireflygauge-local.rs
@@ -1,3 +1,15 @@
 //! Runs the whole path in one process.
 
-fn main() {}
+use clap::Parser;
+use standins::local::{Options, run};
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    let right = run(&Options::parse()).await?;
+    Ok(if right {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cluster;
 pub mod judge;
 pub mod load;
+pub mod local;
 pub mod platform;
 pub mod proxy;
 pub mod scenario;
--- /dev/null
+++ b/standins/src/local.rs
@@ -0,0 +1,202 @@
+//! The whole path in one process, on loopback: platform, three entry daemons and targets.
+
+mod steps;
+
+use crate::{
+    caller::Caller,
+    cluster::{Declared, wait_for},
+    platform::{Faults, Platform},
+    target::{Execution, StandinTarget, TargetOptions},
+};
+use clap::{Parser, ValueEnum};
+use comfy_table::{Table, presets::ASCII_MARKDOWN};
+use eyre::WrapErr;
+use fireflygauge::{
+    declaration::Declaration,
+    entry::{runtime::Daemon, settings::Settings},
+    world::{Contract, Vm, VmRole, VmState},
+};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+/// Time for the daemons to get ready.
+const READY_TIME: Duration = Duration::from_secs(30);
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Runs the whole path on loopback, sends requests through it and prints what happened.
+#[derive(Debug, Parser)]
+#[command(name = "fireflygauge-local", version)]
+pub struct Options {
+    /// Stop afterwards; the exit status is 0 only if every answer was right.
+    #[arg(long)]
+    once: bool,
+    /// The deployment to run.
+    #[arg(long, value_enum, default_value_t = Deployment::Mittelland)]
+    deployment: Deployment,
+}
+
+/// The deployments that the examples declare.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Deployment {
+    Mittelland,
+    MaWest,
+}
+
+impl Deployment {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Mittelland => include_str!("../../examples/mittelland.toml"),
+            Self::MaWest => include_str!("../../examples/ma-west.toml"),
+        }
+    }
+
+    fn zones(self) -> &'static [&'static str] {
+        match self {
+            Self::Mittelland => &["zone-a", "zone-b", "zone-c"],
+            Self::MaWest => &["zone-a", "zone-b", "zone-c", "zone-d"],
+        }
+    }
+}
+
+/// Everything that runs.
+struct Local {
+    platform: Platform,
+    daemons: Vec<Daemon>,
+    targets: Vec<StandinTarget>,
+    declaration: Declaration,
+    caller: Caller,
+    /// What the lost target ran.
+    lost_executions: Vec<Execution>,
+}
+
+/// One line of the printed table.
+struct Step {
+    what: String,
+    seen: String,
+    right: bool,
+}
+
+/// Runs the demonstration; returns whether every answer was right.
+///
+/// # Errors
+/// If something cannot be started or the daemons do not get ready.
+pub async fn run(options: &Options) -> eyre::Result<bool> {
+    let mut local = Local::start(options.deployment).await?;
+    let steps = local.demonstrate().await;
+    let right = steps.iter().all(|step| step.right);
+    print_table(&steps);
+    if options.once {
+        local.stop().await?;
+    } else {
+        local.print_commands();
+        std::future::pending::<()>().await;
+    }
+    Ok(right)
+}
+
+impl Local {
+    async fn start(deployment: Deployment) -> eyre::Result<Self> {
+        let declaration = Declaration::parse(deployment.text())?;
+        let platform = Platform::start(ANY, Faults::default()).await?;
+        platform.seed(&Declared {
+            text: deployment.text().into(),
+            preset: declaration.initial_preset.to_string(),
+        });
+        let mut local = Self {
+            platform,
+            daemons: Vec::new(),
+            targets: Vec::new(),
+            declaration,
+            caller: Caller::new("local"),
+            lost_executions: Vec::new(),
+        };
+        for contract in local.declaration.services.clone() {
+            for zone in deployment.zones() {
+                local.start_target(&contract, zone).await?;
+            }
+        }
+        for zone in &deployment.zones()[..3] {
+            local.start_daemon(zone)?;
+        }
+        local.ready().await;
+        Ok(local)
+    }
+
+    async fn start_target(&mut self, contract: &Contract, zone: &str) -> eyre::Result<()> {
+        let name = format!("{}-{zone}", contract.name);
+        let checks_grants = contract.keyed && contract.checks_grants;
+        let options = TargetOptions::new(&name, zone, &contract.name.0, checks_grants);
+        let target = StandinTarget::start(options).await?;
+        self.platform.register(target.vm());
+        self.targets.push(target);
+        Ok(())
+    }
+
+    fn start_daemon(&mut self, zone: &str) -> eyre::Result<()> {
+        let name = format!("entry-{zone}");
+        let settings = Settings::try_parse_from([
+            "fireflygauge-entry".to_owned(),
+            format!("--name={name}"),
+            format!("--zone={zone}"),
+            format!("--caller-addr={ANY}"),
+            format!("--peer-addr={ANY}"),
+            format!("--operator-addr={ANY}"),
+            format!("--platform-addr={}", self.platform.addr()),
+        ])?;
+        let daemon = Daemon::start(settings).wrap_err_with(|| format!("{name} does not start"))?;
+        self.platform.register(Vm {
+            name: daemon.link().name.clone(),
+            zone: daemon.link().zone.clone(),
+            addr: daemon.caller_addr(),
+            state: VmState::Live,
+            role: VmRole::Entry {
+                peer_addr: daemon.link().peer_addr,
+                operator_addr: daemon.operator_addr(),
+            },
+        });
+        self.daemons.push(daemon);
+        Ok(())
+    }
+
+    async fn ready(&self) {
+        let all = || std::future::ready(self.daemons.iter().all(Daemon::is_ready).then_some(()));
+        wait_for("all daemons are ready", READY_TIME, all).await;
+    }
+
+    /// Stops the daemons, which block, away from the async threads.
+    async fn stop(self) -> eyre::Result<()> {
+        for daemon in self.daemons {
+            tokio::task::spawn_blocking(|| daemon.stop()).await??;
+        }
+        Ok(())
+    }
+
+    fn print_commands(&self) {
+        let keyed = self.declaration.services.iter().find(|s| s.keyed);
+        println!("\nThe deployment stays up until interrupted. Try:\n");
+        for daemon in &self.daemons {
+            let service = keyed.map_or("", |s| &s.name.0);
+            println!(
+                "  curl -i http://{}/{service}/k1/item",
+                daemon.caller_addr()
+            );
+            println!(
+                "  fireflygauge --help   # operator address {}",
+                daemon.operator_addr()
+            );
+        }
+    }
+}
+
+fn print_table(steps: &[Step]) {
+    let mut table = Table::new();
+    table.load_preset(ASCII_MARKDOWN);
+    table.set_header(["step", "what was seen", "right"]);
+    for step in steps {
+        let right = if step.right { "yes" } else { "NO" };
+        table.add_row([step.what.as_str(), step.seen.as_str(), right]);
+    }
+    println!("{table}");
+}
--- /dev/null
+++ b/standins/src/local/steps.rs
@@ -0,0 +1,146 @@
+//! The requests of the demonstration and what is expected of them.
+
+use super::{Local, Step};
+use crate::{
+    caller::{Ask, Attempt, CallResult},
+    cluster::wait_for,
+    judge::Histories,
+};
+use fireflygauge::world::{Contract, VmRole};
+use http::Method;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+/// Keys requested in each round.
+const KEYS: usize = 30;
+/// Time within which keys must be served again after a target was lost.
+const RECOVERY: Duration = Duration::from_secs(2);
+/// Time to wait for that before giving up.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+impl Local {
+    /// Goes through all steps.
+    pub(super) async fn demonstrate(&mut self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for contract in self.declaration.services.clone() {
+            steps.push(self.plain_requests(&contract).await);
+        }
+        let Some(keyed) = self.declaration.services.iter().find(|s| s.keyed).cloned() else {
+            return steps;
+        };
+        steps.push(self.repetition(&keyed).await);
+        steps.push(self.lost_target(&keyed).await);
+        steps.push(self.histories());
+        steps
+    }
+
+    fn entry(&self, number: usize) -> SocketAddr {
+        self.daemons[number % self.daemons.len()].caller_addr()
+    }
+
+    async fn plain_requests(&self, contract: &Contract) -> Step {
+        let mut answered = 0;
+        for number in 0..KEYS {
+            let method = [Method::GET, Method::POST][number % 2].clone();
+            let ask = Ask::new(method, &contract.name.0, &format!("k{number}"));
+            answered += usize::from(
+                self.caller
+                    .ask(self.entry(number), &ask)
+                    .await
+                    .is_answered(),
+            );
+        }
+        let kind = if contract.keyed { "by key" } else { "to any" };
+        Step {
+            what: format!("{KEYS} requests for {}, {kind}", contract.name),
+            seen: format!("{answered} answered"),
+            right: answered == KEYS,
+        }
+    }
+
+    /// A creation under an idempotency key, and its repetition through another daemon.
+    async fn repetition(&self, contract: &Contract) -> Step {
+        let ask = Ask::new(Method::POST, &contract.name.0, "k1").once("local-repetition");
+        let first = self.caller.ask(self.entry(0), &ask).await;
+        let second = self.caller.ask(self.entry(1), &ask).await;
+        let token = |attempt: &Attempt| match &attempt.result {
+            CallResult::Answered(_, answer) => Some(answer.token.clone()),
+            _ => None,
+        };
+        let same = token(&first).is_some() && token(&first) == token(&second);
+        Step {
+            what: "a creation, repeated under its idempotency key".into(),
+            seen: if same {
+                "one answer, given twice"
+            } else {
+                "different answers"
+            }
+            .into(),
+            right: same,
+        }
+    }
+
+    /// Stops a target without notice and waits until its keys are served by others.
+    async fn lost_target(&mut self, contract: &Contract) -> Step {
+        let owner = self.targets.iter().position(|t| match &t.vm().role {
+            VmRole::Target { service } => *service == contract.name,
+            VmRole::Entry { .. } => false,
+        });
+        let lost = self.targets.remove(owner.expect("the service has targets"));
+        let executions = lost.executions();
+        drop(lost);
+        let start = Instant::now();
+        wait_for(
+            "the keys of the lost target are served",
+            PATIENCE,
+            || async {
+                for number in 0..KEYS {
+                    let key = format!("k{number}");
+                    let ask = Ask::new(Method::GET, &contract.name.0, &key).within(200);
+                    if !self
+                        .caller
+                        .ask(self.entry(number), &ask)
+                        .await
+                        .is_answered()
+                    {
+                        return None;
+                    }
+                }
+                Some(())
+            },
+        )
+        .await;
+        let took = start.elapsed();
+        self.lost_executions = executions;
+        Step {
+            what: "a target is lost without notice".into(),
+            seen: format!("all keys served again after {} ms", took.as_millis()),
+            right: took <= RECOVERY,
+        }
+    }
+
+    fn histories(&self) -> Step {
+        let mut executions = self.lost_executions.clone();
+        executions.extend(self.targets.iter().flat_map(|t| t.executions()));
+        let histories = Histories {
+            executions,
+            attempts: self.caller.attempts(),
+        };
+        let violations = histories.violations();
+        for violation in &violations {
+            eprintln!("{violation}");
+        }
+        Step {
+            what: "histories of callers and targets compared".into(),
+            seen: format!(
+                "{} requests, {} executions, {} violations",
+                histories.attempts.len(),
+                histories.executions.len(),
+                violations.len()
+            ),
+            right: violations.is_empty(),
+        }
+    }
+}
