--- a/tests/support/ownership_world.rs
+++ b/tests/support/ownership_world.rs
@@ -383,12 +383,12 @@
         match action {
             Action::ReadRow => {
                 let failed = Event::RowRead(Err(StoreError::Unavailable("no answer".into())));
-                self.to_store(i, run, 150, failed, What::ReadRow(i, run));
+                self.send_to_store(i, run, 150, failed, What::ReadRow(i, run));
             }
             Action::ReadAssignments => {
                 let error = StoreError::Unavailable("no answer".into());
                 let failed = Event::AssignmentsRead(Err(error));
-                self.to_store(i, run, STORE_TIMEOUT, failed, What::ReadAll(i, run));
+                self.send_to_store(i, run, STORE_TIMEOUT, failed, What::ReadAll(i, run));
             }
             Action::Commit {
                 operation,
@@ -421,7 +421,7 @@
         self.is(Fault::StoreDown) || self.is(Fault::CutStore(i)) || self.loses()
     }
 
-    fn to_store(&mut self, i: usize, run: u64, timeout: u64, failed: Event, what: What) {
+    fn send_to_store(&mut self, i: usize, run: u64, timeout: u64, failed: Event, what: What) {
         if self.store_cut(i) {
             self.push(timeout, What::Deliver(i, run, failed));
         } else {
