Fix ghost members and slow detection of losses; test sync among nine daemons

Change: a voucher's word replaces its former one, a contact outside partnership cannot extend a member's life, and a member's age stands still for at most 1 s while its voucher is silent.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -6,13 +6,14 @@
 //! follows a fixed order (within a zone from the delegate upwards by name, and out of a member's
 //! zone), so that two daemons cannot keep a lost member alive for each other.
 
+pub mod selection;
+
 use crate::{
     clock::Millis,
     collections::Map,
     peer::message::MemberReport,
     world::{Incarnation, Link, Vm, VmName, VmRole, VmState, ZoneName},
 };
-use rand::{Rng, seq::IteratorRandom};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use strum::Display;
@@ -23,6 +24,9 @@
 pub const GONE_AFTER: Millis = Millis(5_000);
 /// Members that are gone are kept for this time, so that peers learn of it.
 const FORGET_AFTER: Millis = Millis(60_000);
+/// The silence of a voucher says nothing of its members. Their age stands still for this time,
+/// until another peer vouches for them.
+const VOUCHER_GRACE: Millis = SUSPECT_AFTER;
 /// Added to the daemon's clock, which starts at zero, so that ages of relayed reports fit.
 const CLOCK_OFFSET: Millis = FORGET_AFTER;
 
@@ -43,16 +47,41 @@
 struct Member {
     report: MemberReport,
     /// Latest time at which the member is known to have spoken.
-    heard: Millis,
+    spoken: Millis,
     state: MemberState,
-    /// The peer that vouches for it between changes, and the age that it stated last.
-    voucher: Option<(VmName, Millis)>,
+    voucher: Option<Voucher>,
     /// Revision of the list at its last change.
     revision: u64,
     /// The run before this one, whose late reports are ignored.
     replaced: Option<Incarnation>,
 }
 
+/// A peer that vouches for a member between changes.
+#[derive(Clone, Debug)]
+struct Voucher {
+    name: VmName,
+    /// Whether it stated last that the member is live.
+    live: bool,
+    /// When the member was alive by its word.
+    heard: Millis,
+    /// When the peer was heard last.
+    at: Millis,
+}
+
+impl Member {
+    /// The latest time at which the member was alive, by its own reports or its voucher.
+    fn heard(&self, now: Millis) -> Millis {
+        let vouched = match &self.voucher {
+            Some(voucher) if voucher.live => {
+                voucher.heard + now.since(voucher.at).min(VOUCHER_GRACE)
+            }
+            Some(voucher) => voucher.heard,
+            None => Millis::ZERO,
+        };
+        self.spoken.max(vouched)
+    }
+}
+
 /// An address to try, out of the platform's VM list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seed {
@@ -118,55 +147,88 @@
         }
     }
 
-    /// Takes the changes that the peer `from` relays; by being heard it vouches for the others.
-    pub fn hear_relayed(&mut self, from: &Link, reports: Vec<MemberReport>, now: Millis) {
-        let now = now + CLOCK_OFFSET;
-        for report in reports {
-            if report.link.name != self.own.name && report.link.name != from.name {
-                self.take_relayed(from, report, now);
-            }
-        }
+    /// Takes the changes that the partner `from` relays; by being heard it vouches for the others.
+    pub fn hear_partner(&mut self, from: &Link, reports: Vec<MemberReport>, now: Millis) {
+        let at = now + CLOCK_OFFSET;
         for member in self.members.values_mut() {
-            match &member.voucher {
-                Some((name, age)) if *name == from.name && *age < SUSPECT_AFTER => {
-                    member.heard = member.heard.max(now.since(*age));
+            match &mut member.voucher {
+                Some(voucher) if voucher.name == from.name && voucher.live => {
+                    voucher.heard = at;
+                    voucher.at = at;
                 }
                 _ => {}
             }
         }
+        self.hear_relayed(from, reports, true, now);
+    }
+
+    /// Takes the members that `from` has told once. It vouches for none later on.
+    pub fn hear_once(&mut self, from: &Link, reports: Vec<MemberReport>, now: Millis) {
+        self.hear_relayed(from, reports, false, now);
+    }
+
+    fn hear_relayed(
+        &mut self,
+        from: &Link,
+        reports: Vec<MemberReport>,
+        lasting: bool,
+        now: Millis,
+    ) {
+        let now = now + CLOCK_OFFSET;
+        for report in reports {
+            if report.link.name != self.own.name && report.link.name != from.name {
+                self.take_relayed(from, report, lasting, now);
+            }
+        }
         self.update_states(now);
     }
 
-    /// Forgets what the peer named `voucher` vouched for, because it has restarted.
-    pub fn drop_voucher(&mut self, voucher: &VmName) {
+    /// Ends what the peer named `voucher` vouches for: it has restarted, or is no partner now.
+    pub fn drop_voucher(&mut self, voucher: &VmName, now: Millis) {
+        let now = now + CLOCK_OFFSET;
         for member in self.members.values_mut() {
-            member.voucher.take_if(|(name, _)| name == voucher);
+            if member.voucher.as_ref().is_some_and(|v| v.name == *voucher) {
+                member.spoken = member.heard(now);
+                member.voucher = None;
+            }
         }
     }
 
-    fn take_relayed(&mut self, from: &Link, report: MemberReport, now: Millis) {
-        let age = Millis(report.age_ms);
-        let heard = now.since(age);
-        let vouches = self.may_vouch(from, &report.link);
+    fn take_relayed(&mut self, from: &Link, report: MemberReport, lasting: bool, now: Millis) {
+        let stated = now.since(Millis(report.age_ms));
+        let live = report.age_ms < SUSPECT_AFTER.0;
         let link = report.link.clone();
-        if vouches || self.is_news(&report, heard) {
+        if self.is_news(&report, stated, now) {
+            // A peer that does not take its word back later must not extend a member's life: its
+            // word may rest on a voucher that fell silent.
+            let known = self.members.get(&link.name).map(|member| member.heard(now));
+            let heard = known
+                .filter(|_| !lasting)
+                .map_or(stated, |known| known.min(stated));
             self.take(report, heard, now);
         }
-        if let Some(member) = self.members.get_mut(&link.name)
-            && vouches
+        if lasting
+            && self.may_vouch(from, &link)
+            && let Some(member) = self.members.get_mut(&link.name)
             && member.report.link == link
         {
-            member.voucher = Some((from.name.clone(), age));
+            // The new word replaces the former one, which may have named a later time.
+            member.voucher = Some(Voucher {
+                name: from.name.clone(),
+                live,
+                heard: stated,
+                at: now,
+            });
         }
     }
 
     /// Whether `report` shows that the member spoke after what is known of it.
-    fn is_news(&self, report: &MemberReport, heard: Millis) -> bool {
+    fn is_news(&self, report: &MemberReport, heard: Millis, now: Millis) -> bool {
         self.members.get(&report.link.name).is_none_or(|known| {
             if known.report.link.incarnation == report.link.incarnation {
                 report.sequence > known.report.sequence
             } else {
-                heard > known.heard
+                heard > known.heard(now)
             }
         })
     }
@@ -188,12 +250,12 @@
         };
         let incarnation = known.report.link.incarnation;
         if incarnation != report.link.incarnation {
-            if heard > known.heard && known.replaced != Some(report.link.incarnation) {
+            if heard > known.heard(now) && known.replaced != Some(report.link.incarnation) {
                 self.insert(report, heard, now, Some(incarnation));
             }
             return;
         }
-        known.heard = known.heard.max(heard);
+        known.spoken = known.spoken.max(heard);
         if report.sequence > known.report.sequence {
             let relay = !same_content(&known.report, &report);
             self.changed |= relay || known.report.config_version != report.config_version;
@@ -217,7 +279,7 @@
         let member = Member {
             state: state_at(heard, now),
             report: report.clone(),
-            heard,
+            spoken: heard,
             voucher: None,
             revision: self.revision,
             replaced,
@@ -230,12 +292,12 @@
         let now = now + CLOCK_OFFSET;
         self.update_states(now);
         self.members
-            .retain(|_, member| now.since(member.heard) < FORGET_AFTER);
+            .retain(|_, member| now.since(member.heard(now)) < FORGET_AFTER);
     }
 
     fn update_states(&mut self, now: Millis) {
         for member in self.members.values_mut() {
-            let state = state_at(member.heard, now);
+            let state = state_at(member.heard(now), now);
             if state != member.state {
                 log::info!(
                     target: "peer",
@@ -263,7 +325,7 @@
             .values()
             .filter(|member| member.revision > revision && member.report.link.name != *asker)
             .map(|member| MemberReport {
-                age_ms: now.since(member.heard).0,
+                age_ms: now.since(member.heard(now)).0,
                 ..member.report.clone()
             })
             .collect()
@@ -298,80 +360,6 @@
     pub fn state(&self, name: &VmName) -> Option<MemberState> {
         self.members.get(name).map(|member| member.state)
     }
-
-    /// The delegate of `zone`: its live, not stopping member with the lowest name.
-    pub fn delegate(&self, zone: &ZoneName) -> Option<&Link> {
-        let own = (*zone == self.own.zone && !self.stopping).then_some(&self.own);
-        self.live()
-            .filter(|report| report.link.zone == *zone && !report.stopping)
-            .map(|report| &report.link)
-            .chain(own)
-            .min_by(|a, b| a.name.cmp(&b.name))
-    }
-
-    /// Whether this daemon is the delegate of its zone.
-    pub fn is_delegate(&self) -> bool {
-        self.delegate(&self.own.zone) == Some(&self.own)
-    }
-
-    /// The delegates of all zones, this daemon included.
-    pub fn delegates(&self) -> Vec<Link> {
-        let mut zones: Vec<&ZoneName> = self.live().map(|report| &report.link.zone).collect();
-        zones.push(&self.own.zone);
-        zones.sort();
-        zones.dedup();
-        zones
-            .into_iter()
-            .filter_map(|zone| self.delegate(zone).cloned())
-            .collect()
-    }
-
-    /// The peers that this daemon keeps in step with.
-    ///
-    /// A delegate follows the other delegates and the controllers, any other daemon its delegate.
-    pub fn partners(&self) -> Vec<Link> {
-        if let Some(delegate) = self.delegate(&self.own.zone)
-            && delegate.name != self.own.name
-        {
-            return vec![delegate.clone()];
-        }
-        let mut partners = self.delegates();
-        let controllers = self.live().filter(|report| !report.controls.is_empty());
-        partners.extend(controllers.map(|report| report.link.clone()));
-        partners.retain(|link| link.name != self.own.name);
-        partners.sort_by(|a, b| a.name.cmp(&b.name));
-        partners.dedup();
-        partners
-    }
-
-    /// A random live member other than `except`, to ask when the usual partner fails.
-    pub fn random_live(&self, except: &VmName, rng: &mut impl Rng) -> Option<Link> {
-        self.live()
-            .filter(|report| report.link.name != *except)
-            .map(|report| report.link.clone())
-            .choose(rng)
-    }
-
-    /// A random listed daemon that is not a live member, to find it or to heal a partition.
-    pub fn random_seed(&self, rng: &mut impl Rng) -> Option<Seed> {
-        self.seeds
-            .iter()
-            .filter(|seed| self.state(&seed.name) != Some(MemberState::Live))
-            .choose(rng)
-            .cloned()
-    }
-
-    /// Whether no other daemon is live.
-    pub fn is_alone(&self) -> bool {
-        self.live().next().is_none()
-    }
-
-    fn live(&self) -> impl Iterator<Item = &MemberReport> {
-        self.members
-            .values()
-            .filter(|member| member.state == MemberState::Live)
-            .map(|member| &member.report)
-    }
 }
 
 fn state_at(heard: Millis, now: Millis) -> MemberState {
--- a/src/peer/loops.rs
+++ b/src/peer/loops.rs
@@ -139,12 +139,17 @@
         }
     }
 
-    /// Syncs once with a daemon that is not a usual partner.
-    async fn sync_once(&self, name: &VmName, addr: SocketAddr) -> Result<bool, PeerError> {
-        let request = self.with_state(|state, now| state.request(name, Millis::ZERO, now));
-        let result = self.sync(addr, request).await;
-        self.with_state(|state, _| state.forget_partner(name));
-        result
+    /// Syncs once with a daemon that is no partner.
+    async fn sync_once(&self, addr: SocketAddr) -> Result<(), PeerError> {
+        let request = self.with_state(|state, now| state.request_once(None, now));
+        let reply = exchange(self.client.clone(), addr, request).await?;
+        let (theirs, news) = self.with_state(|state, now| state.take_reply_once(reply, now));
+        self.tell(news);
+        let request = self.with_state(|state, now| state.request_once(Some(&theirs), now));
+        if !request.offers.is_empty() {
+            exchange(self.client.clone(), addr, request).await?;
+        }
+        Ok(())
     }
 
     fn own_state(&self) -> OwnState {
@@ -203,7 +208,7 @@
             let keep = partners.contains(link) && !task.is_finished();
             if !keep {
                 task.abort();
-                shared.with_state(|state, _| state.forget_partner(name));
+                shared.with_state(|state, now| state.forget_partner(name, now));
             }
             keep
         });
@@ -266,7 +271,7 @@
     let other =
         shared.with_state(|state, _| state.membership.random_live(failed, &mut rand::rng()));
     if let Some(other) = other
-        && let Err(e) = shared.sync_once(&other.name, other.peer_addr).await
+        && let Err(e) = shared.sync_once(other.peer_addr).await
     {
         log::debug!(target: "peer", "Repair failed. name={} error=\"{e}\"", other.name);
     }
@@ -283,7 +288,7 @@
         });
         let pause = match seed {
             Some(seed) => {
-                let found = shared.sync_once(&seed.name, seed.peer_addr).await.is_ok();
+                let found = shared.sync_once(seed.peer_addr).await.is_ok();
                 if found { TICK } else { PROBE_PERIOD }
             }
             None => TICK,
--- a/src/peer/roll_call.rs
+++ b/src/peer/roll_call.rs
@@ -74,7 +74,7 @@
         if link.name == shared.context.link.name {
             continue;
         }
-        let request = shared.with_state(|state, now| state.roll_call(now));
+        let request = shared.with_state(|state, now| state.request_once(None, now));
         let client = shared.client.clone();
         asked.spawn(super::loops::exchange(client, link.peer_addr, request));
     }
--- a/src/peer/sync.rs
+++ b/src/peer/sync.rs
@@ -124,7 +124,7 @@
             })
     }
 
-    /// Takes the reply of the peer named `from`; returns news for the directory.
+    /// Takes the reply of a partner; returns news for the directory.
     pub fn take_reply(&mut self, reply: SyncReply, now: Millis) -> Vec<News> {
         let link = reply.sender.link.clone();
         let versions = Versions::new(reply.config_version, reply.tables, reply.vms);
@@ -136,9 +136,9 @@
         partner.versions = Some(versions);
         self.membership.hear(reply.sender, now);
         if restarted {
-            self.membership.drop_voucher(&link.name);
+            self.membership.drop_voucher(&link.name, now);
         }
-        self.membership.hear_relayed(&link, reply.members, now);
+        self.membership.hear_partner(&link, reply.members, now);
         self.known.vms.confirm(reply.vms, now);
         self.take_items(reply.items, reply.vms, now)
     }
@@ -182,8 +182,8 @@
         theirs.is_some_and(|theirs| !self.known.newer_than(theirs).is_empty())
     }
 
-    /// A request that only asks for all members of the receiver.
-    pub fn roll_call(&mut self, now: Millis) -> SyncRequest {
+    /// A request to a daemon that is no partner; `theirs` are its versions if it has replied.
+    pub fn request_once(&mut self, theirs: Option<&Versions>, now: Millis) -> SyncRequest {
         let versions = self.known.versions(now);
         SyncRequest {
             sender: self.report(),
@@ -191,15 +191,26 @@
             config_version: versions.config,
             tables: versions.tables(),
             vms: versions.vms,
-            offers: Vec::new(),
+            offers: theirs.map_or_else(Vec::new, |theirs| self.known.newer_than(theirs)),
             wait_ms: 0,
         }
     }
 
+    /// Takes the reply of a daemon that is no partner; returns its versions and news for the
+    /// directory.
+    pub fn take_reply_once(&mut self, reply: SyncReply, now: Millis) -> (Versions, Vec<News>) {
+        let link = reply.sender.link.clone();
+        let versions = Versions::new(reply.config_version, reply.tables, reply.vms);
+        self.membership.hear(reply.sender, now);
+        self.membership.hear_once(&link, reply.members, now);
+        self.known.vms.confirm(reply.vms, now);
+        (versions, self.take_items(reply.items, reply.vms, now))
+    }
+
     /// Forgets the peer named `name`, which is no longer followed.
-    pub fn forget_partner(&mut self, name: &VmName) {
+    pub fn forget_partner(&mut self, name: &VmName, now: Millis) {
         self.partners.remove(name);
-        self.membership.drop_voucher(name);
+        self.membership.drop_voucher(name, now);
     }
 
     /// This daemon's report of itself.
--- /dev/null
+++ b/tests/peer_sync.rs
@@ -0,0 +1,332 @@
+//! Daemons that keep each other in step, in one process over loopback.
+
+#[allow(dead_code)]
+#[path = "support/fake_store.rs"]
+mod fake_store;
+
+use fake_store::FakeStore;
+use fireflygauge::{
+    clock::Clock,
+    config::{ConfigHead, ConfigSnapshot, reader},
+    entry::directory::{Directory, News},
+    partition::Partition,
+    peer::{
+        PeerContext, PeerService,
+        message::{ForwardReply, HoldReply},
+    },
+    table::{Owner, RoutingTable, TableVersion},
+    target_api::GrantReply,
+    world::{GroupId, Incarnation, Link, Vm, VmRole, VmState},
+};
+use std::{
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use test_case::test_case;
+
+const EXAMPLE: &str = include_str!("../examples/mittelland.toml");
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Daemon {
+    link: Link,
+    directory: Directory,
+    stopping: Arc<AtomicBool>,
+    service: PeerService,
+}
+
+fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+fn vm(name: &str, zone: &str, listener: &TcpListener) -> Vm {
+    let addr = listener.local_addr().unwrap();
+    Vm {
+        name: name.into(),
+        zone: zone.into(),
+        addr,
+        state: VmState::Live,
+        role: VmRole::Entry {
+            peer_addr: addr,
+            operator_addr: addr,
+        },
+    }
+}
+
+fn start_daemon(vm: &Vm, listener: TcpListener, store: &FakeStore) -> Daemon {
+    let link = Link {
+        name: vm.name.clone(),
+        incarnation: Incarnation::random(),
+        zone: vm.zone.clone(),
+        peer_addr: vm.addr,
+    };
+    let directory = Directory::start();
+    let stopping = Arc::new(AtomicBool::new(false));
+    let stopping_flag = Arc::clone(&stopping);
+    let context = PeerContext {
+        link: link.clone(),
+        clock: Clock::start(),
+        directory: directory.clone(),
+        store: store.client(),
+        controls: Arc::new(Vec::new),
+        ready: Arc::new(|| true),
+        stopping: Arc::new(move || stopping_flag.load(Ordering::Relaxed)),
+        answer_hold: Arc::new(|hold| {
+            Box::pin(async move {
+                HoldReply {
+                    group: hold.group,
+                    controller_epoch: hold.controller_epoch,
+                    standby: hold.standby,
+                    acknowledged: true,
+                }
+            })
+        }),
+        take_grant: Arc::new(|_| Box::pin(std::future::pending::<GrantReply>())),
+        forward: Arc::new(|_| Box::pin(async { ForwardReply::NotRun("unexpected".into()) })),
+    };
+    let service = PeerService::start(listener, context).unwrap();
+    Daemon {
+        link,
+        directory,
+        stopping,
+        service,
+    }
+}
+
+/// Starts daemons with these names and zones.
+fn start(store: &FakeStore, daemons: &[(&str, &str)]) -> Vec<Daemon> {
+    let listeners: Vec<TcpListener> = daemons.iter().map(|_| listen()).collect();
+    let vms: Vec<Vm> = daemons
+        .iter()
+        .zip(&listeners)
+        .map(|((name, zone), listener)| vm(name, zone, listener))
+        .collect();
+    store.set_vms(vms.clone());
+    vms.iter()
+        .zip(listeners)
+        .map(|(vm, listener)| start_daemon(vm, listener, store))
+        .collect()
+}
+
+fn wait_for(what: &str, mut done: impl FnMut() -> bool) -> Duration {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < LIMIT, "not in time: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+    started.elapsed()
+}
+
+/// Names of the members that `daemon` regards as live.
+fn live(daemon: &Daemon) -> Vec<String> {
+    let snapshot = daemon.directory.snapshot().load();
+    let members = snapshot.members.iter().filter(|m| m.age_ms == 0);
+    members.map(|m| m.link.name.to_string()).collect()
+}
+
+fn wait_for_members(daemons: &[Daemon]) {
+    wait_for("all members are live", || {
+        daemons.iter().all(|d| live(d).len() == daemons.len() - 1)
+    });
+}
+
+fn config(version: u64) -> ConfigSnapshot {
+    ConfigSnapshot {
+        head: ConfigHead {
+            version,
+            body_hash: reader::hash_of(EXAMPLE),
+            preset: "ordinary".into(),
+            drained: Vec::new(),
+            by: "test".into(),
+            at: "2026-01-01T00:00:00Z".into(),
+            operation: "test".into(),
+        },
+        body: EXAMPLE.into(),
+    }
+}
+
+fn config_version(daemon: &Daemon) -> u64 {
+    let snapshot = daemon.directory.snapshot().load();
+    snapshot.config.as_ref().map_or(0, |c| c.version())
+}
+
+fn group() -> GroupId {
+    GroupId {
+        service: "rounds".into(),
+        index: 0,
+    }
+}
+
+fn table(revision: u64) -> RoutingTable {
+    let mut table = RoutingTable::empty(group(), 64);
+    table.version = TableVersion {
+        controller_epoch: 1,
+        revision,
+    };
+    table.owners[5] = Some(Owner {
+        target: "t".into(),
+        epoch: revision,
+    });
+    table
+}
+
+fn owner_epoch(daemon: &Daemon) -> u64 {
+    let snapshot = daemon.directory.snapshot().load();
+    let owner = snapshot
+        .tables
+        .get(&group())
+        .and_then(|t| t.owner(Partition(5)));
+    owner.map_or(0, |owner| owner.epoch)
+}
+
+const THREE_ZONES: &[(&str, &str)] = &[
+    ("a1", "a"),
+    ("a2", "a"),
+    ("a3", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("b3", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+    ("c3", "c"),
+];
+
+/// What any daemon learns must reach all others, from a delegate as well as from any other.
+#[test_case(0; "from_a_delegate")]
+#[test_case(8; "from_another_daemon")]
+fn changes_reach_every_daemon(source: usize) {
+    let store = FakeStore::start();
+    let daemons = start(&store, THREE_ZONES);
+    wait_for_members(&daemons);
+    for version in 1..=5 {
+        daemons[source]
+            .directory
+            .tell(News::Config(config(version)));
+        daemons[source].directory.tell(News::Table(table(version)));
+        let time = wait_for("the change is everywhere", || {
+            daemons
+                .iter()
+                .all(|d| config_version(d) == version && owner_epoch(d) == version)
+        });
+        println!("change {version} from {source} reached all in {time:?}");
+    }
+    daemons.into_iter().for_each(|d| d.service.stop());
+}
+
+/// Losing a zone's delegate must not cut its daemons off, and its loss must become known.
+#[test]
+fn lost_delegate_is_replaced() {
+    let store = FakeStore::start();
+    let mut daemons = start(&store, THREE_ZONES);
+    wait_for_members(&daemons);
+    let lost = daemons.remove(0);
+    let name = lost.link.name.to_string();
+    lost.service.stop();
+    daemons[7].directory.tell(News::Config(config(1)));
+    let time = wait_for("the change is everywhere", || {
+        daemons.iter().all(|d| config_version(d) == 1)
+    });
+    println!("change reached all in {time:?} after the loss of a delegate");
+    let time = wait_for("the loss is known", || {
+        daemons.iter().all(|d| !live(d).contains(&name))
+    });
+    println!("loss known in {time:?}");
+    wait_for("the member is gone", || {
+        daemons.iter().all(|d| {
+            let snapshot = d.directory.snapshot().load();
+            snapshot.members.iter().all(|m| *m.link.name.0 != *name)
+        })
+    });
+    for daemon in &daemons {
+        let live = live(daemon);
+        assert_eq!(
+            live.len(),
+            daemons.len() - 1,
+            "{} sees {live:?}",
+            daemon.link.name
+        );
+    }
+}
+
+/// A stopping delegate hands its part over at once and stays informed.
+#[test]
+fn stopping_delegate_is_replaced() {
+    let store = FakeStore::start();
+    let daemons = start(&store, THREE_ZONES);
+    wait_for_members(&daemons);
+    daemons[0].stopping.store(true, Ordering::Relaxed);
+    wait_for("the stop is known", || {
+        daemons[1..].iter().all(|d| {
+            let snapshot = d.directory.snapshot().load();
+            snapshot.members.iter().any(|m| m.stopping)
+        })
+    });
+    daemons[8].directory.tell(News::Config(config(1)));
+    wait_for("the change is everywhere", || {
+        daemons.iter().all(|d| config_version(d) == 1)
+    });
+    assert_eq!(live(&daemons[0]).len(), daemons.len() - 1);
+}
+
+/// In a store outage, a restarted daemon must get everything from its peers.
+#[test]
+fn daemon_starts_in_a_store_outage() {
+    let store = FakeStore::start();
+    let daemons = start(&store, &[("a1", "a"), ("a2", "a"), ("b1", "b")]);
+    wait_for_members(&daemons);
+    daemons[0].directory.tell(News::Config(config(3)));
+    daemons[0].directory.tell(News::Table(table(3)));
+    let mut daemons = daemons;
+    let restarted = daemons.remove(1);
+    restarted.service.stop();
+    store.set_down(true);
+    let listener = listen();
+    // The platform assigned the same VM name; its peers still have the former address in their
+    // list, so the test moves the daemon to that address.
+    drop(listener);
+    let listener = TcpListener::bind(restarted.link.peer_addr).unwrap();
+    let vm = vm("a2", "a", &listener);
+    let daemon = start_daemon(&vm, listener, &store);
+    let time = wait_for("the daemon has caught up", || {
+        config_version(&daemon) == 3 && owner_epoch(&daemon) == 3
+    });
+    println!("caught up in {time:?}");
+    wait_for("the new run is known", || {
+        daemons.iter().all(|d| {
+            let snapshot = d.directory.snapshot().load();
+            let mut members = snapshot.members.iter();
+            members.any(|m| m.link == daemon.link && m.age_ms == 0)
+        })
+    });
+}
+
+/// Only delegates may load the platform, and the list must reach the others all the same.
+#[test]
+fn vm_list_is_passed_on() {
+    let store = FakeStore::start();
+    let daemons = start(&store, THREE_ZONES);
+    wait_for_members(&daemons);
+    let extra = listen();
+    let mut vms: Vec<Vm> = (*daemons[0].directory.snapshot().load().vms).clone();
+    vms.push(Vm {
+        role: VmRole::Target {
+            service: "rounds".into(),
+        },
+        ..vm("t1", "a", &extra)
+    });
+    store.set_vms(vms.clone());
+    let listed = |d: &Daemon| d.directory.snapshot().load().vms.len();
+    let time = wait_for("the new target is listed everywhere", || {
+        daemons.iter().all(|d| listed(d) == vms.len())
+    });
+    println!("listed everywhere in {time:?}");
+    vms.remove(8);
+    store.set_vms(vms.clone());
+    wait_for("the removed VM is gone from all lists", || {
+        daemons.iter().all(|d| listed(d) == vms.len())
+    });
+}
