--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -17,6 +17,24 @@
     pub attempts: Vec<Attempt>,
 }
 
+/// Time between two answers for one key, on the machine's boot-time clock.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Gap {
+    /// The key.
+    pub key: Arc<str>,
+    /// When the answer before it was complete, in microseconds.
+    pub from_us: u64,
+    /// When the answer after it was complete, in microseconds.
+    pub to_us: u64,
+}
+
+impl Gap {
+    /// Its length, in milliseconds.
+    pub fn ms(&self) -> u64 {
+        (self.to_us - self.from_us) / 1_000
+    }
+}
+
 impl Histories {
     /// Every violation of a guarantee; empty if all of them held.
     pub fn violations(&self) -> Vec<String> {
@@ -128,19 +146,44 @@
         counts
     }
 
-    /// The longest time between two answers for one key, in milliseconds.
-    pub fn longest_unserved_ms(&self) -> u64 {
+    /// The longest time between two answers for one key.
+    pub fn longest_gap(&self) -> Gap {
         let mut last: Map<&Arc<str>, u64> = Map::default();
-        let mut longest = 0;
+        let mut longest = Gap::default();
         let mut answered: Vec<&Attempt> =
             self.attempts.iter().filter(|a| a.is_answered()).collect();
         answered.sort_by_key(|a| a.done_us);
         for attempt in answered {
-            if let Some(previous) = last.insert(&attempt.ask.key, attempt.done_us) {
-                longest = longest.max(attempt.done_us - previous);
+            let to_us = attempt.done_us;
+            let from_us = last.insert(&attempt.ask.key, to_us).unwrap_or(to_us);
+            if to_us - from_us > longest.to_us - longest.from_us {
+                longest = Gap {
+                    key: Arc::clone(&attempt.ask.key),
+                    from_us,
+                    to_us,
+                };
+            }
+        }
+        longest
+    }
+
+    /// What the requests in a gap met, with counts.
+    pub fn reasons(&self, gap: &Gap) -> Map<String, usize> {
+        let mut counts = Map::default();
+        for attempt in &self.attempts {
+            if attempt.ask.key == gap.key
+                && gap.from_us < attempt.done_us
+                && attempt.done_us < gap.to_us
+            {
+                let reason = match &attempt.result {
+                    CallResult::NotRun(_, refusal) => format!("not-run: {}", refusal.code),
+                    CallResult::Unknown(_, refusal) => format!("unknown: {}", refusal.code),
+                    other => format!("{other:?}"),
+                };
+                *counts.entry(reason).or_default() += 1;
             }
         }
-        longest / 1_000
+        counts
     }
 
     /// Partitions that more than one target ran requests for, one count for each change.
--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -70,11 +70,14 @@
             executions: self.cluster.executions(),
             attempts,
         };
+        let gap = histories.longest_gap();
         println!(
-            "requests by outcome: {:?}; changes of owner seen: {}; longest unserved: {} ms",
+            "{}: requests by outcome: {:?}; changes of owner seen: {}; longest unserved: {} ms, {:?}",
+            std::thread::current().name().unwrap_or_default(),
             histories.outcomes(),
             histories.moves(),
-            histories.longest_unserved_ms(),
+            gap.ms(),
+            histories.reasons(&gap),
         );
         histories.assert_kept();
         histories
--- a/standins/src/workload.rs
+++ b/standins/src/workload.rs
@@ -1,6 +1,7 @@
 //! Steady requests of many callers while a test injects faults.
 
 use crate::caller::{Ask, Attempt, CallResult, Caller};
+use fireflygauge::collections::Set;
 use http::Method;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -94,7 +95,7 @@
     /// Whether every key was answered since `since_us` of the machine's boot-time clock.
     pub fn all_answered_since(&self, since_us: u64, keys: usize) -> bool {
         let attempts = self.attempts();
-        let answered: std::collections::BTreeSet<&str> = attempts
+        let answered: Set<&str> = attempts
             .iter()
             .filter(|a| a.sent_us >= since_us && a.is_answered())
             .map(|a| &*a.ask.key)
@@ -102,6 +103,12 @@
         answered.len() == keys
     }
 
+    /// Attempts since the last answer.
+    pub fn unanswered_streak(&self) -> usize {
+        let attempts = self.attempts();
+        attempts.iter().rev().take_while(|a| !a.is_answered()).count()
+    }
+
     /// Replaces the daemons in use.
     pub fn use_daemons(&self, entries: Vec<SocketAddr>) {
         *self.balancer.lock().expect("no thread panics with it") = entries;
--- a/standins/tests/one_owner.rs
+++ b/standins/tests/one_owner.rs
@@ -12,6 +12,9 @@
 /// Time for a takeover or a move while a fault is present.
 const REACTION: Duration = Duration::from_secs(15);
 
+/// Requests without an answer in between that show that no key is served.
+const UNANSWERED: usize = 100;
+
 async fn start(default_seed: u64) -> Scenario {
     let mix = Mix::keyed(seed(default_seed));
     let started = Scenario::start(Layout::default(), mix).await;
@@ -95,9 +98,11 @@
     let old = controller(&scenario);
     let daemon = &scenario.cluster.daemons[old];
     daemon.set_target_flow(flow);
-    // Its targets' leases end; nobody may serve their keys twice while it moves them about.
-    let unserved = scenario.served(REACTION);
-    let _ = tokio::time::timeout(Duration::from_secs(4), unserved).await;
+    let ended = || {
+        let replaced = scenario.cluster.controller() != Some(old);
+        replaced || scenario.load.unanswered_streak() > UNANSWERED
+    };
+    wait_until("the leases of all targets end", REACTION, ended).await;
     daemon.set_target_flow(Flow::Pass);
     scenario.served(REACTION).await;
     scenario.finish().await;
