--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -9,6 +9,7 @@
 pub mod mix;
 pub mod options;
 pub mod outage;
+pub mod placement;
 pub mod plot;
 pub mod processor;
 pub mod report;
