Protect every hot partition in placement and widen the range of the score

Only the hottest partition of a target was protected.

Change: wider histogram; all partitions above a share of a target's mean load leave last; half-life 5 s for all policies.

--- a/src/ownership/placement.rs
+++ b/src/ownership/placement.rs
@@ -11,15 +11,10 @@
     partition::Partition,
 };
 
-/// Time after which an observation of heat counts half. Hot keys change within minutes, so a
-/// shorter time follows noise and a longer one evens out load that has gone.
-const HALF_LIFE: Millis = Millis(15_000);
 /// Time without budgeted moves after the first observation; a new controller knows no heat.
 const WARM_UP: Millis = Millis(15_000);
 /// Time that a partition stays after a budgeted move, so that it does not go back and forth.
 const MIN_STAY: Millis = Millis(60_000);
-/// Imbalance above 1 at which moves start, for weights of 1 for imbalance and churn.
-const START_PER_COST: f64 = 0.1;
 /// Moves go on until the imbalance above 1 is this share of the one at which they start.
 const STOP_SHARE: f64 = 0.5;
 /// How far unserved time weighs in the cost of a planned move. A planned move leaves keys unserved
@@ -27,13 +22,33 @@
 const UNSERVED_SHARE: f64 = 0.25;
 /// Share of the mean load below which a move of a partition is not worth its cost.
 const MIN_GAIN: f64 = 0.001;
-/// Share of the mean load of a target from which a partition counts as hot.
-const HOT_SHARE: f64 = 0.25;
 /// Load of an idle partition, as a share of the mean partition's, so that idle ones spread too.
 const IDLE_SHARE: f64 = 0.1;
 /// Standard deviations by which an imbalance must exceed the noise of counting.
 const NOISE_DEVIATIONS: f64 = 3.0;
 
+/// Settings that no preset changes; `docs/measurements.md` compares their values.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// Time after which an observation of heat counts half. A shorter time follows noise, a longer
+    /// one evens out load that has gone.
+    pub half_life: Millis,
+    /// Imbalance above 1 at which moves start, for weights of 1 for imbalance and churn.
+    pub start_per_cost: f64,
+    /// Share of the mean load of a target from which a partition counts as hot.
+    pub hot_share: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            half_life: Millis(5_000),
+            start_per_cost: 0.1,
+            hot_share: 0.04,
+        }
+    }
+}
+
 /// A target as placement sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlacementTarget {
@@ -79,6 +94,7 @@
 /// Memory of placement between its rounds.
 #[derive(Clone, Debug)]
 pub struct Placement {
+    tuning: Tuning,
     /// Requests counted since the last round.
     counted: Vec<u32>,
     /// Smoothed requests per second.
@@ -93,8 +109,14 @@
 impl Placement {
     /// Placement of `partitions` partitions, without any heat observed.
     pub fn new(partitions: u32) -> Self {
+        Self::with_tuning(partitions, Tuning::default())
+    }
+
+    /// Placement with other settings than the usual ones, for comparisons.
+    pub fn with_tuning(partitions: u32, tuning: Tuning) -> Self {
         let count = partitions as usize;
         Self {
+            tuning,
             counted: vec![0; count],
             rates: vec![0.0; count],
             moved_at: vec![None; count],
@@ -142,10 +164,11 @@
             return;
         }
         self.last_round = view.now;
-        let keep = 0.5f64.powf(elapsed / HALF_LIFE.0 as f64);
+        let half_life = self.tuning.half_life.0 as f64;
+        let keep = 0.5f64.powf(elapsed / half_life);
         // The smoothed rate starts at zero; early rounds weigh more, so that it has no bias.
         let age = view.now.since(started).0 as f64;
-        let fresh = (1.0 - keep) / (1.0 - 0.5f64.powf(age / HALF_LIFE.0 as f64));
+        let fresh = (1.0 - keep) / (1.0 - 0.5f64.powf(age / half_life));
         for (rate, counted) in self.rates.iter_mut().zip(&mut self.counted) {
             let current = f64::from(std::mem::take(counted)) * 1_000.0 / elapsed;
             *rate += (current - *rate) * fresh;
@@ -165,7 +188,7 @@
         loads: &mut Loads,
         moves: &mut Vec<PlacementMove>,
     ) {
-        let start = start_excess(view.preset).max(self.noise(loads));
+        let start = (self.tuning.start_per_cost * move_cost(view.preset)).max(self.noise(loads));
         let most = loads.mean * (1.0 + start);
         if !self.balancing && loads.busiest().is_none_or(|t| loads.of[t] <= most) {
             return;
@@ -190,7 +213,8 @@
         }
     }
 
-    /// The best move away from `from`, if one helps.
+    /// The best move away from `from`, if one helps: the largest partition that fits among those
+    /// that are not hot, and a hot one only if all the others together are not enough.
     fn relieve(
         &self,
         view: &PlacementView<'_>,
@@ -199,24 +223,27 @@
         bound: f64,
     ) -> Option<PlacementMove> {
         let to = loads.least_busy().filter(|to| *to != from)?;
-        let movable = |p: &usize| self.is_movable(view, loads, *p, from);
-        let hottest = loads.hottest_on(from);
         let room = (bound - loads.of[to]).min(loads.of[from] - loads.mean);
-        let others = (0..loads.size.len())
-            .filter(movable)
-            .filter(|p| Some(*p) != hottest);
         let fits = |p: &usize| loads.size[*p] <= room;
-        let largest = others
-            .clone()
+        let by_size = |a: &usize, b: &usize| loads.size[*a].total_cmp(&loads.size[*b]);
+        let hot_size = loads.mean * self.tuning.hot_share;
+        let movable = (0..loads.size.len()).filter(|p| self.is_movable(view, loads, *p, from));
+        let (hot, others): (Vec<_>, Vec<_>) = movable.partition(|p| loads.size[*p] >= hot_size);
+        let chosen = others
+            .iter()
+            .copied()
             .filter(fits)
-            .max_by(|a, b| loads.size[*a].total_cmp(&loads.size[*b]));
-        let chosen = largest.or_else(|| {
-            let rest: f64 = others.map(|p| loads.size[p]).sum();
-            let enough = loads.of[from] - rest <= bound;
-            let hot = hottest.filter(movable).filter(|_| !enough)?;
-            let after = loads.of[to] + loads.size[hot];
-            (after < loads.of[from] - loads.mean * MIN_GAIN).then_some(hot)
-        })?;
+            .max_by(by_size)
+            .or_else(|| {
+                let rest: f64 = others.iter().map(|p| loads.size[*p]).sum();
+                let enough = loads.of[from] - rest <= bound;
+                let improves = |p: &usize| {
+                    loads.of[to] + loads.size[*p] < loads.of[from] - loads.mean * MIN_GAIN
+                };
+                let hot = || hot.iter().copied().filter(|_| !enough);
+                let largest = hot().filter(fits).max_by(by_size);
+                largest.or_else(|| hot().filter(improves).min_by(by_size))
+            })?;
         Some(PlacementMove {
             partition: Partition(chosen as u32),
             to,
@@ -233,7 +260,7 @@
 
     /// Relative excess over the mean that counting noise alone explains.
     fn noise(&self, loads: &Loads) -> f64 {
-        let window_s = HALF_LIFE.0 as f64 / 1_000.0 / std::f64::consts::LN_2 * 2.0;
+        let window_s = self.tuning.half_life.0 as f64 / 1_000.0 / std::f64::consts::LN_2 * 2.0;
         let total: f64 = self.rates.iter().sum();
         let counted = total / loads.usable as f64 * window_s;
         NOISE_DEVIATIONS / counted.max(1.0).sqrt()
@@ -324,14 +351,6 @@
         targets.min_by(|a, b| self.of[*a].total_cmp(&self.of[*b]))
     }
 
-    /// The hottest partition of `target`, if it is hot.
-    fn hottest_on(&self, target: usize) -> Option<usize> {
-        (0..self.size.len())
-            .filter(|p| self.owner[*p] == Some(target))
-            .max_by(|a, b| self.size[*a].total_cmp(&self.size[*b]))
-            .filter(|p| self.size[*p] >= self.mean * HOT_SHARE)
-    }
-
     fn carry_out(&mut self, next: PlacementMove) {
         let p = next.partition.0 as usize;
         if let Some(load) = self.owner[p].and_then(|t| self.of.get_mut(t)) {
@@ -342,11 +361,11 @@
     }
 }
 
-/// Imbalance above 1 at which moves start: the cost of a move against the weight of imbalance.
-fn start_excess(preset: &Preset) -> f64 {
+/// The cost of a move against the weight of imbalance.
+fn move_cost(preset: &Preset) -> f64 {
     let weights = &preset.weights;
     let cost = weights.churn + UNSERVED_SHARE * weights.unserved;
-    START_PER_COST * cost / weights.imbalance.max(f64::MIN_POSITIVE)
+    cost / weights.imbalance.max(f64::MIN_POSITIVE)
 }
 
 /// Whether `minute` of the day lies in one of `spans`. Spans that cannot be read are ignored here;
--- a/standins/src/bin/placement-trace.rs
+++ b/standins/src/bin/placement-trace.rs
@@ -3,7 +3,7 @@
 use clap::Parser;
 use comfy_table::{Table, presets::ASCII_MARKDOWN};
 use eyre::{Result, WrapErr, eyre};
-use fireflygauge::declaration::Declaration;
+use fireflygauge::{clock::Millis, declaration::Declaration, ownership::placement::Tuning};
 use standins::load::placement::{
     policies::{PolicyName, policy},
     score::{Costs, Score, score},
@@ -25,6 +25,9 @@
     /// Seeds; the figures are means over all of them.
     #[arg(long, value_delimiter = ',', default_value = "1,2,3")]
     seeds: Vec<u64>,
+    /// The only policy to run; all by default.
+    #[arg(long)]
+    only: Option<PolicyName>,
     /// Partitions.
     #[arg(long, default_value_t = 1024)]
     partitions: u32,
@@ -49,6 +52,15 @@
     /// Load that the hashing policies allow a target, in means.
     #[arg(long, default_value_t = 1.25)]
     bound: f64,
+    /// Half-life of observed heat, in seconds.
+    #[arg(long, default_value_t = Tuning::default().half_life.0 / 1_000)]
+    half_life_s: u64,
+    /// Imbalance above 1 at which greedy moves start, for weights of 1.
+    #[arg(long, default_value_t = Tuning::default().start_per_cost)]
+    start_per_cost: f64,
+    /// Share of a target's mean load from which the greedy policy takes a partition for hot.
+    #[arg(long, default_value_t = Tuning::default().hot_share)]
+    hot_share: f64,
     /// Unserved time of a planned move, in milliseconds.
     #[arg(long, default_value_t = 30.0)]
     move_ms: f64,
@@ -73,6 +85,11 @@
         move_s: options.move_ms / 1_000.0,
         loss_s: options.loss_ms / 1_000.0,
     };
+    let tuning = Tuning {
+        half_life: Millis(options.half_life_s * 1_000),
+        start_per_cost: options.start_per_cost,
+        hot_share: options.hot_share,
+    };
     let mut table = Table::new();
     table.load_preset(ASCII_MARKDOWN).set_header([
         "policy",
@@ -87,12 +104,19 @@
         "by moves",
         "requests unserved",
     ]);
-    for policy_name in PolicyName::VARIANTS {
+    let all = PolicyName::VARIANTS.iter();
+    for policy_name in all.filter(|name| options.only.is_none_or(|only| only == **name)) {
         let scores: Vec<Score> = options
             .seeds
             .iter()
             .map(|seed| {
-                let policy = policy(*policy_name, preset, options.partitions, options.bound);
+                let policy = policy(
+                    *policy_name,
+                    preset,
+                    options.partitions,
+                    options.bound,
+                    tuning,
+                );
                 score(&trace(&options, *seed), policy, costs)
             })
             .collect();
--- a/standins/src/load/placement/policies.rs
+++ b/standins/src/load/placement/policies.rs
@@ -4,7 +4,7 @@
     clock::Millis,
     declaration::Preset,
     ownership::placement::{
-        Placement, PlacementMove, PlacementPartition, PlacementTarget, PlacementView,
+        Placement, PlacementMove, PlacementPartition, PlacementTarget, PlacementView, Tuning,
     },
     partition::Partition,
 };
@@ -13,10 +13,6 @@
 
 /// Seconds between rounds of the hashing policies.
 const HASHING_ROUND_S: u64 = 10;
-/// Share of the old rate that remains after a second in the hashing policies: the same half-life
-/// of 15 s as the project's policy has.
-const KEEP_PER_SECOND: f64 = 0.954_841_6;
-
 /// A policy by name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, VariantArray)]
 #[strum(serialize_all = "kebab-case")]
@@ -48,7 +44,13 @@
 
 /// The policy `name` under `preset`. `bound` is the load that the hashing policies allow a target,
 /// in means.
-pub fn policy(name: PolicyName, preset: &Preset, partitions: u32, bound: f64) -> Policy {
+pub fn policy(
+    name: PolicyName,
+    preset: &Preset,
+    partitions: u32,
+    bound: f64,
+    tuning: Tuning,
+) -> Policy {
     match name {
         PolicyName::Static => greedy(
             &Preset {
@@ -56,19 +58,20 @@
                 ..preset.clone()
             },
             partitions,
+            tuning,
         ),
-        PolicyName::Greedy => greedy(preset, partitions),
-        PolicyName::Rendezvous => rendezvous(partitions, bound, false),
-        PolicyName::StickyRendezvous => rendezvous(partitions, bound, true),
+        PolicyName::Greedy => greedy(preset, partitions, tuning),
+        PolicyName::Rendezvous => rendezvous(partitions, bound, tuning, false),
+        PolicyName::StickyRendezvous => rendezvous(partitions, bound, tuning, true),
     }
 }
 
-fn greedy(preset: &Preset, partitions: u32) -> Policy {
+fn greedy(preset: &Preset, partitions: u32, tuning: Tuning) -> Policy {
     let preset = Preset {
         quiet_hours: Vec::new(),
         ..preset.clone()
     };
-    let mut placement = Placement::new(partitions);
+    let mut placement = Placement::with_tuning(partitions, tuning);
     Box::new(move |view| {
         for (p, count) in view.counts.iter().enumerate() {
             placement.observe(Partition(p as u32), *count);
@@ -94,11 +97,12 @@
     })
 }
 
-fn rendezvous(partitions: u32, bound: f64, sticky: bool) -> Policy {
+fn rendezvous(partitions: u32, bound: f64, tuning: Tuning, sticky: bool) -> Policy {
+    let keep = 0.5f64.powf(1_000.0 / tuning.half_life.0 as f64);
     let mut rates = vec![0.0; partitions as usize];
     Box::new(move |view| {
         for (rate, count) in rates.iter_mut().zip(view.counts) {
-            *rate = *rate * KEEP_PER_SECOND + f64::from(*count) * (1.0 - KEEP_PER_SECOND);
+            *rate = *rate * keep + f64::from(*count) * (1.0 - keep);
         }
         let is_homeless = |owner: &Option<usize>| owner.is_none_or(|t| !view.usable[t]);
         let due = view.now_s % HASHING_ROUND_S == 0 || view.owners.iter().any(is_homeless);
--- a/standins/src/load/placement/score.rs
+++ b/standins/src/load/placement/score.rs
@@ -11,6 +11,9 @@
 /// hottest keys of the default trace lie above it.
 const HOT_PARTITION: f64 = 4.0;
 
+/// Largest imbalance that is told apart, in thousandths.
+const MAX_IMBALANCE: u64 = 1_000_000;
+
 /// What moves and losses cost.
 #[derive(Clone, Copy, Debug)]
 pub struct Costs {
@@ -104,8 +107,7 @@
     let mut trace = Trace::new(options.clone());
     let mut cluster = Cluster::new(options);
     let mut score = Score::default();
-    // Imbalance in thousandths.
-    let mut imbalance = Histogram::<u64>::new(3).expect("three digits are a valid precision");
+    let mut imbalance = Histogram::<u64>::new_with_max(MAX_IMBALANCE, 3).expect("valid bounds");
     loop {
         if let Some(event) = trace.event() {
             cluster.happen(event);
