--- a/standins/src/bin/placement-trace.rs
+++ b/standins/src/bin/placement-trace.rs
@@ -3,7 +3,7 @@
 use clap::Parser;
 use comfy_table::{Table, presets::ASCII_MARKDOWN};
 use eyre::{Result, WrapErr, eyre};
-use fireflygauge::{clock::Millis, declaration::Declaration, ownership::placement::Tuning};
+use fireflygauge::{declaration::Declaration, ownership::placement::Tuning};
 use standins::load::placement::{
     policies::{PolicyName, policy},
     score::{Costs, Score, score},
@@ -52,9 +52,6 @@
     /// Load that the hashing policies allow a target, in means.
     #[arg(long, default_value_t = 1.25)]
     bound: f64,
-    /// Half-life of observed heat, in seconds.
-    #[arg(long, default_value_t = Tuning::default().half_life.0 / 1_000)]
-    half_life_s: u64,
     /// Imbalance above 1 at which greedy moves start, for weights of 1.
     #[arg(long, default_value_t = Tuning::default().start_per_cost)]
     start_per_cost: f64,
@@ -86,7 +83,6 @@
         loss_s: options.loss_ms / 1_000.0,
     };
     let tuning = Tuning {
-        half_life: Millis(options.half_life_s * 1_000),
         start_per_cost: options.start_per_cost,
         hot_share: options.hot_share,
     };
--- /dev/null
+++ b/standins/src/cluster/daemon.rs
@@ -0,0 +1,162 @@
+//! An entry daemon's process and its links to the platform and the targets.
+
+use super::{TempDir, child::Child};
+use crate::{
+    platform::{Platform, View},
+    proxy::{Flow, LinkFaults, ProxyLink},
+};
+use fireflygauge::{
+    collections::Map,
+    world::{Vm, VmName, VmRole, VmState, ZoneName},
+};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr, TcpListener},
+    path::PathBuf,
+    sync::Arc,
+};
+
+/// An entry daemon's process and its links to the platform and the targets.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Its name in the platform's list.
+    pub name: VmName,
+    /// The process; `None` after a kill.
+    pub child: Option<Child>,
+    /// Its link to the platform.
+    pub store_link: ProxyLink,
+    /// Its links to targets, by name.
+    pub target_links: Map<VmName, ProxyLink>,
+    view: View,
+    ip: IpAddr,
+    zone: ZoneName,
+    caller: SocketAddr,
+    peer: SocketAddr,
+    operator: SocketAddr,
+    dir: PathBuf,
+}
+
+impl Daemon {
+    pub(super) async fn new(
+        name: &str,
+        zone: &str,
+        ip: IpAddr,
+        platform: &mut Platform,
+        dir: &TempDir,
+    ) -> io::Result<Self> {
+        let any = SocketAddr::new(ip, 0);
+        let view = View::default();
+        let platform = platform.serve(any, Arc::clone(&view)).await?;
+        let [caller, peer, operator] = free_addrs(ip)?;
+        Ok(Self {
+            name: name.into(),
+            child: None,
+            store_link: ProxyLink::start(any, platform).await?,
+            target_links: Map::default(),
+            view,
+            ip,
+            zone: ZoneName(zone.into()),
+            caller,
+            peer,
+            operator,
+            dir: dir.path().to_owned(),
+        })
+    }
+
+    /// Lets it reach a target through a link of its own from now on.
+    pub(super) async fn connect(&mut self, target: &VmName, addr: SocketAddr) -> io::Result<()> {
+        let link = ProxyLink::start(SocketAddr::new(self.ip, 0), addr).await?;
+        let mut view = self.view.lock().expect("no thread panics with the lock");
+        view.insert(target.clone(), link.addr());
+        self.target_links.insert(target.clone(), link);
+        Ok(())
+    }
+
+    /// Sets the flow of all its links to targets.
+    pub fn set_target_flow(&self, flow: Flow) {
+        self.set_target_faults(LinkFaults::flow(flow));
+    }
+
+    /// Sets the faults of all its links to targets.
+    pub fn set_target_faults(&self, faults: LinkFaults) {
+        for link in self.target_links.values() {
+            link.set(faults);
+        }
+    }
+
+    /// Starts the process, after a kill or a stop, under its old addresses.
+    ///
+    /// # Errors
+    /// The system's error if it cannot be started.
+    pub fn spawn(&mut self) -> io::Result<()> {
+        let args = [
+            format!("--name={}", self.name),
+            format!("--zone={}", self.zone),
+            format!("--caller-addr={}", self.caller),
+            format!("--peer-addr={}", self.peer),
+            format!("--operator-addr={}", self.operator),
+            format!("--platform-addr={}", self.store_link.addr()),
+        ];
+        self.child = None;
+        let child = Child::start("fireflygauge-entry", &args, &self.dir, &self.name.0)?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child = None;
+    }
+
+    /// Pauses the process.
+    pub fn freeze(&self) {
+        self.running().freeze();
+    }
+
+    /// Lets the paused process go on.
+    pub fn thaw(&self) {
+        self.running().thaw();
+    }
+
+    /// Whether a process was started and not killed.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Address that serves callers.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.caller
+    }
+
+    /// Address that serves operators.
+    pub fn operator_addr(&self) -> SocketAddr {
+        self.operator
+    }
+
+    /// The VM under which it is listed.
+    pub fn vm(&self) -> Vm {
+        Vm {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            addr: self.caller,
+            state: VmState::Live,
+            role: VmRole::Entry {
+                peer_addr: self.peer,
+                operator_addr: self.operator,
+            },
+        }
+    }
+
+    fn running(&self) -> &Child {
+        self.child.as_ref().expect("the daemon runs")
+    }
+}
+
+/// Free ports of `ip`. The listeners are closed, so another process could take them; nobody else
+/// uses this address.
+fn free_addrs(ip: IpAddr) -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((ip, 0));
+    let listeners = [bind()?, bind()?, bind()?];
+    let [a, b, c] = listeners.each_ref().map(TcpListener::local_addr);
+    Ok([a?, b?, c?])
+}
--- a/standins/src/load/placement/policies.rs
+++ b/standins/src/load/placement/policies.rs
@@ -2,9 +2,14 @@
 
 use fireflygauge::{
     clock::Millis,
+    collections::Set,
     declaration::Preset,
-    ownership::placement::{
-        Placement, PlacementMove, PlacementPartition, PlacementTarget, PlacementView, Tuning,
+    ownership::{
+        heat::{Heat, MoveBudget},
+        placement::{
+            Candidate, MoveReason, PlacementInput, PlannedMove, TargetState, Tuning, plan_with,
+        },
+        timing::MAX_MOVES,
     },
     partition::Partition,
 };
@@ -13,6 +18,10 @@
 
 /// Seconds between rounds of the hashing policies.
 const HASHING_ROUND_S: u64 = 10;
+/// Share of the old rate that remains after a second in the hashing policies: a half-life of 5 s,
+/// like that of the project's own policy.
+const KEEP_PER_SECOND: f64 = 0.870_550_6;
+
 /// A policy by name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, VariantArray)]
 #[strum(serialize_all = "kebab-case")]
@@ -39,8 +48,17 @@
     pub usable: &'a [bool],
 }
 
+/// A change of owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// The partition.
+    pub partition: Partition,
+    /// Index of its new owner.
+    pub to: usize,
+}
+
 /// A policy with its memory.
-pub type Policy = Box<dyn FnMut(&View<'_>) -> Vec<PlacementMove>>;
+pub type Policy = Box<dyn FnMut(&View<'_>) -> Vec<Move>>;
 
 /// The policy `name` under `preset`. `bound` is the load that the hashing policies allow a target,
 /// in means.
@@ -61,48 +79,68 @@
             tuning,
         ),
         PolicyName::Greedy => greedy(preset, partitions, tuning),
-        PolicyName::Rendezvous => rendezvous(partitions, bound, tuning, false),
-        PolicyName::StickyRendezvous => rendezvous(partitions, bound, tuning, true),
+        PolicyName::Rendezvous => rendezvous(partitions, bound, false),
+        PolicyName::StickyRendezvous => rendezvous(partitions, bound, true),
     }
 }
 
 fn greedy(preset: &Preset, partitions: u32, tuning: Tuning) -> Policy {
-    let preset = Preset {
-        quiet_hours: Vec::new(),
-        ..preset.clone()
-    };
-    let mut placement = Placement::with_tuning(partitions, tuning);
+    let (weights, per_minute) = (preset.weights, preset.moves_per_minute);
+    let mut heat = Heat::new(partitions, Millis::ZERO);
+    let mut budget = MoveBudget::new(Millis::ZERO);
     Box::new(move |view| {
-        for (p, count) in view.counts.iter().enumerate() {
-            placement.observe(Partition(p as u32), *count);
-        }
-        let targets: Vec<_> = view
-            .usable
-            .iter()
-            .map(|&usable| PlacementTarget { usable })
+        let now = Millis(view.now_s * 1_000);
+        let counted = view.counts.iter().enumerate();
+        let reported: Vec<_> = counted
+            .map(|(p, count)| (Partition(p as u32), *count))
             .collect();
-        let partition = |&owner: &Option<usize>| PlacementPartition {
-            owner,
-            moving: false,
+        heat.add(&reported);
+        let targets: Vec<Candidate> = view.usable.iter().enumerate().map(candidate).collect();
+        let owner = |owner: &Option<usize>| owner.map(|t| targets[t].name.clone());
+        let owners: Vec<_> = view.owners.iter().map(owner).collect();
+        let planned = plan_with(
+            &PlacementInput {
+                owners: &owners,
+                moving: &Set::default(),
+                targets: &targets,
+                heat: heat.rates(now),
+                weights,
+                budget: budget.available(per_minute, now),
+                limit: MAX_MOVES,
+            },
+            &tuning,
+        );
+        let chosen = planned.iter().filter(|m| m.reason == MoveReason::Balance);
+        budget.spend(chosen.count() as u32);
+        let index = |name| targets.iter().position(|t| t.name == name);
+        let to_move = |m: PlannedMove| {
+            Some(Move {
+                partition: m.partition,
+                to: index(m.to)?,
+            })
         };
-        let partitions: Vec<_> = view.owners.iter().map(partition).collect();
-        placement.plan(&PlacementView {
-            now: Millis(view.now_s * 1_000),
-            minute_of_day: 0,
-            preset: &preset,
-            targets: &targets,
-            partitions: &partitions,
-            limit: partitions.len(),
-        })
+        planned.into_iter().filter_map(to_move).collect()
     })
 }
 
-fn rendezvous(partitions: u32, bound: f64, tuning: Tuning, sticky: bool) -> Policy {
-    let keep = 0.5f64.powf(1_000.0 / tuning.half_life.0 as f64);
+fn candidate((index, usable): (usize, &bool)) -> Candidate {
+    let state = if *usable {
+        TargetState::Usable
+    } else {
+        TargetState::Leaving
+    };
+    Candidate {
+        name: format!("t{index:03}").as_str().into(),
+        zone: None,
+        state,
+    }
+}
+
+fn rendezvous(partitions: u32, bound: f64, sticky: bool) -> Policy {
     let mut rates = vec![0.0; partitions as usize];
     Box::new(move |view| {
         for (rate, count) in rates.iter_mut().zip(view.counts) {
-            *rate = *rate * keep + f64::from(*count) * (1.0 - keep);
+            *rate = *rate * KEEP_PER_SECOND + f64::from(*count) * (1.0 - KEEP_PER_SECOND);
         }
         let is_homeless = |owner: &Option<usize>| owner.is_none_or(|t| !view.usable[t]);
         let due = view.now_s % HASHING_ROUND_S == 0 || view.owners.iter().any(is_homeless);
@@ -116,7 +154,7 @@
 
 /// One round: the hottest partitions choose first, each the target with the highest hash that has
 /// room under the bound.
-fn hash_round(view: &View<'_>, rates: &[f64], bound: f64, sticky: bool) -> Vec<PlacementMove> {
+fn hash_round(view: &View<'_>, rates: &[f64], bound: f64, sticky: bool) -> Vec<Move> {
     let usable: Vec<usize> = (0..view.usable.len()).filter(|t| view.usable[*t]).collect();
     let idle = 0.1 * rates.iter().sum::<f64>() / rates.len() as f64 + f64::EPSILON;
     let total: f64 = rates.iter().map(|rate| rate + idle).sum();
@@ -149,7 +187,7 @@
         };
         loads[to] += size;
         if view.owners[p] != Some(to) {
-            moves.push(PlacementMove {
+            moves.push(Move {
                 partition: Partition(p as u32),
                 to,
             });
