--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -19,7 +19,7 @@
     proxy::Flow,
     target::{Execution, read_history},
 };
-use fireflygauge::world::ServiceName;
+use fireflygauge::world::{ServiceName, VmName};
 use std::{
     future::Future,
     io,
@@ -147,7 +147,8 @@
         let index = self.daemons.len();
         let name = format!("entry-{index}");
         let platform = &mut self.platform;
-        let mut daemon = Daemon::new(&name, zone, self.ip, platform, &self.dir).await?;
+        let ips = [self.ip, next_ip()];
+        let mut daemon = Daemon::new(&name, zone, ips, platform, &self.dir).await?;
         for target in &self.targets {
             daemon.connect(target.name(), target.addr()).await?;
         }
@@ -192,6 +193,21 @@
         all
     }
 
+    /// Names of daemons and targets that ended by themselves.
+    pub fn crashed(&mut self) -> Vec<VmName> {
+        let daemons = self.daemons.iter_mut().filter_map(|d| {
+            let ended = d.child.as_mut()?.status().is_some();
+            ended.then(|| d.name.clone())
+        });
+        let mut crashed: Vec<VmName> = daemons.collect();
+        for target in &mut self.targets {
+            if target.child.crashed() {
+                crashed.push(target.name().clone());
+            }
+        }
+        crashed
+    }
+
     /// Addresses for callers of the daemons that run.
     pub fn entries(&self) -> Vec<SocketAddr> {
         let running = self.daemons.iter().filter(|d| d.is_running());
@@ -206,8 +222,8 @@
     permit.expect("the semaphore is never closed")
 }
 
-/// A loopback address of this process and deployment. Connections leave from 127.0.0.1, so a
-/// port found free on another address stays free until it is bound.
+/// A loopback address of this process. Connections leave from 127.0.0.1, so a port found free on
+/// another address stays free until its user binds it, if nobody else binds port 0 there.
 fn next_ip() -> IpAddr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
--- a/standins/src/cluster/child.rs
+++ b/standins/src/cluster/child.rs
@@ -21,6 +21,7 @@
     process: std::process::Child,
     output: PathBuf,
     exited: Option<ExitStatus>,
+    killed: bool,
 }
 
 impl Child {
@@ -49,6 +50,7 @@
             process,
             output,
             exited: None,
+            killed: false,
         })
     }
 
@@ -82,6 +84,7 @@
 
     /// Kills the process and reaps it.
     pub fn kill(&mut self) {
+        self.killed = true;
         // Both fail only if the process has been reaped already.
         let _ = self.process.kill();
         self.exited = self.process.wait().ok();
@@ -95,6 +98,11 @@
         self.exited
     }
 
+    /// Whether the process ended without having been killed by its owner.
+    pub fn crashed(&mut self) -> bool {
+        !self.killed && self.status().is_some()
+    }
+
     /// Waits until the process has ended.
     ///
     /// # Panics
--- a/standins/src/cluster/daemon.rs
+++ b/standins/src/cluster/daemon.rs
@@ -28,7 +28,7 @@
     /// Its links to targets, by name.
     pub target_links: Map<VmName, ProxyLink>,
     view: View,
-    ip: IpAddr,
+    link_ip: IpAddr,
     zone: ZoneName,
     caller: SocketAddr,
     peer: SocketAddr,
@@ -40,21 +40,21 @@
     pub(super) async fn new(
         name: &str,
         zone: &str,
-        ip: IpAddr,
+        [link_ip, own_ip]: [IpAddr; 2],
         platform: &mut Platform,
         dir: &TempDir,
     ) -> io::Result<Self> {
-        let any = SocketAddr::new(ip, 0);
+        let any = SocketAddr::new(link_ip, 0);
         let view = View::default();
         let platform = platform.serve(any, Arc::clone(&view)).await?;
-        let [caller, peer, operator] = free_addrs(ip)?;
+        let [caller, peer, operator] = free_addrs(own_ip)?;
         Ok(Self {
             name: name.into(),
             child: None,
             store_link: ProxyLink::start(any, platform).await?,
             target_links: Map::default(),
             view,
-            ip,
+            link_ip,
             zone: ZoneName(zone.into()),
             caller,
             peer,
@@ -65,7 +65,7 @@
 
     /// Lets it reach a target through a link of its own from now on.
     pub(super) async fn connect(&mut self, target: &VmName, addr: SocketAddr) -> io::Result<()> {
-        let link = ProxyLink::start(SocketAddr::new(self.ip, 0), addr).await?;
+        let link = ProxyLink::start(SocketAddr::new(self.link_ip, 0), addr).await?;
         let mut view = self.view.lock().expect("no thread panics with the lock");
         view.insert(target.clone(), link.addr());
         self.target_links.insert(target.clone(), link);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod local;
 pub mod platform;
 pub mod proxy;
+pub mod recovery;
 pub mod scenario;
 pub mod server;
 pub mod target;
--- /dev/null
+++ b/standins/src/recovery.rs
@@ -0,0 +1,88 @@
+//! Measures how long keys are unserved after a loss.
+
+use crate::{
+    cluster::{KEYED, Layout, START_TIME, wait_for, wait_until},
+    scenario::Scenario,
+    target::history::machine_us,
+    workload::Mix,
+};
+use std::{io, time::Duration};
+
+/// Longest time for a key to be served again after a loss (`docs/design.md`, target size).
+pub const BOUND: Duration = Duration::from_secs(2);
+
+/// What is lost without notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Loss {
+    /// A target of the keyed service, by a kill.
+    Target,
+    /// The controller, by a kill.
+    Controller,
+    /// The controller, by a pause that does not end.
+    FrozenController,
+}
+
+/// Time after a loss during which gaps count: takeover, leases and retries end well within it.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// Starts a deployment, loses something and returns the longest time between two answers for one
+/// key from then on. The histories are judged as well.
+///
+/// # Errors
+/// The system's error if the deployment cannot be started.
+pub async fn measure(loss: Loss, seed: u64) -> io::Result<Duration> {
+    let mix = Mix {
+        interval: Duration::from_millis(10),
+        timeout_ms: 100,
+        work_ms: 0,
+        ..Mix::keyed(seed)
+    };
+    let mut scenario = Scenario::start(Layout::default(), mix).await?;
+    steady(&scenario).await;
+    let lost_us = scenario.lose(loss);
+    let end_us = lost_us + WINDOW.as_micros() as u64;
+    wait_until("the window ends", START_TIME, || machine_us() >= end_us).await;
+    let histories = scenario.finish().await;
+    let gap = histories.longest_gap(lost_us);
+    println!("{loss}: {} ms, {:?}", gap.ms(), histories.reasons(&gap));
+    Ok(Duration::from_millis(gap.ms()))
+}
+
+/// Waits until nothing has been refused for a while, so that the start is over.
+async fn steady(scenario: &Scenario) {
+    let answered = || async {
+        let attempts = scenario.load.attempts();
+        let latest = attempts.iter().rev().take(500);
+        let all = attempts.len() >= 500 && latest.clone().all(|a| a.is_answered());
+        all.then_some(())
+    };
+    wait_for("the deployment is steady", START_TIME, answered).await;
+}
+
+impl Scenario {
+    /// Loses something without notice; returns when, on the machine's boot-time clock.
+    fn lose(&mut self, loss: Loss) -> u64 {
+        let now = machine_us();
+        match loss {
+            Loss::Target => {
+                let target = self.cluster.targets_of(KEYED)[0];
+                self.cluster.targets[target].child.kill();
+            }
+            Loss::Controller | Loss::FrozenController => {
+                let controller = self.cluster.controller().expect("there is a controller");
+                let lost = &mut self.cluster.daemons[controller];
+                let address = lost.caller_addr();
+                if loss == Loss::Controller {
+                    lost.kill();
+                } else {
+                    lost.freeze();
+                }
+                let mut entries = self.cluster.entries();
+                entries.retain(|entry| *entry != address);
+                self.load.use_daemons(entries);
+            }
+        }
+        now
+    }
+}
--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -63,14 +63,16 @@
     ///
     /// # Panics
     /// With every violation if a guarantee was broken.
-    pub async fn finish(self) -> Histories {
+    pub async fn finish(mut self) -> Histories {
         self.served(SETTLE_TIME).await;
+        let crashed = self.cluster.crashed();
+        assert!(crashed.is_empty(), "ended by themselves: {crashed:?}");
         let attempts = self.load.finish().await;
         let histories = Histories {
             executions: self.cluster.executions(),
             attempts,
         };
-        let gap = histories.longest_gap();
+        let gap = histories.longest_gap(0);
         println!(
             "{}: requests by outcome: {:?}; changes of owner seen: {}; longest unserved: {} ms, {:?}",
             std::thread::current().name().unwrap_or_default(),
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -13,6 +13,7 @@
 
 pub use control::{Control, EchoFault};
 pub use history::{Execution, TargetAnswer, read_history};
+pub use work::{ANSWER_BYTES, TOKEN, WORK_MS};
 
 use crate::server::{self, Reply, json, text};
 use fireflygauge::{
--- a/standins/src/target/history.rs
+++ b/standins/src/target/history.rs
@@ -26,7 +26,7 @@
     pub epoch: Option<u64>,
     /// The daemon's request id.
     pub request_id: Arc<str>,
-    /// The caller's own mark, from the query parameter `token`.
+    /// The caller's own mark, from the header `x-token` or the query parameter `token`.
     pub token: Arc<str>,
     /// The caller's idempotency key.
     pub idempotency_key: Option<Arc<str>>,
@@ -49,7 +49,7 @@
     pub key: Arc<str>,
     /// The daemon's request id.
     pub request_id: Arc<str>,
-    /// The caller's own mark, from the query parameter `token`.
+    /// The caller's own mark, from the header `x-token` or the query parameter `token`.
     pub token: Arc<str>,
     /// Method.
     pub method: Arc<str>,
--- a/standins/src/target/work.rs
+++ b/standins/src/target/work.rs
@@ -20,6 +20,9 @@
 /// Request header that sets the length of the answer's padding.
 pub const ANSWER_BYTES: &str = "x-answer-bytes";
 
+/// Request header with the caller's own mark; the query parameter `token` does as well.
+pub const TOKEN: &str = "x-token";
+
 /// What a request says of itself.
 struct Facts {
     key: Arc<str>,
@@ -39,7 +42,8 @@
     fn new(shared: &Shared, req: &Request<Incoming>) -> Self {
         let headers = req.headers();
         let query = req.uri().query().unwrap_or_default();
-        let token = query.split('&').find_map(|p| p.strip_prefix("token="));
+        let in_query = query.split('&').find_map(|p| p.strip_prefix("token="));
+        let token = header::<String>(headers, TOKEN).or(in_query.map(Into::into));
         let key = key_of(req.uri().path(), &shared.options.service.0);
         Self {
             key: key.into(),
--- a/standins/src/workload.rs
+++ b/standins/src/workload.rs
@@ -106,7 +106,11 @@
     /// Attempts since the last answer.
     pub fn unanswered_streak(&self) -> usize {
         let attempts = self.attempts();
-        attempts.iter().rev().take_while(|a| !a.is_answered()).count()
+        attempts
+            .iter()
+            .rev()
+            .take_while(|a| !a.is_answered())
+            .count()
     }
 
     /// Replaces the daemons in use.
