Let measurements start a daemon with other policies

Cause: admission policies can only be compared between real processes if a daemon runs each of them. The product's own daemon has no such flag.

--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -14,7 +14,7 @@
         message::{ForwardReply, HoldReply, HoldRequest, PeerReply, PeerRequest},
         service::{PeerContext, PeerHandle, PeerService},
     },
-    routing::{path::RequestPathContext, refusal::RecentRefusals},
+    routing::{path::RequestPathContext, refusal::RecentRefusals, targets::Policies},
     store::StoreClient,
     target_api::{GrantReply, GrantRequest},
     world::{Incarnation, Link},
@@ -47,7 +47,15 @@
 /// # Errors
 /// If a listener cannot be bound, a thread cannot be started, or requests were cut off at the stop.
 pub fn run_until_signal(settings: Settings) -> eyre::Result<()> {
-    let daemon = Daemon::start(settings)?;
+    run_with(settings, Policies::default())
+}
+
+/// Like [`run_until_signal`], with policies that are to be measured against the usual ones.
+///
+/// # Errors
+/// As [`run_until_signal`].
+pub fn run_with(settings: Settings, policies: Policies) -> eyre::Result<()> {
+    let daemon = Daemon::start_with(settings, policies)?;
     wait_for_signal()?;
     daemon.stop()
 }
@@ -87,6 +95,14 @@
     /// # Errors
     /// If a listener cannot be bound or a thread cannot be started.
     pub fn start(settings: Settings) -> eyre::Result<Self> {
+        Self::start_with(settings, Policies::default())
+    }
+
+    /// Like [`Self::start`], with policies that are to be measured against the usual ones.
+    ///
+    /// # Errors
+    /// If a listener cannot be bound or a thread cannot be started.
+    pub fn start_with(settings: Settings, policies: Policies) -> eyre::Result<Self> {
         let caller_listener = bind("--caller-addr", settings.caller_addr)?;
         let peer_listener = bind("--peer-addr", settings.peer_addr)?;
         let operator_listener = bind("--operator-addr", settings.operator_addr)?;
@@ -127,7 +143,7 @@
             metrics: Metrics::new(settings.statsd_addr)?,
             recent: RecentRefusals::default(),
         };
-        let callers = http::serve(cx, caller_listener, stop)?;
+        let callers = http::serve_with(cx, policies, caller_listener, stop)?;
         Ok(Self {
             link,
             caller_addr,
--- a/standins/src/cluster/child.rs
+++ b/standins/src/cluster/child.rs
@@ -65,6 +65,11 @@
         wait_for("the address of a process", super::START_TIME, read).await
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Pauses the process.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
