--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,8 +1,14 @@
 //! Stand-ins for what surrounds the router, and the load tool.
 
+pub mod caller;
 pub mod cluster;
+pub mod judge;
 pub mod load;
+pub mod local;
 pub mod platform;
 pub mod proxy;
+pub mod recovery;
+pub mod scenario;
 pub mod server;
 pub mod target;
+pub mod workload;
