Keep the adaptive limit at one or more and make retries after sheds cheaper

Cause: nine daemons on three targets with four slots each, 10 ms of work and 88% of their capacity refused 249 to 368 of 3,600 requests, with a median latency of 56 to 209 ms (trial on loopback, release build): daemons below a limit of one paused while slots were idle, and sheds used up the retry budget. Change: floor of one, increase 0.05 in place of 0.02, and a shed costs a tenth of a retry. A share set from outside still spaces requests out below one. Failed tries in a scratch simulation: a floor at the fair share of slots, time based increase, waiting for the budget (p99 above 1.5 s at 70%), no budget for sheds (9 of 10 sends shed at 120%).

--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -102,7 +102,7 @@
             Again::AtOnce => {}
             Again::Moved => return self.wait_for_table().await,
             Again::Budgeted => {
-                if !self.cx.spend_retry(service) || !self.pause().await {
+                if !self.cx.spend_retry(service, result) || !self.pause().await {
                     return false;
                 }
             }
--- a/src/routing/limit.rs
+++ b/src/routing/limit.rs
@@ -28,17 +28,18 @@
     Other,
 }
 
-/// Share of the limit that is kept after a shed. A mild decrease suits limits near one, where
-/// halving would leave slots idle for several round trips.
+/// Share of the limit that is kept after a shed.
 const DECREASE: f64 = 0.7;
-/// Increase per served request, divided by the limit. Low enough that about one request in ten is
-/// shed in the steady state of nine daemons at four busy slots, where each has a limit near 0.4.
-const INCREASE: f64 = 0.02;
+/// Increase per served request, divided by the limit.
+const INCREASE: f64 = 0.05;
 /// Increase until the first shed, which finds the limit quickly.
 const FIRST_INCREASE: f64 = 0.25;
-/// Lowest limit. Below one, a daemon has one request in flight and pauses after it, since many
-/// daemons share few slots.
-const MIN_LIMIT: f64 = 0.1;
+/// Lowest adaptive limit. Simulated daemons that went below one request and paused between
+/// requests left slots idle: nine daemons at 70% load had a median latency of 414 ms, against 10 ms
+/// with this floor.
+const MIN_LIMIT: f64 = 1.0;
+/// Lowest share that can be set from outside. Below one, requests are spaced out.
+const MIN_SHARE: f64 = 0.01;
 /// Weight of the newest latency in the average.
 const LATENCY_WEIGHT: f64 = 0.2;
 /// Longest pause after a request, in milliseconds.
@@ -94,14 +95,14 @@
         self.latency_ms
     }
 
-    /// The current limit; may be below one.
+    /// The current limit; a share may be below one.
     pub fn limit(&self) -> f64 {
         let limit = match self.policy {
             LimitPolicy::Adaptive => self.limit,
             LimitPolicy::UntilShed => f64::INFINITY,
-            LimitPolicy::Share(share) => share,
+            LimitPolicy::Share(share) => share.max(MIN_SHARE),
         };
-        limit.clamp(MIN_LIMIT, f64::from(self.cap))
+        limit.min(f64::from(self.cap))
     }
 
     /// Takes a place in flight if the limit allows it at `now`.
@@ -132,7 +133,7 @@
                 if was_full {
                     let first = self.decreased.is_none();
                     let step = if first { FIRST_INCREASE } else { INCREASE };
-                    let raised = self.limit + step / self.limit.max(1.0);
+                    let raised = self.limit + step / self.limit;
                     self.limit = raised.min(f64::from(self.cap));
                 }
             }
@@ -154,7 +155,7 @@
         }
     }
 
-    /// Spaces requests out when the limit is below one.
+    /// Spaces requests out when the share is below one.
     fn pause(&mut self, now: Millis) {
         let limit = self.limit();
         if limit < 1.0 {
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -8,6 +8,9 @@
 const MAX_SAVED: f64 = 50.0;
 /// Retries that are always possible after a start, before any first tries were counted.
 const INITIAL: f64 = 5.0;
+/// Price of a retry after a shed. It costs the target almost nothing, and in simulations of nine
+/// daemons at 70% load the full price left 7% of requests refused, against none at this price.
+const SHED_PRICE: f64 = 0.1;
 /// Times that one request is sent at most.
 pub const MAX_ATTEMPTS: u32 = 12;
 /// First delay before a retry, in milliseconds. It doubles with every further one.
@@ -33,11 +36,15 @@
         self.tokens = (self.tokens + f64::from(percent) / 100.0).min(MAX_SAVED);
     }
 
-    /// Spends a retry if one is left.
-    pub fn spend(&mut self) -> bool {
-        let left = self.tokens >= 1.0;
+    /// Spends a retry after `result` if one is left.
+    pub fn spend(&mut self, result: &Exchange) -> bool {
+        let price = match result {
+            Exchange::NotRun(Code::Shed) => SHED_PRICE,
+            _ => 1.0,
+        };
+        let left = self.tokens >= price;
         if left {
-            self.tokens -= 1.0;
+            self.tokens -= price;
         }
         left
     }
--- a/src/routing/shared.rs
+++ b/src/routing/shared.rs
@@ -1,6 +1,7 @@
 //! State that all requests share.
 
 use super::{
+    exchange::Exchange,
     journal::Journal,
     path::RequestPathContext,
     refusal::{Code, RecentRefusals},
@@ -99,10 +100,11 @@
         }
     }
 
-    /// Spends a retry if one is left.
-    pub fn spend_retry(&self, service: &ServiceName) -> bool {
+    /// Spends a retry after `result` if one is left.
+    pub fn spend_retry(&self, service: &ServiceName, result: &Exchange) -> bool {
         let mut budgets = self.budgets();
-        budgets.get_mut(service).is_some_and(RetryBudget::spend)
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.spend(result))
     }
 
     fn budgets(&self) -> MutexGuard<'_, Map<ServiceName, RetryBudget>> {
