Settle a duplicated commit by its row; bind grant answers to their term

Change 1: the row decides first. Cause 2: a daemon that took over twice counted late grant answers of its first term as answers in the second one, since sequence numbers start anew. Change 2: answers carry the epoch of their request.

--- a/src/ownership/controller.rs
+++ b/src/ownership/controller.rs
@@ -50,6 +50,8 @@
     Granted {
         /// The target.
         target: VmName,
+        /// Controller epoch of the request.
+        epoch: u64,
         /// Sequence number of the request.
         sequence: u64,
         /// The target's answer; `None` if there was none in time.
--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -49,6 +49,7 @@
     pub budget: MoveBudget,
     pub hold: HoldMode,
     pub taken_over: Millis,
+    first_epoch: u64,
     last_write: Millis,
     revision: u64,
     loading: bool,
@@ -78,6 +79,7 @@
             attempt.row.outstanding.len()
         ));
         let mut holding = Self {
+            first_epoch: attempt.row.epoch,
             row: attempt.row,
             writes: Writes::new(version),
             lease_ends: sent + CONTROLLER_LEASE,
@@ -143,10 +145,14 @@
             }
             Event::Granted {
                 target,
+                epoch,
                 sequence,
                 reply,
             } => {
-                self.granted(&target, sequence, reply, cx);
+                // Sequence numbers start anew with each term of this daemon.
+                if epoch >= self.first_epoch {
+                    self.granted(&target, sequence, reply, cx);
+                }
                 None
             }
             Event::HoldAnswered(reply) => {
--- a/src/ownership/driver/duties.rs
+++ b/src/ownership/driver/duties.rs
@@ -93,7 +93,7 @@
     fn grant(&self, group: &GroupId, target: VmName, addr: SocketAddr, request: GrantRequest) {
         let http = self.context.http.clone();
         self.start(group, async move {
-            let sequence = request.sequence;
+            let (epoch, sequence) = (request.controller_epoch, request.sequence);
             let body = serde_json::to_vec(&request).expect("a grant is valid JSON");
             let limit = GRANT_TIMEOUT.into();
             let answer = http
@@ -105,6 +105,7 @@
             };
             Event::Granted {
                 target,
+                epoch,
                 sequence,
                 reply,
             }
--- a/src/ownership/term.rs
+++ b/src/ownership/term.rs
@@ -162,10 +162,12 @@
     }
 
     fn conflict(&mut self, me: &Link, row_name: &str, operation: &str, rows: Vec<Row>) -> Settled {
-        self.attempts.retain(|a| *a.operation != *operation);
         let Some(row) = rows.iter().find(|row| *row.name == *row_name) else {
+            self.attempts.retain(|a| *a.operation != *operation);
             return Settled::Mismatch(rows);
         };
+        // The row goes first: a second copy of a write conflicts with the first one, and then the
+        // row shows that the write took effect.
         match serde_json::from_str(&row.value) {
             Ok(content) => self.observe(me, row.version, content),
             Err(_) => Settled::Nothing,
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -3,6 +3,16 @@
 #[path = "support/ownership_world.rs"]
 mod ownership_world;
 
+use fireflygauge::{
+    clock::Millis,
+    ownership::{
+        controller::{Action, Controller, Event},
+        row::{GroupRow, to_json},
+    },
+    peer::message::HoldRequest,
+    store::{Row, StoreError},
+    world::{GroupId, Incarnation, Link},
+};
 use ownership_world::{DAEMONS, Fault, Noise, PARTITIONS, TARGETS, World};
 use proptest::prelude::*;
 use test_case::test_case;
@@ -98,6 +108,106 @@
     assert_sound(&world);
 }
 
+/// Guards against a grant that was delayed on its way and starts a lease when it arrives.
+#[test_case(1_400)]
+#[test_case(3_000)]
+fn delayed_grant_admits_nothing(delay: u64) {
+    for at in 0..300 {
+        let mut world = started();
+        world.run(at);
+        world.plan(Fault::DelayGrants(0), 0, delay);
+        world.run(delay + 500);
+        assert_sound(&world);
+    }
+}
+
+/// Guards against a successor that was no standby and does not expect long leases.
+#[test]
+fn delegate_waits_for_long_leases() {
+    let mut world = started();
+    let holder = world.holder().expect("there is a holder");
+    world.plan(Fault::StoreDown, 0, 1_500);
+    world.run(1_200);
+    assert_eq!(world.holds, 1);
+    let status = world.controller(holder).status(world.daemon_time(holder));
+    let successor = (0..DAEMONS)
+        .find(|&i| {
+            let name = format!("entry-{i}").as_str().into();
+            i != holder && !status.standbys.contains(&name)
+        })
+        .expect("one daemon is neither holder nor standby");
+    for i in (0..DAEMONS).filter(|&i| i != successor) {
+        world.plan(Fault::CrashDaemon(i), 0, 40_000);
+    }
+    world.plan(Fault::CutGrants(successor, 0), 0, 40_000);
+    let others = (PARTITIONS - PARTITIONS / TARGETS as u32) as usize;
+    let took = world.run_until(6_000, |w| w.takeovers == 2);
+    assert!(took.is_some(), "no takeover while the long lease runs");
+    let took = world.run_until(500, |w| w.served() >= others);
+    assert!(
+        took.is_some(),
+        "the reachable targets are not granted again"
+    );
+    let took = world.run_until(15_000, |w| w.owned_in_rows(0) == 0 && w.is_served());
+    assert!(
+        took.is_some(),
+        "the lost target's partitions are not served again"
+    );
+    assert_sound(&world);
+}
+
+/// Guards against a standby that acknowledges hold mode while it can read the store or after it
+/// has begun a takeover, and against a message that was meant for its former run.
+#[test]
+fn standby_refuses_hold_mode() {
+    let link = |name: &str, zone: &str, run: u64| Link {
+        name: name.into(),
+        incarnation: Incarnation(run),
+        zone: zone.into(),
+        peer_addr: ([127, 0, 0, 1], 7_000).into(),
+    };
+    let (me, holder) = (link("b", "z1", 2), link("a", "z0", 1));
+    let group = GroupId {
+        service: "rounds".into(),
+        index: 0,
+    };
+    let mut standby = Controller::new(me.clone(), group.clone(), PARTITIONS);
+    let ask = |standby: &mut Controller, run: u64| {
+        let request = HoldRequest {
+            group: group.clone(),
+            controller_epoch: 3,
+            standby: Incarnation(run),
+        };
+        standby.answer_hold(&request).acknowledged
+    };
+    let row = GroupRow {
+        epoch: 3,
+        holder,
+        lease: 9,
+        standbys: vec![me],
+        hold_ms: 1_000,
+        outstanding: Vec::new(),
+        released: false,
+        operation: "1-1".into(),
+    };
+    let read = Row {
+        name: "group/rounds/0".into(),
+        version: 9,
+        value: to_json(&row),
+    };
+    let failed = || Event::RowRead(Err(StoreError::Unavailable("no answer".into())));
+    standby.handle(Event::Tick, Millis(100));
+    standby.handle(Event::RowRead(Ok(Some(read))), Millis(100));
+    assert!(!ask(&mut standby, 2), "it can read the store");
+    standby.handle(failed(), Millis(300));
+    assert!(!ask(&mut standby, 1), "another run is meant");
+    assert!(ask(&mut standby, 2));
+    let actions = standby.handle(failed(), Millis(960));
+    let begun = actions.iter().any(|a| matches!(a, Action::ReadAssignments));
+    assert!(begun, "the takeover begins");
+    assert!(!ask(&mut standby, 2), "it has begun a takeover");
+}
+
 fn faults() -> impl Strategy<Value = Vec<(Fault, u64, u64)>> {
     let daemon = 0..DAEMONS;
     let fault = prop_oneof![
@@ -111,6 +221,7 @@
         daemon.clone().prop_map(Fault::CutStore),
         (daemon.clone(), 0..TARGETS).prop_map(|(d, t)| Fault::CutGrants(d, t)),
         daemon.prop_map(Fault::CutDaemons),
+        (0..TARGETS).prop_map(Fault::DelayGrants),
     ];
     prop::collection::vec((fault, 0..20_000u64, 100..6_000u64), 0..14)
 }
--- /dev/null
+++ b/tests/term.rs
@@ -0,0 +1,81 @@
+//! Settling writes to the controller row.
+
+use fireflygauge::{
+    clock::Millis,
+    ownership::{
+        row::{GroupRow, to_json},
+        term::{Attempt, Settled, Writes},
+    },
+    store::{CommitOutcome, Row},
+    world::{Incarnation, Link},
+};
+use test_case::test_case;
+
+const ROW: &str = "group/rounds/0";
+
+fn link(run: u64) -> Link {
+    Link {
+        name: format!("entry-{run}").as_str().into(),
+        incarnation: Incarnation(run),
+        zone: "z0".into(),
+        peer_addr: ([127, 0, 0, 1], 7_000).into(),
+    }
+}
+
+fn row(run: u64, operation: &str) -> GroupRow {
+    GroupRow {
+        epoch: 3,
+        holder: link(run),
+        lease: 9,
+        standbys: Vec::new(),
+        hold_ms: 1_000,
+        outstanding: Vec::new(),
+        released: false,
+        operation: operation.into(),
+    }
+}
+
+fn conflict(name: &str, version: u64, run: u64, operation: &str) -> CommitOutcome {
+    CommitOutcome::Conflict(vec![Row {
+        name: name.into(),
+        version,
+        value: to_json(&row(run, operation)),
+    }])
+}
+
+/// Guards against an outcome that is assumed instead of read: of the writes "a" and "b" on version
+/// 7, the answer is for "b".
+#[test_case(CommitOutcome::Committed(vec![(ROW.into(), 8)]), "won b"; "committed")]
+#[test_case(CommitOutcome::Unknown, "unsettled"; "lost answer")]
+#[test_case(CommitOutcome::Unavailable, "unsettled"; "refused")]
+#[test_case(conflict(ROW, 8, 1, "a"), "won a"; "lost earlier answer")]
+#[test_case(conflict(ROW, 8, 1, "b"), "won b"; "second copy of the same write")]
+#[test_case(conflict(ROW, 8, 1, "z"), "won none"; "dropped write of ours")]
+#[test_case(conflict(ROW, 8, 2, "x"), "superseded"; "successor")]
+#[test_case(conflict("assign/rounds/0/0", 4, 2, "x"), "mismatch"; "other row")]
+fn outcome_of_the_later_write(outcome: CommitOutcome, expected: &str) {
+    let mut writes = Writes::new(7);
+    for operation in ["a", "b"] {
+        writes.begin(Attempt {
+            operation: operation.into(),
+            sent: Millis(1),
+            row: row(1, operation),
+            changes: Vec::new(),
+            answered: false,
+        });
+    }
+    let seen = match writes.settle(&link(1), ROW, "b", outcome) {
+        Settled::Nothing => "nothing".to_string(),
+        Settled::Unsettled => "unsettled".to_string(),
+        Settled::Mismatch(_) => "mismatch".to_string(),
+        Settled::Superseded(..) => "superseded".to_string(),
+        Settled::Won { attempt, .. } => {
+            let operation = attempt.map_or("none".into(), |a| a.operation);
+            format!("won {operation}")
+        }
+    };
+    assert_eq!(seen, expected);
+    let left = if expected.starts_with("won") { 0 } else { 2 };
+    let left = if expected == "mismatch" { 1 } else { left };
+    assert_eq!(writes.attempts().len(), left);
+}
