--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -1,8 +1,7 @@
 //! A whole deployment of real processes on loopback, for failure tests and measurements.
 //!
-//! Daemons and targets are processes of their own. The platform and the faulty links between
-//! them run in the calling process: every daemon reaches the platform, and everyone reaches each
-//! target, through a link of its own.
+//! Daemons and targets are processes of their own. The platform and the faulty links run in the
+//! calling process: every daemon has a link of its own to the platform and to each target.
 
 pub mod child;
 mod config;
@@ -17,9 +16,10 @@
 
 use crate::{
     platform::{Faults, Platform},
+    proxy::Flow,
     target::{Execution, read_history},
 };
-use fireflygauge::world::ServiceName;
+use fireflygauge::world::{ServiceName, VmName};
 use std::{
     future::Future,
     io,
@@ -131,6 +131,9 @@
         let index = self.targets.len();
         let name = format!("{service}-{index}");
         let target = Target::start(&name, service, zone, flags, self.ip, &self.dir).await?;
+        for daemon in &mut self.daemons {
+            daemon.connect(target.name(), target.addr()).await?;
+        }
         self.platform.register(target.vm());
         self.targets.push(target);
         Ok(index)
@@ -143,12 +146,26 @@
     pub async fn add_daemon(&mut self, zone: &str) -> io::Result<usize> {
         let index = self.daemons.len();
         let name = format!("entry-{index}");
-        let daemon = Daemon::start(&name, zone, self.ip, self.platform.addr(), &self.dir).await?;
+        let platform = &mut self.platform;
+        let ips = [self.ip, next_ip()];
+        let mut daemon = Daemon::new(&name, zone, ips, platform, &self.dir).await?;
+        for target in &self.targets {
+            daemon.connect(target.name(), target.addr()).await?;
+        }
+        daemon.spawn()?;
         self.platform.register(daemon.vm());
         self.daemons.push(daemon);
         Ok(index)
     }
 
+    /// Sets the flow of every link to a target.
+    pub fn set_flow_to(&self, target: usize, flow: Flow) {
+        let name = self.targets[target].name();
+        for daemon in &self.daemons {
+            daemon.target_links[name].set_flow(flow);
+        }
+    }
+
     /// Indices of the targets of a service.
     pub fn targets_of(&self, service: &str) -> Vec<usize> {
         let service = ServiceName::from(service);
@@ -176,6 +193,21 @@
         all
     }
 
+    /// Names of daemons and targets that ended by themselves.
+    pub fn crashed(&mut self) -> Vec<VmName> {
+        let daemons = self.daemons.iter_mut().filter_map(|d| {
+            let ended = d.child.as_mut()?.status().is_some();
+            ended.then(|| d.name.clone())
+        });
+        let mut crashed: Vec<VmName> = daemons.collect();
+        for target in &mut self.targets {
+            if target.child.crashed() {
+                crashed.push(target.name().clone());
+            }
+        }
+        crashed
+    }
+
     /// Addresses for callers of the daemons that run.
     pub fn entries(&self) -> Vec<SocketAddr> {
         let running = self.daemons.iter().filter(|d| d.is_running());
@@ -190,8 +222,8 @@
     permit.expect("the semaphore is never closed")
 }
 
-/// A loopback address of this process and deployment. Connections leave from 127.0.0.1, so a
-/// port found free on another address stays free until it is bound.
+/// A loopback address of this process. Connections leave from 127.0.0.1, so a port found free on
+/// another address stays free until its user binds it, if nobody else binds port 0 there.
 fn next_ip() -> IpAddr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
