Judge acknowledged assignments and wait for standbys before injecting faults

Cause: a controller frozen within the first 200 ms of a deployment had named no standbys yet, so only a delegate took over, after 3.7 s; the longest unserved time of controller_frozen_past_its_lease was 2785 to 3867 ms. Change: scenarios start once the controller row names its standbys; the judge compares executions with all revisions of the assignment rows.

--- a/standins/examples/recovery.rs
+++ b/standins/examples/recovery.rs
@@ -2,7 +2,6 @@
 
 use clap::Parser;
 use standins::recovery::{BOUND, Loss, measure};
-use std::io;
 
 #[derive(Parser)]
 struct Options {
@@ -12,12 +11,12 @@
 }
 
 #[tokio::main]
-async fn main() -> io::Result<()> {
+async fn main() {
     let options = Options::parse();
     for loss in [Loss::Target, Loss::Controller, Loss::FrozenController] {
         let mut times = Vec::new();
         for seed in 0..options.runs {
-            times.push(measure(loss, seed).await?.as_millis());
+            times.push(measure(loss, seed).await.as_millis());
         }
         times.sort_unstable();
         let (median, worst) = (times[times.len() / 2], times[times.len() - 1]);
@@ -27,5 +26,4 @@
             BOUND.as_millis()
         );
     }
-    Ok(())
 }
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -19,7 +19,10 @@
     proxy::Flow,
     target::{Execution, read_history},
 };
-use fireflygauge::world::{ServiceName, VmName};
+use fireflygauge::{
+    ownership::row::GroupRow,
+    world::{ServiceName, VmName},
+};
 use std::{
     future::Future,
     io,
@@ -174,12 +177,22 @@
             .collect()
     }
 
+    /// The controller row of the keyed service.
+    pub fn group_row(&self) -> Option<GroupRow> {
+        let row = self.platform.row(&format!("group/{KEYED}/0"))?;
+        serde_json::from_str(&row.value).ok()
+    }
+
     /// Index of the daemon that the controller row of the keyed service names as holder.
     pub fn controller(&self) -> Option<usize> {
-        let row = self.platform.row(&format!("group/{KEYED}/0"))?;
-        let row: serde_json::Value = serde_json::from_str(&row.value).ok()?;
-        let holder = row.get("holder")?.to_string();
-        (0..self.daemons.len()).find(|&i| holder.contains(&format!("\"{}\"", self.daemons[i].name)))
+        let holder = self.group_row()?.holder.name;
+        (0..self.daemons.len()).find(|&i| self.daemons[i].name == holder)
+    }
+
+    /// Whether the controller has as many standbys as there are daemons for, up to two.
+    pub fn has_standbys(&self) -> bool {
+        let standbys = self.group_row().map_or(0, |row| row.standbys.len());
+        standbys >= self.daemons.len().saturating_sub(1).min(2)
     }
 
     /// Executions of all targets so far, in order of their ends.
--- a/standins/src/cluster/directory.rs
+++ b/standins/src/cluster/directory.rs
@@ -6,7 +6,10 @@
     sync::atomic::{AtomicU32, Ordering},
 };
 
-/// A temporary folder, removed when dropped unless the thread panics.
+/// Environment variable that keeps the folders of tests that pass.
+pub const KEEP: &str = "FIREFLYGAUGE_TEST_KEEP";
+
+/// A temporary folder, removed when dropped unless the thread panics or [`KEEP`] is set.
 #[derive(Debug)]
 pub struct TempDir(PathBuf);
 
@@ -34,7 +37,7 @@
 
 impl Drop for TempDir {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        if std::thread::panicking() || std::env::var_os(KEEP).is_some() {
             eprintln!("logs and histories are kept in {}", self.0.display());
         } else {
             let _ = std::fs::remove_dir_all(&self.0);
--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -4,7 +4,13 @@
     caller::{Attempt, CallResult},
     target::Execution,
 };
-use fireflygauge::collections::{Map, Set};
+use fireflygauge::{
+    collections::{Map, Set},
+    ownership::{row::AssignmentRow, timing::ROW_PARTITIONS},
+    store::Row,
+    table::Owner,
+    world::VmName,
+};
 use http::Method;
 use std::sync::Arc;
 
@@ -13,6 +19,8 @@
 pub struct Histories {
     /// Executions of all targets.
     pub executions: Vec<Execution>,
+    /// Every revision of the assignment rows of the keyed service.
+    pub assignments: Vec<Row>,
     /// Requests of all callers.
     pub attempts: Vec<Attempt>,
 }
@@ -42,6 +50,7 @@
         all.extend(self.answers());
         all.extend(self.refusals());
         all.extend(self.repetitions());
+        all.extend(self.assigned());
         all
     }
 
@@ -129,6 +138,36 @@
             .collect()
     }
 
+    /// Acknowledged assignments: written ownership epochs never fall, every change of owner raises
+    /// them, and nothing takes effect under an owner and epoch that were not written.
+    pub fn assigned(&self) -> Vec<String> {
+        let mut latest: Map<u32, Owner> = Map::default();
+        let mut written: Set<(u32, VmName, u64)> = Set::default();
+        let mut wrong = Vec::new();
+        for (partition, owner) in self.assignments.iter().flat_map(owners_of) {
+            if let Some(before) = latest.get(&partition)
+                && (owner.epoch < before.epoch
+                    || (owner.epoch == before.epoch && owner.target != before.target))
+            {
+                wrong.push(format!(
+                    "partition {partition}: {owner:?} replaces {before:?}"
+                ));
+            }
+            written.insert((partition, owner.target.clone(), owner.epoch));
+            latest.insert(partition, owner);
+        }
+        for run in self.effects() {
+            if let (Some(partition), Some(epoch)) = (run.partition, run.epoch)
+                && !written.contains(&(partition, run.target.clone(), epoch))
+            {
+                wrong.push(format!(
+                    "ran under an assignment that was not written: {run:?}"
+                ));
+            }
+        }
+        wrong
+    }
+
     /// Attempts by outcome.
     pub fn outcomes(&self) -> Map<&'static str, usize> {
         let mut counts = Map::default();
@@ -202,6 +241,20 @@
     }
 }
 
+/// Partition and owner of each assignment in a row.
+fn owners_of(row: &Row) -> Vec<(u32, Owner)> {
+    let index: usize = row
+        .name
+        .rsplit_once('/')
+        .map_or(0, |(_, i)| i.parse().unwrap_or(0));
+    let content: AssignmentRow = serde_json::from_str(&row.value).expect("the row is readable");
+    let first = index as u32 * ROW_PARTITIONS;
+    let owners = (first..).zip(content.owners());
+    owners
+        .filter_map(|(partition, owner)| Some((partition, owner?)))
+        .collect()
+}
+
 fn one_owner(runs: &mut Vec<&Execution>) -> Vec<String> {
     runs.sort_by_key(|e| (e.epoch, e.end_us));
     let mut wrong = Vec::new();
--- a/standins/src/local/steps.rs
+++ b/standins/src/local/steps.rs
@@ -127,6 +127,7 @@
         let histories = Histories {
             executions,
             attempts: self.caller.attempts(),
+            assignments: self.platform.revisions("assign/"),
         };
         let violations = histories.violations();
         for violation in &violations {
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -129,6 +129,11 @@
         self.shared.lock().table.read(name, now)
     }
 
+    /// All revisions of the rows whose names start with `prefix`, past all faults.
+    pub fn revisions(&self, prefix: &str) -> Vec<Row> {
+        self.shared.lock().table.revisions(prefix)
+    }
+
     /// Commits a transaction past all faults.
     pub fn commit(&self, transaction: &Transaction) -> CommitReply {
         let now = self.shared.now();
--- a/standins/src/platform/table.rs
+++ b/standins/src/platform/table.rs
@@ -1,6 +1,5 @@
 //! Rows with versions, conditional transactions, and the recent past for stale reads.
 
-use super::LONGEST_LAG;
 use fireflygauge::{
     clock::Millis,
     store::api::{CommitReply, Row, Transaction},
@@ -11,6 +10,9 @@
     sync::Arc,
 };
 
+/// How long superseded revisions are kept, for stale reads and for tests to judge by.
+const KEPT: Millis = Millis(600_000);
+
 #[derive(Debug)]
 struct Revision {
     since: Millis,
@@ -41,6 +43,16 @@
             .collect()
     }
 
+    /// All revisions kept of the rows whose names start with `prefix`, without deletions, in order
+    /// of name and version.
+    pub fn revisions(&self, prefix: &str) -> Vec<Row> {
+        self.rows
+            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded))
+            .take_while(|(name, _)| name.starts_with(prefix))
+            .flat_map(|(name, revisions)| revisions.iter().filter_map(|r| row(name, r)))
+            .collect()
+    }
+
     /// Commits `transaction` if all its conditions hold at `now`.
     pub fn commit(&mut self, transaction: &Transaction, now: Millis) -> CommitReply {
         let failed: Vec<Row> = transaction
@@ -83,7 +95,7 @@
             version,
             value,
         });
-        while revisions.len() > 1 && revisions[1].since + LONGEST_LAG < now {
+        while revisions.len() > 1 && revisions[1].since + KEPT < now {
             revisions.pop_front();
         }
         visible
@@ -91,7 +103,10 @@
 }
 
 fn row_at(name: &Arc<str>, revisions: &VecDeque<Revision>, at: Millis) -> Option<Row> {
-    let revision = revisions.iter().rev().find(|r| r.since <= at)?;
+    row(name, revisions.iter().rev().find(|r| r.since <= at)?)
+}
+
+fn row(name: &Arc<str>, revision: &Revision) -> Option<Row> {
     Some(Row {
         name: Arc::clone(name),
         version: revision.version,
--- a/standins/src/recovery.rs
+++ b/standins/src/recovery.rs
@@ -6,7 +6,7 @@
     target::history::machine_us,
     workload::Mix,
 };
-use std::{io, time::Duration};
+use std::time::Duration;
 
 /// Longest time for a key to be served again after a loss (`docs/design.md`, target size).
 pub const BOUND: Duration = Duration::from_secs(2);
@@ -28,17 +28,14 @@
 
 /// Starts a deployment, loses something and returns the longest time between two answers for one
 /// key from then on. The histories are judged as well.
-///
-/// # Errors
-/// The system's error if the deployment cannot be started.
-pub async fn measure(loss: Loss, seed: u64) -> io::Result<Duration> {
+pub async fn measure(loss: Loss, seed: u64) -> Duration {
     let mix = Mix {
         interval: Duration::from_millis(10),
         timeout_ms: 100,
         work_ms: 0,
         ..Mix::keyed(seed)
     };
-    let mut scenario = Scenario::start(Layout::default(), mix).await?;
+    let mut scenario = Scenario::start(Layout::default(), mix).await;
     steady(&scenario).await;
     let lost_us = scenario.lose(loss);
     let end_us = lost_us + WINDOW.as_micros() as u64;
@@ -46,7 +43,7 @@
     let histories = scenario.finish().await;
     let gap = histories.longest_gap(lost_us);
     println!("{loss}: {} ms, {:?}", gap.ms(), histories.reasons(&gap));
-    Ok(Duration::from_millis(gap.ms()))
+    Duration::from_millis(gap.ms())
 }
 
 /// Waits until nothing has been refused for a while, so that the start is over.
--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -1,12 +1,14 @@
 //! A deployment under steady requests: what most failure tests start from.
 
 use crate::{
-    cluster::{Cluster, Layout, START_TIME, wait_until},
+    caller::{Ask, Attempt, Caller},
+    cluster::{Cluster, KEYED, Layout, START_TIME, UNKEYED, wait_for, wait_until},
     judge::Histories,
     target::history::machine_us,
     workload::{Mix, Workload},
 };
-use std::{io, time::Duration};
+use http::Method;
+use std::time::Duration;
 
 /// Environment variable that replaces the seed of every scenario.
 pub const SEED: &str = "FIREFLYGAUGE_TEST_SEED";
@@ -28,24 +30,62 @@
     pub cluster: Cluster,
     /// The requests.
     pub load: Workload,
+    /// A caller for single requests.
+    pub caller: Caller,
     keys: usize,
 }
 
 impl Scenario {
-    /// Starts a deployment and requests, and waits until every key is served.
+    /// Starts a deployment and requests, and waits until every key is served by every daemon.
     ///
-    /// # Errors
-    /// The system's error if the deployment cannot be started.
-    pub async fn start(layout: Layout, mix: Mix) -> io::Result<Self> {
-        let cluster = Cluster::start(layout).await?;
-        let load = Workload::start(&mix, cluster.entries());
+    /// # Panics
+    /// If the deployment cannot be started.
+    pub async fn start(layout: Layout, mix: Mix) -> Self {
+        let cluster = Cluster::start(layout).await.expect("the deployment starts");
         let scenario = Self {
+            load: Workload::start(&mix, Vec::new()),
+            caller: Caller::new("single"),
             cluster,
-            load,
             keys: mix.keys,
         };
+        scenario.ready().await;
+        scenario.load.use_daemons(scenario.cluster.entries());
         scenario.served(START_TIME).await;
-        Ok(scenario)
+        scenario
+    }
+
+    /// Starts a deployment without steady requests and waits until every daemon serves.
+    ///
+    /// # Panics
+    /// If the deployment cannot be started.
+    pub async fn start_idle(layout: Layout) -> Self {
+        let idle = Mix {
+            keys: 0,
+            ..Mix::keyed(0)
+        };
+        Self::start(layout, idle).await
+    }
+
+    /// Waits until the controller has standbys and every daemon answers requests of both services.
+    async fn ready(&self) {
+        let standbys = || self.cluster.has_standbys();
+        wait_until("the controller has standbys", START_TIME, standbys).await;
+        for daemon in self.cluster.entries() {
+            for service in [KEYED, UNKEYED] {
+                let ask = Ask::new(Method::GET, service, "ready");
+                wait_for("a daemon serves", START_TIME, || async {
+                    let attempt = self.caller.ask(daemon, &ask).await;
+                    attempt.is_answered().then_some(())
+                })
+                .await;
+            }
+        }
+    }
+
+    /// Makes a single request to a daemon.
+    pub async fn ask(&self, daemon: usize, ask: &Ask) -> Attempt {
+        let addr = self.cluster.daemons[daemon].caller_addr();
+        self.caller.ask(addr, ask).await
     }
 
     /// Waits until every key was answered after this call; returns the time that took.
@@ -59,29 +99,47 @@
         Duration::from_micros(machine_us() - since)
     }
 
+    /// Keeps a fault in force for this long under the requests.
+    pub async fn hold(&self, time: Duration) {
+        let end = machine_us() + time.as_micros() as u64;
+        wait_until("a fault lasts", time * 2, || machine_us() >= end).await;
+    }
+
+    /// Everything seen so far.
+    pub fn histories(&self) -> Histories {
+        let mut attempts = self.load.attempts();
+        attempts.extend(self.caller.attempts());
+        Histories {
+            executions: self.cluster.executions(),
+            attempts,
+            assignments: self.cluster.platform.revisions(&format!("assign/{KEYED}/")),
+        }
+    }
+
     /// Waits until every key is served, ends the requests and judges the histories.
     ///
     /// # Panics
-    /// With every violation if a guarantee was broken.
+    /// With every violation if a guarantee was broken, or if a process ended by itself.
     pub async fn finish(mut self) -> Histories {
         self.served(SETTLE_TIME).await;
         let crashed = self.cluster.crashed();
         assert!(crashed.is_empty(), "ended by themselves: {crashed:?}");
-        let attempts = self.load.finish().await;
-        let histories = Histories {
-            executions: self.cluster.executions(),
-            attempts,
-        };
-        let gap = histories.longest_gap(0);
-        println!(
-            "{}: requests by outcome: {:?}; changes of owner seen: {}; longest unserved: {} ms, {:?}",
-            std::thread::current().name().unwrap_or_default(),
-            histories.outcomes(),
-            histories.moves(),
-            gap.ms(),
-            histories.reasons(&gap),
-        );
+        self.load.finish().await;
+        let histories = self.histories();
+        print_figures(&histories);
         histories.assert_kept();
         histories
     }
 }
+
+fn print_figures(histories: &Histories) {
+    let gap = histories.longest_gap(0);
+    println!(
+        "{}: requests by outcome: {:?}; changes of owner seen: {}; longest unserved: {} ms, {:?}",
+        std::thread::current().name().unwrap_or_default(),
+        histories.outcomes(),
+        histories.moves(),
+        gap.ms(),
+        histories.reasons(&gap),
+    );
+}
--- a/standins/src/target/control.rs
+++ b/standins/src/target/control.rs
@@ -11,8 +11,6 @@
     None,
     /// They echo another request's id.
     WrongId,
-    /// They end before their announced length.
-    Truncated,
 }
 
 /// The controls in force; the default is a well-behaved target.
--- a/standins/src/target/work.rs
+++ b/standins/src/target/work.rs
@@ -248,7 +248,7 @@
     let mut reply = json(status, &content)?;
     let echoed = match control.echo {
         EchoFault::WrongId => "another-request",
-        _ => &facts.request_id,
+        EchoFault::None => &facts.request_id,
     };
     reply.headers_mut().insert(REQUEST_ID, value(echoed));
     Ok(reply)
--- a/standins/src/workload.rs
+++ b/standins/src/workload.rs
@@ -31,6 +31,8 @@
     pub timeout_ms: u64,
     /// Longest service time at the target, in milliseconds.
     pub work_ms: u64,
+    /// Whether every third request has an idempotency key, which needs the journal.
+    pub journaled: bool,
     /// Seeds the choices of daemon, method and service time.
     pub seed: u64,
 }
@@ -44,6 +46,7 @@
             interval: Duration::from_millis(25),
             timeout_ms: 300,
             work_ms: 4,
+            journaled: true,
             seed,
         }
     }
@@ -119,7 +122,7 @@
     }
 
     /// Lets the requests under way end and returns all attempts.
-    pub async fn finish(mut self) -> Vec<Attempt> {
+    pub async fn finish(&mut self) -> Vec<Attempt> {
         self.stop.send_replace(true);
         while let Some(ended) = self.tasks.join_next().await {
             ended.expect("a caller does not panic");
@@ -157,7 +160,7 @@
         let ask = Ask::new(method, self.mix.service, &self.key)
             .within(self.mix.timeout_ms)
             .working(work_ms);
-        if number % 3 == 2 {
+        if self.mix.journaled && number % 3 == 2 {
             let name = format!(
                 "{}-{}-{}-{number}",
                 self.mix.service, self.mix.seed, self.key
--- a/standins/tests/judge.rs
+++ b/standins/tests/judge.rs
@@ -1,6 +1,11 @@
 //! The judge finds the violations that the failure tests look for.
 
-use fireflygauge::world::Incarnation;
+use fireflygauge::{
+    ownership::row::{AssignmentRow, to_json},
+    store::Row,
+    table::Owner,
+    world::Incarnation,
+};
 use http::{Method, StatusCode};
 use standins::{
     caller::{Ask, Attempt, CallResult},
@@ -75,6 +80,7 @@
     let histories = Histories {
         executions: vec![execution("rounds-0", 1, 0, 5)],
         attempts: vec![attempt(asked, answered(carried, padding))],
+        ..Histories::default()
     };
     assert_eq!(histories.answers().len(), expected);
 }
@@ -87,7 +93,34 @@
     let histories = Histories {
         executions: vec![execution("rounds-0", 1, 0, 5), second],
         attempts: vec![attempt("t0", CallResult::NotSent)],
+        ..Histories::default()
     };
     assert_eq!(histories.refusals().len(), 1);
     assert_eq!(histories.repetitions().len(), 1);
 }
+
+/// Guards against a judge that overlooks an assignment that was lost or never written.
+#[test_case(&[("rounds-0", 1), ("rounds-1", 2)], 0; "orderly move")]
+#[test_case(&[("rounds-0", 1), ("rounds-1", 3), ("rounds-0", 2)], 1; "an epoch falls")]
+#[test_case(&[("rounds-0", 1), ("rounds-1", 1)], 1; "an epoch gets another owner")]
+#[test_case(&[("rounds-1", 1)], 1; "an execution without an assignment")]
+fn assignments(writes: &[(&str, u64)], expected: usize) {
+    let row = |(index, &(target, epoch)): (usize, &(&str, u64))| {
+        let owner = Owner {
+            target: target.into(),
+            epoch,
+        };
+        let owners = [None, None, None, Some(owner)];
+        Row {
+            name: "assign/rounds/0/0".into(),
+            version: index as u64 + 1,
+            value: to_json(&AssignmentRow::new(&owners, 1, "o".into())),
+        }
+    };
+    let histories = Histories {
+        executions: vec![execution("rounds-0", 1, 0, 5)],
+        assignments: writes.iter().enumerate().map(row).collect(),
+        ..Histories::default()
+    };
+    assert_eq!(histories.assigned().len(), expected);
+}
--- a/standins/tests/one_owner.rs
+++ b/standins/tests/one_owner.rs
@@ -17,8 +17,7 @@
 
 async fn start(default_seed: u64) -> Scenario {
     let mix = Mix::keyed(seed(default_seed));
-    let started = Scenario::start(Layout::default(), mix).await;
-    started.expect("the deployment starts")
+    Scenario::start(Layout::default(), mix).await
 }
 
 /// Waits until another daemon than `old` holds the controller row.
