--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -15,12 +15,15 @@
 pub use target::Target;
 
 use crate::{
+    judge::owners_of,
     platform::{Faults, Platform},
     proxy::Flow,
     target::{Execution, read_history},
 };
 use fireflygauge::{
+    collections::{Map, Set},
     ownership::row::GroupRow,
+    table::Owner,
     world::{ServiceName, VmName},
 };
 use std::{
@@ -195,6 +198,18 @@
         standbys >= self.daemons.len().saturating_sub(1).min(2)
     }
 
+    /// Owner of each assigned partition of the keyed service, as last written.
+    pub fn assignments(&self) -> Map<u32, Owner> {
+        let rows = self.platform.revisions(&format!("assign/{KEYED}/"));
+        rows.iter().flat_map(owners_of).collect()
+    }
+
+    /// Names of the targets that own partitions, as last written.
+    pub fn owners(&self) -> Set<VmName> {
+        let owners = self.assignments().into_values();
+        owners.map(|owner| owner.target).collect()
+    }
+
     /// Executions of all targets so far, in order of their ends.
     pub fn executions(&self) -> Vec<Execution> {
         let mut all: Vec<Execution> = self
--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -241,8 +241,11 @@
     }
 }
 
-/// Partition and owner of each assignment in a row.
-fn owners_of(row: &Row) -> Vec<(u32, Owner)> {
+/// Partition and owner of each assignment in a row of the table service.
+///
+/// # Panics
+/// If the row is not an assignment row.
+pub fn owners_of(row: &Row) -> Vec<(u32, Owner)> {
     let index: usize = row
         .name
         .rsplit_once('/')
