--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -6,6 +6,7 @@
 pub mod arrivals;
 pub mod client;
 pub mod keys;
+pub mod measure;
 pub mod mix;
 pub mod options;
 pub mod outage;
--- a/standins/src/load/client.rs
+++ b/standins/src/load/client.rs
@@ -60,7 +60,11 @@
             entries: options.entries.clone().into(),
             direct,
             services,
-            callers: options.callers.iter().map(caller_header).collect(),
+            callers: options
+                .callers
+                .iter()
+                .map(|c| caller_header(options, c))
+                .collect(),
             timeout_ms: options.timeout_ms,
             work_ms: options.work_ms,
             answer_bytes: options.answer_bytes,
@@ -169,6 +173,9 @@
         .collect()
 }
 
-fn caller_header(caller: &CallerShare) -> HeaderValue {
+fn caller_header(options: &Options, caller: &CallerShare) -> HeaderValue {
+    if options.same_caller {
+        return HeaderValue::from_static("all");
+    }
     HeaderValue::from_str(&caller.name).unwrap_or_else(|_| HeaderValue::from_static("invalid"))
 }
--- /dev/null
+++ b/standins/src/load/measure/deployment.rs
@@ -0,0 +1,243 @@
+//! Daemons and targets as processes, without any proxy between them. The platform runs in the
+//! measuring process; it serves a few requests a second.
+
+use crate::{
+    cluster::{Declared, TempDir, child::Child},
+    load::{options::Options, report::Step, run::run},
+    platform::{Counters, Faults, Platform},
+    target::TargetOptions,
+};
+use clap::Parser;
+use eyre::{Result, ensure, eyre};
+use fireflygauge::{
+    ownership::row::AssignmentRow,
+    world::{Vm, VmName, VmRole, VmState, ZoneName},
+};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::runtime::Runtime;
+
+/// Time for a deployment to get ready on a busy machine.
+const READY_TIME: Duration = Duration::from_secs(30);
+const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Number of daemons.
+    pub daemons: usize,
+    /// Further flags of daemons.
+    pub daemon_flags: Vec<String>,
+    /// Service, number and further flags of targets.
+    pub targets: Vec<(&'static str, usize, Vec<String>)>,
+}
+
+/// A daemon's process.
+pub struct Entry {
+    /// Its name.
+    pub name: String,
+    /// The process.
+    pub child: Child,
+    /// Address for callers.
+    pub caller: SocketAddr,
+}
+
+/// A target's process.
+pub struct Endpoint {
+    /// Its service.
+    pub service: &'static str,
+    /// The process.
+    pub child: Child,
+    /// Its address.
+    pub addr: SocketAddr,
+}
+
+/// A running deployment; its processes are killed when it is dropped.
+pub struct Deployment {
+    /// The daemons.
+    pub entries: Vec<Entry>,
+    /// The targets.
+    pub targets: Vec<Endpoint>,
+    platform: Platform,
+    runtime: Runtime,
+    dir: TempDir,
+}
+
+impl Deployment {
+    /// Starts a deployment with Mittelland's declaration and waits until it serves `services`.
+    ///
+    /// # Errors
+    /// If something cannot be started or does not get ready.
+    pub fn start(plan: &Plan) -> Result<Self> {
+        let runtime = Runtime::new()?;
+        let any = SocketAddr::new(HOST, 0);
+        let platform = runtime.block_on(Platform::start(any, Faults::default()))?;
+        platform.seed(&Declared {
+            text: include_str!("../../../../examples/mittelland.toml").into(),
+            preset: "ordinary".into(),
+        });
+        let mut deployment = Self {
+            entries: Vec::new(),
+            targets: Vec::new(),
+            platform,
+            runtime,
+            dir: TempDir::new()?,
+        };
+        for (service, count, flags) in &plan.targets {
+            for _ in 0..*count {
+                deployment.add_target(service, flags)?;
+            }
+        }
+        for _ in 0..plan.daemons {
+            deployment.add_entry(&plan.daemon_flags)?;
+        }
+        let services: Vec<_> = plan.targets.iter().map(|(service, ..)| *service).collect();
+        deployment.wait_ready(&services)?;
+        Ok(deployment)
+    }
+
+    /// Starts and registers a target.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub fn add_target(&mut self, service: &'static str, flags: &[String]) -> Result<()> {
+        let index = self.targets.len();
+        let name = format!("{service}-{index}");
+        let keyed = service == "rounds";
+        let zone = ZONES[index % ZONES.len()];
+        let options = TargetOptions::new(&name, zone, service, keyed);
+        let mut args = vec![
+            format!("--name={name}"),
+            format!("--zone={zone}"),
+            format!("--service={service}"),
+            format!("--checks-grants={keyed}"),
+            "--history=/dev/null".into(),
+        ];
+        args.extend_from_slice(flags);
+        let child = Child::start("standin-target", &args, self.dir.path(), &name)?;
+        let addr = self.runtime.block_on(child.printed_addr());
+        self.platform.register(options.vm(addr));
+        self.targets.push(Endpoint {
+            service,
+            child,
+            addr,
+        });
+        Ok(())
+    }
+
+    fn add_entry(&mut self, flags: &[String]) -> Result<()> {
+        let index = self.entries.len();
+        let name = format!("entry-{index}");
+        let zone = ZONES[index % ZONES.len()];
+        let [caller, peer, operator] = free_addrs()?;
+        let mut args = vec![
+            format!("--name={name}"),
+            format!("--zone={zone}"),
+            format!("--caller-addr={caller}"),
+            format!("--peer-addr={peer}"),
+            format!("--operator-addr={operator}"),
+            format!("--platform-addr={}", self.platform.addr()),
+            "--log=warn".into(),
+        ];
+        args.extend_from_slice(flags);
+        let child = Child::start("policy-entry", &args, self.dir.path(), &name)?;
+        self.platform.register(Vm {
+            name: VmName::from(name.as_str()),
+            zone: ZoneName(zone.into()),
+            addr: caller,
+            state: VmState::Live,
+            role: VmRole::Entry {
+                peer_addr: peer,
+                operator_addr: operator,
+            },
+        });
+        self.entries.push(Entry {
+            name,
+            child,
+            caller,
+        });
+        Ok(())
+    }
+
+    /// Sends a light load until all of it is answered.
+    fn wait_ready(&self, services: &[&str]) -> Result<()> {
+        let end = Instant::now() + READY_TIME;
+        loop {
+            let mut args = vec!["--rate=100", "--duration-s=0.5", "--timeout-ms=500"];
+            args.extend(services.iter().flat_map(|service| ["--only", *service]));
+            let steps = self.load(&self.entry_addrs(), &args)?;
+            if steps[0].answered() == steps[0].due() {
+                return Ok(());
+            }
+            ensure!(
+                Instant::now() < end,
+                "not ready within {READY_TIME:?}: {}",
+                steps[0].answered()
+            );
+        }
+    }
+
+    /// Addresses for callers of all daemons.
+    pub fn entry_addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.caller).collect()
+    }
+
+    /// Runs a load against `entries`.
+    ///
+    /// # Errors
+    /// If the options are wrong or a thread cannot be started.
+    pub fn load(&self, entries: &[SocketAddr], args: &[&str]) -> Result<Vec<Step>> {
+        Ok(run(&load_options(entries, args)?)?)
+    }
+
+    /// Owner of each partition of the keyed service, as the table service has it.
+    pub fn owners(&self) -> Vec<Option<Arc<str>>> {
+        let row = |index| self.platform.row(&format!("assign/rounds/0/{index}"));
+        let rows = (0..).map_while(row);
+        let parse = |text: &str| serde_json::from_str::<AssignmentRow>(text).ok();
+        rows.filter_map(|row| parse(&row.value))
+            .flat_map(|row| row.owners().collect::<Vec<_>>())
+            .map(|owner| owner.map(|owner| owner.target.0))
+            .collect()
+    }
+
+    /// Index of the daemon that controls the keyed service.
+    pub fn controller(&self) -> Option<usize> {
+        let row = self.platform.row("group/rounds/0")?;
+        let row: serde_json::Value = serde_json::from_str(&row.value).ok()?;
+        let holder = row.get("holder")?.to_string();
+        let is_holder = |entry: &Entry| holder.contains(&format!("\"{}\"", entry.name));
+        self.entries.iter().position(is_holder)
+    }
+
+    /// Requests to the platform so far.
+    pub fn store_use(&self) -> Counters {
+        self.platform.counters()
+    }
+}
+
+/// Options of a load against `entries`.
+///
+/// # Errors
+/// If `args` are wrong.
+pub fn load_options(entries: &[SocketAddr], args: &[&str]) -> Result<Options> {
+    let entries = entries.iter().map(|addr| format!("--entry={addr}"));
+    let words = std::iter::once("fireflygauge-load".to_owned())
+        .chain(entries)
+        .chain(args.iter().map(|arg| (*arg).to_owned()));
+    let options = Options::try_parse_from(words)?;
+    options.check().map_err(|e| eyre!(e))?;
+    Ok(options)
+}
+
+/// Free ports. Another process could take one before the daemon binds it; the start fails then.
+fn free_addrs() -> Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((HOST, 0));
+    let listeners = [bind()?, bind()?, bind()?];
+    let [a, b, c] = listeners.each_ref().map(TcpListener::local_addr);
+    Ok([a?, b?, c?])
+}
--- /dev/null
+++ b/standins/src/load/measure/load.rs
@@ -0,0 +1,280 @@
+//! Measurements of the request path.
+
+use super::{
+    MeasureOptions,
+    deployment::{Deployment, Plan},
+};
+use crate::load::report::{Line, Step, StepReport, text};
+use comfy_table::{Table, presets::ASCII_MARKDOWN};
+use eyre::Result;
+
+/// Service time of targets in most measurements, in milliseconds.
+const WORK_MS: f64 = 5.0;
+const SLOTS: f64 = 4.0;
+const TARGETS: usize = 4;
+/// Requests per second that the targets of one service can run.
+const CAPACITY: f64 = TARGETS as f64 * SLOTS / (WORK_MS / 1_000.0);
+
+fn flags(list: &[&str]) -> Vec<String> {
+    list.iter().map(|flag| (*flag).to_owned()).collect()
+}
+
+/// The arguments that all loads of a measurement share, followed by `more`.
+fn args(options: &MeasureOptions, more: &[String]) -> Vec<String> {
+    let mut all = vec![
+        format!("--duration-s={}", options.duration_s),
+        format!("--seed={}", options.seed),
+    ];
+    all.extend_from_slice(more);
+    all
+}
+
+fn run(deployment: &Deployment, args: &[String]) -> Result<Vec<Step>> {
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    deployment.load(&deployment.entry_addrs(), &args)
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table
+        .load_preset(ASCII_MARKDOWN)
+        .set_header(header.to_vec());
+    table
+}
+
+pub(super) fn latency(options: &MeasureOptions) -> Result<()> {
+    let deep = flags(&["--queue=64"]);
+    let deployment = Deployment::start(&Plan {
+        daemons: 1,
+        daemon_flags: Vec::new(),
+        targets: vec![
+            ("records", TARGETS, deep.clone()),
+            ("rounds", TARGETS, deep),
+        ],
+    })?;
+    let mut more = flags(&["--only=records", "--only=rounds", "--non-idempotent=0.5"]);
+    more.push(format!("--work-ms={WORK_MS}"));
+    // Half of the capacity of both services; records gets a third of the mix.
+    more.push(format!("--rate=50,{}", CAPACITY / 2.0 * 1.5));
+    let records = deployment.targets.iter().filter(|t| t.service == "records");
+    more.extend(records.map(|t| format!("--direct=records={}", t.addr)));
+    let steps = run(&deployment, &args(options, &more))?;
+    print!("{}", text(&steps));
+    for report in steps.iter().map(Step::report) {
+        print_added(&report);
+    }
+    Ok(())
+}
+
+fn print_added(report: &StepReport) {
+    let line = |name: &str| report.services.iter().find(|line| line.name == name);
+    if let (Some(routed), Some(direct)) = (line("records routed"), line("records direct")) {
+        let added = |of: fn(&Line) -> f64| {
+            format!(
+                "{:+.2} ms ({:.2} times)",
+                of(routed) - of(direct),
+                of(routed) / of(direct)
+            )
+        };
+        println!(
+            "{:.0}/s: routed against direct: p50 {}, p99 {}",
+            report.rate,
+            added(|l| l.p50_ms),
+            added(|l| l.p99_ms)
+        );
+    }
+}
+
+pub(super) fn processor(options: &MeasureOptions) -> Result<()> {
+    let deep = flags(&["--queue=96"]);
+    let deployment = Deployment::start(&Plan {
+        daemons: 1,
+        daemon_flags: flags(&["--workers=2"]),
+        targets: vec![
+            ("records", TARGETS, deep.clone()),
+            ("rounds", TARGETS, deep),
+        ],
+    })?;
+    let mut more = flags(&[
+        "--only=records",
+        "--only=rounds",
+        "--rate=1,500,1000,2000,4000,8000,16000",
+    ]);
+    more.push(format!("--pid={}", deployment.entries[0].child.id()));
+    let steps = run(&deployment, &args(options, &more))?;
+    let mut table = table(&[
+        "offered/s",
+        "answered/s",
+        "cores used",
+        "answered per core-second",
+        "p50 ms",
+        "p99 ms",
+        "resident MiB",
+    ]);
+    for step in &steps {
+        let report = step.report();
+        let used = &report.processes[0];
+        let worst = |of: fn(&Line) -> f64| report.services.iter().map(of).fold(0.0, f64::max);
+        table.add_row([
+            format!("{:.0}", report.rate),
+            format!("{:.0}", step.answered() as f64 / report.elapsed_s),
+            format!("{:.2}", used.processor_s / report.elapsed_s),
+            format!("{:.0}", report.answered_per_core_s),
+            format!("{:.2}", worst(|l| l.p50_ms)),
+            format!("{:.2}", worst(|l| l.p99_ms)),
+            format!("{}", used.resident_kib / 1024),
+        ]);
+    }
+    println!("{table}");
+    Ok(())
+}
+
+pub(super) fn overload(options: &MeasureOptions) -> Result<()> {
+    let deployment = Deployment::start(&plan_of(3, Vec::new()))?;
+    let rates = [0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0].map(|of| format!("{:.0}", of * CAPACITY));
+    for (service, share) in [("records", 0.0), ("rounds", 0.0), ("records", 0.5)] {
+        let mut more = vec![
+            format!("--only={service}"),
+            format!("--rate={}", rates.join(",")),
+        ];
+        more.extend([format!("--work-ms={WORK_MS}"), "--zipf=0.5".into()]);
+        more.push(format!("--non-idempotent={share}"));
+        let steps = run(&deployment, &args(options, &more))?;
+        println!("{service}, {:.0}% non-idempotent", share * 100.0);
+        println!("{}", goodput(&steps));
+    }
+    Ok(())
+}
+
+fn plan_of(daemons: usize, daemon_flags: Vec<String>) -> Plan {
+    Plan {
+        daemons,
+        daemon_flags,
+        targets: vec![
+            ("records", TARGETS, Vec::new()),
+            ("rounds", TARGETS, Vec::new()),
+        ],
+    }
+}
+
+fn goodput(steps: &[Step]) -> Table {
+    let of = |step: &Step| step.answered() as f64 / step.duration_s;
+    let peak = steps.iter().map(of).fold(0.0, f64::max);
+    let mut table = table(&[
+        "offered/capacity",
+        "answered/s",
+        "of peak",
+        "not-run",
+        "unknown",
+        "lost",
+        "p50 ms",
+        "p99 ms",
+        "refused p99 ms",
+    ]);
+    for step in steps {
+        let line = &step.report().services[0];
+        table.add_row([
+            format!("{:.1}", step.rate / CAPACITY),
+            format!("{:.0}", of(step)),
+            format!("{:.0}%", of(step) / peak * 100.0),
+            line.not_run.to_string(),
+            line.unknown.to_string(),
+            (line.lost + line.unsent).to_string(),
+            format!("{:.1}", line.p50_ms),
+            format!("{:.1}", line.p99_ms),
+            format!("{:.1}", line.refused_p99_ms),
+        ]);
+    }
+    table
+}
+
+pub(super) fn fairness(options: &MeasureOptions) -> Result<()> {
+    let deployment = Deployment::start(&plan_of(3, Vec::new()))?;
+    let mut table = table(&[
+        "queues", "caller", "sent", "answered", "share", "p50 ms", "p99 ms",
+    ]);
+    for (queues, flag) in [("fair", None), ("first come", Some("--same-caller"))] {
+        let mut more = flags(&["--only=records", "--caller=lone=1", "--caller=flood=99"]);
+        more.extend([
+            format!("--work-ms={WORK_MS}"),
+            format!("--rate={}", 2.0 * CAPACITY),
+        ]);
+        more.extend(flag.map(str::to_owned));
+        for line in run(&deployment, &args(options, &more))?[0].report().callers {
+            table.add_row([
+                queues.to_owned(),
+                line.name,
+                line.sent.to_string(),
+                line.answered.to_string(),
+                format!("{:.1}%", line.answered as f64 / line.sent as f64 * 100.0),
+                format!("{:.1}", line.p50_ms),
+                format!("{:.1}", line.p99_ms),
+            ]);
+        }
+    }
+    println!("{table}");
+    Ok(())
+}
+
+pub(super) fn admission(options: &MeasureOptions) -> Result<()> {
+    const DAEMONS: usize = 9;
+    let share = format!("--share={}", SLOTS / DAEMONS as f64);
+    let policies = [
+        ("send until shed", flags(&["--limit=until-shed"])),
+        ("fixed division", vec!["--limit=share".to_owned(), share]),
+        ("adaptive limit", flags(&["--limit=adaptive"])),
+    ];
+    let mut table = table(&[
+        "policy",
+        "entries used",
+        "offered/capacity",
+        "answered/s",
+        "not-run",
+        "p50 ms",
+        "p99 ms",
+        "refused p99 ms",
+        "daemon cores",
+    ]);
+    for (name, daemon_flags) in policies {
+        let deployment = Deployment::start(&plan_of(DAEMONS, daemon_flags))?;
+        for used in [DAEMONS, 3] {
+            let entries = &deployment.entry_addrs()[..used];
+            let mut more = flags(&["--only=records", "--non-idempotent=0.5"]);
+            let rates = [0.5, 0.8, 1.0, 2.0].map(|of| format!("{:.0}", of * CAPACITY));
+            more.extend([
+                format!("--work-ms={WORK_MS}"),
+                format!("--rate={}", rates.join(",")),
+            ]);
+            more.extend(
+                deployment
+                    .entries
+                    .iter()
+                    .map(|e| format!("--pid={}", e.child.id())),
+            );
+            let all = args(options, &more);
+            let words: Vec<&str> = all.iter().map(String::as_str).collect();
+            for step in deployment.load(entries, &words)? {
+                table.add_row(admission_row(name, used, &step));
+            }
+        }
+    }
+    println!("{table}");
+    Ok(())
+}
+
+fn admission_row(name: &str, used: usize, step: &Step) -> Vec<String> {
+    let report = step.report();
+    let line = &report.services[0];
+    let cores: f64 = report.processes.iter().map(|p| p.processor_s).sum();
+    vec![
+        name.to_owned(),
+        used.to_string(),
+        format!("{:.1}", step.rate / CAPACITY),
+        format!("{:.0}", line.rate),
+        line.not_run.to_string(),
+        format!("{:.1}", line.p50_ms),
+        format!("{:.1}", line.p99_ms),
+        format!("{:.1}", line.refused_p99_ms),
+        format!("{:.2}", cores / report.elapsed_s),
+    ]
+}
--- a/standins/src/load/options.rs
+++ b/standins/src/load/options.rs
@@ -48,6 +48,10 @@
     /// A caller as NAME=WEIGHT; repeat it for several.
     #[arg(long = "caller", default_value = "caller-a=1")]
     pub callers: Vec<CallerShare>,
+    /// Sends the same `x-caller` for all callers, which leaves nothing to be fair about; the report
+    /// still tells them apart.
+    #[arg(long)]
+    pub same_caller: bool,
     /// Share of non-idempotent requests, from 0 to 1, in place of the mix's own.
     #[arg(long)]
     pub non_idempotent: Option<f64>,
