Name front daemons for targets that do not check grants

The controller row names the one daemon that holds the lease in place of a target. Another one is named once the lease has ended or been returned, and is granted it once the row is written, so a successor knows whom to fence. The table carries the fronts (additive field of RoutingTable and TableDelta). A controller that reaches none of the listed targets for 2 s releases its row to another daemon.

--- a/src/ownership/controller.rs
+++ b/src/ownership/controller.rs
@@ -7,6 +7,7 @@
 //! version, which renews the lease and orders the writes of a group in one line. So a write whose
 //! outcome is unknown is settled by the operation id in that row alone.
 
+mod fronting;
 mod granting;
 mod holding;
 mod moving;
@@ -46,7 +47,7 @@
         /// What became of it.
         outcome: CommitOutcome,
     },
-    /// Answer to [`Action::Grant`].
+    /// Answer to [`Action::Grant`] or [`Action::GrantFront`].
     Granted {
         /// The target.
         target: VmName,
@@ -86,6 +87,15 @@
         /// The request.
         request: GrantRequest,
     },
+    /// Send a grant for a target that does not check grants to its front daemon.
+    GrantFront {
+        /// The front daemon.
+        front: Link,
+        /// The target.
+        target: VmName,
+        /// The request.
+        request: GrantRequest,
+    },
     /// Ask a standby for hold mode.
     AskHold {
         /// The standby.
@@ -169,6 +179,11 @@
         self.seen.contains(target) && !self.facts.targets.contains_key(target)
     }
 
+    /// Whether the daemon is alive and not stopping.
+    fn is_live(&self, link: &Link) -> bool {
+        self.facts.members.contains(link) || (*link == self.me && !self.stopping)
+    }
+
     fn watch(&self, row: Option<&GroupRow>) -> Watch {
         let place = row.and_then(|row| row.standbys.iter().position(|s| *s == self.me));
         match place {
--- /dev/null
+++ b/src/ownership/controller/fronting.rs
@@ -0,0 +1,83 @@
+//! The controller while it holds the lease: front daemons of targets that do not check grants.
+//!
+//! A target's lease is granted to the one front daemon that the controller row names. Another one
+//! is named only once the lease of the former has ended or been returned, and is granted the lease
+//! only once the row is written; so a successor knows whom it has to fence.
+
+use super::{Common, holding::Holding};
+use crate::{
+    collections::Map,
+    ownership::granter::TargetLease,
+    world::{Link, VmName},
+};
+
+impl Holding {
+    /// Names fronts for listed targets that have none or whose front is lost or stopping.
+    pub(super) fn advance_fronts(&mut self, cx: &mut Common) {
+        if cx.facts.checks_grants || self.hold.is_begun() {
+            return;
+        }
+        let vacant: Vec<VmName> = cx
+            .facts
+            .targets
+            .keys()
+            .filter(|name| match self.fronts.get(*name) {
+                None => true,
+                Some(front) => self.is_unfit(name, front, cx) && self.is_returned(name, cx),
+            })
+            .cloned()
+            .collect();
+        for name in vacant {
+            let front = self.choose_front(&name, cx);
+            if self.fronts.get(&name) == Some(&front) {
+                continue;
+            }
+            if let Some(lease) = self.targets.get_mut(&name) {
+                lease.replace_holder();
+            }
+            cx.info(format_args!(
+                "Front daemon chosen. target={name} front={}",
+                front.name
+            ));
+            self.fronts.insert(name, front);
+        }
+    }
+
+    /// Whether fronts wait to be written.
+    pub(super) fn has_new_fronts(&self) -> bool {
+        !self
+            .fronts
+            .iter()
+            .eq(self.row.fronts.iter().map(|(t, f)| (t, f)))
+    }
+
+    fn is_unfit(&self, target: &VmName, front: &Link, cx: &Common) -> bool {
+        let silent = |lease: &TargetLease| lease.is_failing() && !lease.is_reachable(cx.now);
+        !cx.is_live(front) || self.targets.get(target).is_some_and(silent)
+    }
+
+    fn is_returned(&self, target: &VmName, cx: &Common) -> bool {
+        self.targets
+            .get(target)
+            .is_none_or(|lease| lease.ends() <= cx.now || lease.is_returned(cx.now))
+    }
+
+    /// The live daemon with the fewest targets, one in the target's zone if possible, and another
+    /// one than now if possible.
+    fn choose_front(&self, target: &VmName, cx: &Common) -> Link {
+        let mut loads: Map<&VmName, usize> = Map::default();
+        for front in self.fronts.values() {
+            *loads.entry(&front.name).or_default() += 1;
+        }
+        let zone = cx.facts.targets.get(target).map(|facts| &facts.zone);
+        let live = cx.facts.members.iter().chain([&cx.me]);
+        let present = self.fronts.get(target);
+        live.min_by_key(|link| {
+            let load = loads.get(&link.name).copied().unwrap_or_default();
+            let same = present == Some(*link);
+            (same, Some(&link.zone) != zone, load, &link.name)
+        })
+        .unwrap_or(&cx.me)
+        .clone()
+    }
+}
--- a/src/ownership/controller/granting.rs
+++ b/src/ownership/controller/granting.rs
@@ -4,14 +4,16 @@
 use crate::{
     clock::Millis,
     ownership::{
+        facts::Facts,
         granter::{GrantSet, Learnt, TargetLease},
+        row::GroupRow,
         timing::HOLD_AFTER,
     },
     partition::Partition,
     target_api::GrantReply,
     world::{Link, VmName},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 impl Holding {
     /// Keeps an entry for every listed target.
@@ -20,7 +22,11 @@
             if !self.targets.contains_key(name) {
                 self.targets.insert(name.clone(), TargetLease::default());
             }
-            if let Some(lease) = self.targets.get_mut(name) {
+            if let Some(lease) = self
+                .targets
+                .get_mut(name)
+                .filter(|_| cx.facts.checks_grants)
+            {
                 lease.at_address(facts.addr);
             }
         }
@@ -71,12 +77,16 @@
         self.refresh_sets();
         let hold_length = self.hold_length();
         let hold = self.hold.is_active().then_some(Millis(hold_length));
-        let empty = GrantSet::default();
+        let empty = GrantSet::new(Vec::new());
         for (name, lease) in &mut self.targets {
-            let Some(facts) = cx.facts.targets.get(name) else {
+            let Some(receiver) = receiver(name, &self.row, &self.fronts, &cx.facts) else {
                 continue;
             };
-            let set = self.sets.get(name).unwrap_or(&empty);
+            let set = match receiver {
+                // A front that is to be replaced has to return the lease first.
+                Receiver::Front(front) if !cx.is_live(front) && hold.is_none() => &empty,
+                _ => self.sets.get(name).unwrap_or(&empty),
+            };
             let due = match hold {
                 Some(_) => !set.is_empty() && lease.is_hold_due(cx.now),
                 None => lease.is_due(set, cx.now),
@@ -88,10 +98,18 @@
             if hold.is_some() {
                 self.hold_lengths.insert(name.clone(), hold_length);
             }
-            cx.out.push(Action::Grant {
-                target: name.clone(),
-                addr: facts.addr,
-                request,
+            let target = name.clone();
+            cx.out.push(match receiver {
+                Receiver::Target(addr) => Action::Grant {
+                    target,
+                    addr,
+                    request,
+                },
+                Receiver::Front(front) => Action::GrantFront {
+                    front: front.clone(),
+                    target,
+                    request,
+                },
             });
         }
     }
@@ -106,7 +124,14 @@
         let Some(lease) = self.targets.get_mut(target) else {
             return;
         };
-        let learnt = lease.answer(sequence, self.row.epoch, reply.as_ref(), cx.now);
+        let checks_grants = cx.facts.checks_grants;
+        let learnt = lease.answer(
+            sequence,
+            self.row.epoch,
+            reply.as_ref(),
+            checks_grants,
+            cx.now,
+        );
         if !lease.is_held() {
             self.hold_lengths.remove(target);
         }
@@ -125,6 +150,7 @@
                 return;
             }
         }
+        self.last_contact = cx.now;
         if let Some(reply) = reply {
             self.heat.add(&reply.heat);
         }
@@ -151,3 +177,25 @@
             .collect();
     }
 }
+
+/// Who is granted the lease of a target.
+#[derive(Clone, Copy)]
+enum Receiver<'a> {
+    Target(SocketAddr),
+    Front(&'a Link),
+}
+
+/// The receiver of the lease of `target`; `None` if it is not listed or its front is not settled.
+fn receiver<'a>(
+    target: &VmName,
+    row: &'a GroupRow,
+    fronts: &BTreeMap<VmName, Link>,
+    facts: &Facts,
+) -> Option<Receiver<'a>> {
+    let listed = facts.targets.get(target);
+    if facts.checks_grants {
+        return listed.map(|facts| Receiver::Target(facts.addr));
+    }
+    let (_, front) = row.fronts.iter().find(|(name, _)| name == target)?;
+    (fronts.get(target) == Some(front)).then_some(Receiver::Front(front))
+}
--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -13,14 +13,14 @@
         row::{GroupRow, OutstandingHold, to_json},
         term::{Attempt, Settled, Writes},
         timing::{
-            COMMIT_PATIENCE, CONTROLLER_LEASE, CONTROLLER_RENEWAL, TARGET_LEASE, WRITE_INTERVAL,
-            WRITE_RETRY, latest_end,
+            COMMIT_PATIENCE, CONTROLLER_LEASE, CONTROLLER_RENEWAL, ISOLATED_AFTER,
+            ISOLATION_PENALTY, TARGET_LEASE, WRITE_INTERVAL, WRITE_RETRY, latest_end,
         },
     },
     partition::Partition,
     store::Transaction,
     table::{RoutingTable, TableVersion},
-    world::VmName,
+    world::{Link, VmName},
 };
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -49,6 +49,12 @@
     pub budget: MoveBudget,
     pub hold: HoldMode,
     pub taken_over: Millis,
+    /// Fronts that the next write names; they may be used once the row confirms them.
+    pub fronts: BTreeMap<VmName, Link>,
+    /// When a target last answered.
+    pub last_contact: Millis,
+    /// Gives the lease away because no target can be reached.
+    isolated: bool,
     first_epoch: u64,
     last_write: Millis,
     revision: u64,
@@ -80,7 +86,6 @@
         ));
         let mut holding = Self {
             first_epoch: attempt.row.epoch,
-            row: attempt.row,
             writes: Writes::new(version),
             lease_ends: sent + CONTROLLER_LEASE,
             confirmed: sent,
@@ -90,12 +95,16 @@
             sets: Map::default(),
             sets_changed: true,
             moves: BTreeMap::new(),
+            fronts: attempt.row.fronts.iter().cloned().collect(),
+            last_contact: cx.now,
+            isolated: false,
             candidates: Vec::new(),
             next_placement: Millis::ZERO,
             heat: Heat::new(cx.partitions, cx.now),
             budget: MoveBudget::new(cx.now),
             hold: HoldMode::default(),
             taken_over: cx.now,
+            row: attempt.row,
             last_write: sent,
             revision: 0,
             loading: false,
@@ -105,6 +114,29 @@
         holding
     }
 
+    /// Whether the row is being released, so that nothing is granted any more.
+    pub fn is_releasing(&self, cx: &Common) -> bool {
+        cx.stopping || self.isolated
+    }
+
+    /// Gives the lease away if targets are listed, but none answers: another daemon may reach them.
+    fn check_isolation(&mut self, cx: &mut Common) {
+        let alone = self.row.standbys.is_empty() || cx.facts.targets.is_empty();
+        if self.isolated
+            || alone
+            || self.hold.is_begun()
+            || !self.is_valid(cx.now)
+            || cx.now < self.last_contact + ISOLATED_AFTER
+        {
+            return;
+        }
+        self.isolated = true;
+        cx.log(
+            log::Level::Warn,
+            format_args!("No target answers. epoch={}", self.row.epoch),
+        );
+    }
+
     /// Whether the lease is in force at `now`.
     pub fn is_valid(&self, now: Millis) -> bool {
         now < self.lease_ends
@@ -165,8 +197,10 @@
 
     pub fn advance(&mut self, cx: &mut Common) {
         // A planned stop grants nothing any more, so that a successor need not wait.
-        if self.is_valid(cx.now) && !cx.stopping {
+        self.check_isolation(cx);
+        if self.is_valid(cx.now) && !self.is_releasing(cx) {
             self.sync_targets(cx);
+            self.advance_fronts(cx);
             self.advance_hold(cx);
             self.advance_moves(cx);
             self.send_grants(cx);
@@ -227,6 +261,7 @@
             None => self.assignments.forget_versions(changes),
         }
         let ended_hold = row.epoch > self.row.epoch;
+        let new_fronts = row.fronts != self.row.fronts;
         self.row = row;
         if ended_hold {
             self.hold = HoldMode::default();
@@ -236,7 +271,7 @@
         if !changes.is_empty() {
             self.moved(changes, cx);
         }
-        if ended_hold || !changes.is_empty() {
+        if ended_hold || new_fronts || !changes.is_empty() {
             self.publish(cx);
         }
         if !self.row.released {
@@ -244,7 +279,8 @@
         }
         cx.info(format_args!("Released. epoch={}", self.row.epoch));
         let version = self.writes.version();
-        let observing = Observing::with_row(version, self.row.clone(), cx.now);
+        let retry_at = cx.now + ISOLATION_PENALTY;
+        let observing = Observing::after_release(version, self.row.clone(), cx.now, retry_at);
         Some(Role::Observing(Box::new(observing)))
     }
 
@@ -257,6 +293,7 @@
                 revision: self.revision,
             },
             owners: self.assignments.owners().to_vec(),
+            fronts: self.row.fronts.clone(),
         }));
     }
 
@@ -265,7 +302,10 @@
             return;
         }
         let changes = self.changes_to_write(cx);
-        let urgent = !changes.is_empty() || cx.stopping || self.hold.is_begun();
+        let urgent = !changes.is_empty()
+            || self.is_releasing(cx)
+            || self.hold.is_begun()
+            || self.has_new_fronts();
         let interval = match (urgent, self.writes.attempts().is_empty()) {
             (true, true) => WRITE_INTERVAL,
             (true, false) => WRITE_RETRY,
@@ -280,7 +320,7 @@
         let unsettled = self.writes.attempts().iter();
         let with_moves = unsettled.filter(|a| !a.changes.is_empty()).count();
         if !self.is_valid(cx.now)
-            || cx.stopping
+            || self.is_releasing(cx)
             || self.hold.is_begun()
             || !self.assignments.is_writable()
             || with_moves >= MAX_UNSETTLED_MOVES
@@ -332,7 +372,8 @@
             standbys,
             hold_ms,
             outstanding: self.outstanding(cx),
-            released: cx.stopping,
+            fronts: self.fronts.clone().into_iter().collect(),
+            released: self.is_releasing(cx),
             operation: Arc::clone(operation),
         }
     }
@@ -340,7 +381,7 @@
     /// Targets that may hold a long lease when a write sent now takes effect. Once hold mode has
     /// begun, that may be any: it may be entered before the outcome of this write is known.
     fn outstanding(&self, cx: &Common) -> Vec<OutstandingHold> {
-        let any = self.hold.is_begun() && !cx.stopping;
+        let any = self.hold.is_begun() && !self.is_releasing(cx);
         let owners = self.assignments.targets();
         self.targets
             .iter()
--- a/src/ownership/controller/moving.rs
+++ b/src/ownership/controller/moving.rs
@@ -5,6 +5,7 @@
     collections::Set,
     ownership::{
         assignments::Change,
+        granter::TargetLease,
         placement::{self, Candidate, MoveReason, PlacementInput, PlannedMove, TargetState},
         timing::{MAX_MOVES, PLACEMENT_INTERVAL, SETTLE},
     },
@@ -57,9 +58,11 @@
                 || match mv.from.as_ref().and_then(|from| self.targets.get(from)) {
                     None => true,
                     Some(lease) => {
-                        let gone = mv.from.as_ref().is_some_and(|from| cx.is_gone(from));
+                        // A front may still send requests to a target that is gone.
+                        let gone = cx.facts.checks_grants
+                            && mv.from.as_ref().is_some_and(|from| cx.is_gone(from));
                         lease.ends() <= cx.now
-                            || lease.has_fenced(partition, mv.fence_after)
+                            || lease.has_fenced(partition, mv.fence_after, cx.now)
                             || gone && lease.is_failing()
                     }
                 };
@@ -88,19 +91,10 @@
             .iter()
             .map(|(name, lease)| {
                 let listed = cx.facts.targets.get(name);
-                let reachable = listed.is_some() && lease.is_reachable(cx.now);
-                let leaving = listed.is_some_and(|facts| facts.leaving) || lease.is_leaving();
-                let gone = cx.is_gone(name) && lease.is_failing();
-                let state = match reachable {
-                    true if leaving => TargetState::Leaving,
-                    true => TargetState::Usable,
-                    false if gone || lease.ends() <= cx.now => TargetState::Lost,
-                    false => TargetState::Suspect,
-                };
                 Candidate {
                     name: name.clone(),
                     zone: listed.map(|facts| facts.zone.clone()),
-                    state,
+                    state: state_of(name, lease, cx),
                 }
             })
             .collect()
@@ -198,3 +192,25 @@
         self.sets_changed |= self.moves.len() != before;
     }
 }
+
+fn state_of(name: &VmName, lease: &TargetLease, cx: &Common) -> TargetState {
+    let listed = cx.facts.targets.get(name);
+    let gone = cx.is_gone(name);
+    let leaving = listed.is_some_and(|facts| facts.leaving) || lease.is_leaving();
+    let answers = lease.is_reachable(cx.now);
+    if !cx.facts.checks_grants {
+        // Its front answers in place of it, and is replaced if it does not.
+        return match answers {
+            true if gone || leaving => TargetState::Leaving,
+            true => TargetState::Usable,
+            false if gone && lease.ends() <= cx.now => TargetState::Lost,
+            false => TargetState::Suspect,
+        };
+    }
+    match answers && listed.is_some() {
+        true if leaving => TargetState::Leaving,
+        true => TargetState::Usable,
+        false if gone && lease.is_failing() || lease.ends() <= cx.now => TargetState::Lost,
+        false => TargetState::Suspect,
+    }
+}
--- a/src/ownership/controller/observing.rs
+++ b/src/ownership/controller/observing.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Like [`with_row`](Self::with_row), but takes over nothing before `retry_at`.
+    pub fn after_release(version: u64, row: GroupRow, now: Millis, retry_at: Millis) -> Self {
+        Self {
+            retry_at,
+            ..Self::with_row(version, row, now)
+        }
+    }
+
     /// Whether this daemon may acknowledge hold mode under `epoch`.
     ///
     /// Once its own takeover may take effect, it may not: the takeover was written without
@@ -187,6 +195,7 @@
             standbys: cx.facts.choose_standbys(&cx.me, &[]),
             hold_ms: cx.facts.hold_ms,
             outstanding: inherited_holds(former, &assignments.targets(), cx),
+            fronts: former.map_or(Vec::new(), |row| row.fronts.clone()),
             released: false,
             operation: Arc::clone(&operation),
         };
--- a/src/ownership/driver/duties.rs
+++ b/src/ownership/driver/duties.rs
@@ -10,11 +10,11 @@
     },
     store::StoreError,
     target_api::{GRANTS_PATH, GrantReply, GrantRequest},
-    world::{GroupId, VmName},
+    world::{GroupId, Link, VmName},
 };
 use http::Method;
 use std::net::SocketAddr;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Starts the tasks and delivers what comes of them.
 pub(super) struct Duties {
@@ -47,6 +47,11 @@
                 addr,
                 request,
             } => self.grant(group, target, addr, request),
+            Action::GrantFront {
+                front,
+                target,
+                request,
+            } => self.grant_front(group, front, target, request),
             Action::AskHold { to, request } => {
                 let (tx, group) = (self.tx.clone(), group.clone());
                 let deliver = Box::new(move |reply| {
@@ -90,6 +95,25 @@
         });
     }
 
+    fn grant_front(&self, group: &GroupId, front: Link, target: VmName, request: GrantRequest) {
+        let (tx, rx) = oneshot::channel();
+        let (epoch, sequence) = (request.controller_epoch, request.sequence);
+        let deliver = Box::new(move |reply| {
+            // Fails only after the time limit.
+            let _ = tx.send(reply);
+        });
+        (self.context.send_grant)(front, target.clone(), request, deliver);
+        self.start(group, async move {
+            let reply = tokio::time::timeout(GRANT_TIMEOUT.into(), rx).await;
+            Event::Granted {
+                target,
+                epoch,
+                sequence,
+                reply: reply.ok().and_then(Result::ok).flatten(),
+            }
+        });
+    }
+
     fn grant(&self, group: &GroupId, target: VmName, addr: SocketAddr, request: GrantRequest) {
         let http = self.context.http.clone();
         self.start(group, async move {
--- a/src/ownership/facts.rs
+++ b/src/ownership/facts.rs
@@ -29,6 +29,8 @@
 pub struct Facts {
     /// Targets of the service that the platform lists.
     pub targets: Map<VmName, TargetFacts>,
+    /// Whether the targets check grants themselves.
+    pub checks_grants: bool,
     /// Other daemons that are alive and not stopping.
     pub members: Vec<Link>,
     /// Length of leases granted in hold mode, in milliseconds.
@@ -44,7 +46,10 @@
 impl Facts {
     /// The facts for `service` out of a snapshot; `None` without a configuration.
     pub fn from_snapshot(snapshot: &Snapshot, service: &ServiceName, quiet: bool) -> Option<Self> {
-        let preset = &snapshot.config.as_ref()?.preset;
+        let config = snapshot.config.as_ref()?;
+        let preset = &config.preset;
+        let contracts = &config.declaration.services;
+        let contract = contracts.iter().find(|c| c.name == *service)?;
         let targets = snapshot
             .targets
             .values()
@@ -66,6 +71,7 @@
             .collect();
         Some(Self {
             targets,
+            checks_grants: contract.checks_grants,
             members,
             hold_ms: preset.hold_ms,
             weights: preset.weights,
--- a/src/ownership/granter.rs
+++ b/src/ownership/granter.rs
@@ -70,6 +70,8 @@
     reading: Option<(u64, Millis)>,
     /// Bound on leases that are not in `sent`.
     inherited: Sent,
+    /// Until when requests of a former run of a front daemon may run.
+    lingering: Millis,
     /// Grants that the target may follow.
     sent: Vec<Sent>,
     /// Sequence numbers of requests that grant something and have no answer.
@@ -77,6 +79,8 @@
     sequence: u64,
     answered: u64,
     confirmed: u64,
+    /// Latest request that grants partitions.
+    last_filled: u64,
     set_id: Option<u64>,
     /// Set and time of the latest request that grants something.
     last_grant: Option<(u64, Millis)>,
@@ -112,7 +116,7 @@
         self.sent
             .iter()
             .map(|sent| sent.ends)
-            .fold(self.inherited.ends, Millis::max)
+            .fold(self.inherited.ends.max(self.lingering), Millis::max)
     }
 
     /// Whether the target may hold a long lease.
@@ -137,8 +141,25 @@
 
     /// Whether the target has confirmed a set sent after request `sequence` and has ended the
     /// requests of `partition`, which no such set contains.
-    pub fn has_fenced(&self, partition: Partition, sequence: u64) -> bool {
-        self.confirmed > sequence && !self.draining.contains(&partition)
+    pub fn has_fenced(&self, partition: Partition, sequence: u64, now: Millis) -> bool {
+        let ended = now >= self.lingering && !self.draining.contains(&partition);
+        self.confirmed > sequence && ended
+    }
+
+    /// Whether the holder has confirmed the empty set and has ended all requests, and was granted
+    /// nothing since.
+    pub fn is_returned(&self, now: Millis) -> bool {
+        let ended = now >= self.lingering && self.draining.is_empty();
+        self.confirmed > self.last_filled && ended
+    }
+
+    /// Forgets the holder, whose lease has ended or been returned; another one is granted it.
+    pub fn replace_holder(&mut self) {
+        *self = Self {
+            sequence: self.sequence,
+            answered: self.sequence,
+            ..Self::default()
+        };
     }
 
     /// Sets the address. Another address is another machine under the same name: an answer from
@@ -226,6 +247,9 @@
         }
         self.last_grant = Some((set.id, now));
         self.granting.push(self.sequence);
+        if !set.is_empty() {
+            self.last_filled = self.sequence;
+        }
         // Leases that have ended can be forgotten even if the target follows them.
         self.sent.retain(|sent| sent.ends > now);
         self.sent.push(Sent {
@@ -237,11 +261,15 @@
     }
 
     /// Takes the answer to request `sequence` under `epoch`, or `None` if there was none.
+    ///
+    /// `ends_with_run` says whether the end of the holder's run ends its lease. Requests that a
+    /// front daemon has sent may outlive the daemon, so they have to be waited for.
     pub fn answer(
         &mut self,
         sequence: u64,
         epoch: u64,
         reply: Option<&GrantReply>,
+        ends_with_run: bool,
         now: Millis,
     ) -> Learnt {
         if self.in_flight == Some(sequence) {
@@ -259,7 +287,11 @@
         }
         let restarted = self.incarnation.is_some_and(|i| i != reply.incarnation);
         if restarted {
-            self.forget_run();
+            let lingering = match ends_with_run {
+                true => Millis::ZERO,
+                false => self.ends(),
+            };
+            self.forget_run(lingering);
         } else if reply.accepted {
             self.accepted(sequence, reply, now);
         }
@@ -295,14 +327,15 @@
         self.sent.retain(|sent| sent.sequence >= sequence);
     }
 
-    /// The run that was granted to is gone, and its leases with it.
-    fn forget_run(&mut self) {
+    /// The run that was granted to is gone; its requests end by `lingering`.
+    fn forget_run(&mut self, lingering: Millis) {
         *self = Self {
             addr: self.addr,
             sequence: self.sequence,
             answered: self.answered,
             in_flight: self.in_flight,
             last_sent: self.last_sent,
+            lingering,
             ..Self::default()
         };
     }
--- a/src/ownership/row.rs
+++ b/src/ownership/row.rs
@@ -22,6 +22,10 @@
     pub hold_ms: u64,
     /// Targets that may hold a long lease.
     pub outstanding: Vec<OutstandingHold>,
+    /// Targets that do not check grants, in order of name, and the daemons that hold the leases in
+    /// place of them. Nobody else is granted a lease for them.
+    #[serde(default)]
+    pub fronts: Vec<(VmName, Link)>,
     /// The holder has stopped and waits for no lease to end.
     pub released: bool,
     /// Identifies the write, to settle one whose answer was lost.
--- a/src/ownership/timing.rs
+++ b/src/ownership/timing.rs
@@ -54,6 +54,11 @@
 /// Time between repeated hold requests to a standby that has not answered.
 pub const HOLD_RETRY: Millis = Millis(100);
 
+/// Time without an answer of any target after which a controller gives its lease to another daemon.
+pub const ISOLATED_AFTER: Millis = Millis(2_000);
+/// Time for which such a daemon takes over no group.
+pub const ISOLATION_PENALTY: Millis = Millis(3_000);
+
 /// Time between rounds of placement.
 pub const PLACEMENT_INTERVAL: Millis = Millis(500);
 /// Longest wait after a takeover for listed targets to answer before partitions are placed.
--- a/src/table.rs
+++ b/src/table.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     partition::Partition,
-    world::{GroupId, VmName},
+    world::{GroupId, Link, VmName},
 };
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +35,10 @@
     pub version: TableVersion,
     /// One entry for each partition; `None` while it was never assigned.
     pub owners: Vec<Option<Owner>>,
+    /// Targets that do not check grants, in order of name, and the daemon that holds the lease in
+    /// place of each; empty for a service whose targets check grants.
+    #[serde(default)]
+    pub fronts: Vec<(VmName, Link)>,
 }
 
 impl RoutingTable {
@@ -44,6 +48,7 @@
             group,
             version: TableVersion::default(),
             owners: vec![None; partitions as usize],
+            fronts: Vec::new(),
         }
     }
 
@@ -52,6 +57,12 @@
         self.owners.get(partition.0 as usize)?.as_ref()
     }
 
+    /// The daemon that holds the lease in place of `target`, if the target does not check grants.
+    pub fn front(&self, target: &VmName) -> Option<&Link> {
+        let found = self.fronts.binary_search_by(|(name, _)| name.cmp(target));
+        found.ok().map(|i| &self.fronts[i].1)
+    }
+
     /// The changes that turn `older` into this table.
     pub fn changes_since(&self, older: &Self) -> TableDelta {
         let changes = self
@@ -66,6 +77,7 @@
             from: older.version,
             to: self.version,
             changes,
+            fronts: (self.fronts != older.fronts).then(|| self.fronts.clone()),
         }
     }
 
@@ -79,6 +91,9 @@
                 *entry = owner.clone();
             }
         }
+        if let Some(fronts) = &delta.fronts {
+            self.fronts.clone_from(fronts);
+        }
         self.version = delta.to;
         true
     }
@@ -95,4 +110,7 @@
     pub to: TableVersion,
     /// The changed entries.
     pub changes: Vec<(Partition, Option<Owner>)>,
+    /// All fronts, if they changed.
+    #[serde(default)]
+    pub fronts: Option<Vec<(VmName, Link)>>,
 }
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -108,6 +108,51 @@
     assert_sound(&world);
 }
 
+/// Guards against partitions that stay unserved when a daemon that holds leases in place of
+/// targets is lost or stops, and against moves because of that.
+#[test_case(Fault::CrashDaemon, 3_000; "front lost")]
+#[test_case(Fault::PauseDaemon, 3_000; "front paused")]
+#[test_case(Fault::StopDaemon, 1_500; "front stopped")]
+fn front_is_replaced(fault: fn(usize) -> Fault, limit: u64) {
+    for i in 0..DAEMONS {
+        let mut world = World::fronted(1, Noise::NONE);
+        let took = world.run_until(5_000, World::is_served);
+        assert!(took.is_some(), "not served after the start");
+        world.run(1_000);
+        let moves = world.moves;
+        world.plan(fault(i), 0, 20_000);
+        world.run(limit);
+        assert!(
+            world.is_served(),
+            "served {} of {PARTITIONS}",
+            world.served()
+        );
+        world.run(25_000);
+        assert!(world.is_served());
+        assert_eq!(world.moves, moves);
+        assert_sound(&world);
+    }
+}
+
+/// Guards against a controller that keeps its lease although it can reach no target.
+#[test]
+fn isolated_controller_is_succeeded() {
+    let mut world = started();
+    let holder = world.holder().expect("there is a holder");
+    for t in 0..TARGETS {
+        world.plan(Fault::CutGrants(holder, t), 0, 60_000);
+    }
+    world.run(4_000);
+    assert!(
+        world.is_served(),
+        "served {} of {PARTITIONS}",
+        world.served()
+    );
+    world.run(20_000);
+    assert!(world.is_served());
+    assert_sound(&world);
+}
+
 /// Guards against a grant that was delayed on its way and starts a lease when it arrives.
 #[test_case(1_400)]
 #[test_case(3_000)]
@@ -187,6 +232,7 @@
         standbys: vec![me],
         hold_ms: 1_000,
         outstanding: Vec::new(),
+        fronts: Vec::new(),
         released: false,
         operation: "1-1".into(),
     };
@@ -244,8 +290,16 @@
     /// Guards against two owners at one time, lost assignments and ownership epochs that go back,
     /// under any order of faults and messages.
     #[test]
-    fn ownership_is_exclusive(seed: u64, noise in noise(), faults in faults()) {
-        let mut world = World::new(seed, noise);
+    fn ownership_is_exclusive(
+        seed: u64,
+        fronted: bool,
+        noise in noise(),
+        faults in faults(),
+    ) {
+        let mut world = match fronted {
+            true => World::fronted(seed, noise),
+            false => World::new(seed, noise),
+        };
         for (fault, at, length) in faults {
             world.plan(fault, at, length);
         }
@@ -255,8 +309,11 @@
 
     /// Guards against a state from which the group never recovers once all faults have ended.
     #[test]
-    fn group_recovers_after_faults(seed: u64, faults in faults()) {
-        let mut world = World::new(seed, Noise::NONE);
+    fn group_recovers_after_faults(seed: u64, fronted: bool, faults in faults()) {
+        let mut world = match fronted {
+            true => World::fronted(seed, Noise::NONE),
+            false => World::new(seed, Noise::NONE),
+        };
         for (fault, at, length) in faults {
             world.plan(fault, at, length);
         }
--- a/tests/support/ownership_world.rs
+++ b/tests/support/ownership_world.rs
@@ -78,13 +78,20 @@
     Commit(usize, u64, Arc<str>, Transaction),
     ReadRow(usize, u64),
     ReadAll(usize, u64),
-    Grant(usize, u64, VmName, GrantRequest),
+    Grant(usize, u64, Receiver, GrantRequest),
     Hold(usize, u64, usize, HoldRequest),
     Begin(Fault),
     End(Fault),
     List,
 }
 
+/// Who takes the grant for a target: the target itself, or a daemon in place of it.
+#[derive(Clone)]
+struct Receiver {
+    target: VmName,
+    front: Option<usize>,
+}
+
 struct Clock {
     offset: u64,
     /// Rate in thousandths.
@@ -102,6 +109,8 @@
     clock: Clock,
     controller: Controller,
     run: u64,
+    /// Leases held in place of targets.
+    fronts: BTreeMap<VmName, LeaseHolder>,
 }
 
 struct Target {
@@ -120,6 +129,8 @@
     daemons: Vec<Daemon>,
     targets: Vec<Target>,
     rows: Map<Arc<str>, Vec<Row>>,
+    /// Whether daemons hold the leases in place of the targets.
+    fronted: bool,
     active: BTreeSet<Fault>,
     listed: BTreeSet<usize>,
     runs: u64,
@@ -149,6 +160,7 @@
             daemons: Vec::new(),
             targets: Vec::new(),
             rows: Map::default(),
+            fronted: false,
             active: BTreeSet::new(),
             listed: (0..TARGETS).collect(),
             runs: 0,
@@ -173,6 +185,14 @@
         world
     }
 
+    /// A world whose targets do not check grants.
+    pub fn fronted(seed: u64, noise: Noise) -> Self {
+        Self {
+            fronted: true,
+            ..Self::new(seed, noise)
+        }
+    }
+
     /// Plans a fault from `at` (after the start) for `length`.
     pub fn plan(&mut self, fault: Fault, at: u64, length: u64) {
         self.push(at, What::Begin(fault));
@@ -229,6 +249,15 @@
                 found.push((target.name.clone(), epoch));
             }
         }
+        for (i, daemon) in self.daemons.iter().enumerate() {
+            let now = daemon.clock.at(self.now);
+            let alive = !self.active.contains(&Fault::CrashDaemon(i));
+            for (name, holder) in daemon.fronts.iter().filter(|_| alive) {
+                let epoch = holder.owned().get(&p);
+                let admitted = |e: &&u64| holder.admit(p, **e, now).is_ok();
+                found.extend(epoch.filter(admitted).map(|&e| (name.clone(), e)));
+            }
+        }
         found
     }
 
@@ -287,6 +316,7 @@
             clock: self.new_clock(),
             controller,
             run: incarnation.0,
+            fronts: BTreeMap::new(),
             link,
         }
     }
@@ -355,7 +385,7 @@
                 let delay = self.delay();
                 self.push(delay, What::Deliver(i, run, event));
             }
-            What::Grant(i, run, name, request) => self.grant(i, run, &name, &request),
+            What::Grant(i, run, to, request) => self.grant(i, run, to, request),
             What::Hold(i, run, to, request) => self.hold(i, run, to, &request),
             What::Begin(fault) => self.begin(fault),
             What::End(fault) => self.end(fault),
@@ -398,7 +428,19 @@
             } => self.send_commit(i, run, operation, transaction),
             Action::Grant {
                 target, request, ..
-            } => self.send_grant(i, run, target, request),
+            } => {
+                let front = None;
+                self.send_grant(i, run, Receiver { target, front }, request);
+            }
+            Action::GrantFront {
+                front,
+                target,
+                request,
+            } => {
+                let found = self.daemons.iter().position(|d| d.link.name == front.name);
+                let front = Some(found.expect("the front is a daemon"));
+                self.send_grant(i, run, Receiver { target, front }, request);
+            }
             Action::AskHold { to, request } => {
                 let to = self.daemons.iter().position(|d| d.link.name == to.name);
                 if let Some(to) = to.filter(|_| !self.loses()) {
@@ -546,9 +588,9 @@
         self.violations.push(format!("at {}: {text}", self.now));
     }
 
-    fn send_grant(&mut self, i: usize, run: u64, target: VmName, request: GrantRequest) {
+    fn send_grant(&mut self, i: usize, run: u64, to: Receiver, request: GrantRequest) {
         let none = Event::Granted {
-            target: target.clone(),
+            target: to.target.clone(),
             epoch: request.controller_epoch,
             sequence: request.sequence,
             reply: None,
@@ -559,54 +601,94 @@
         }
         for _ in 0..self.copies() {
             let delay = self.delay();
-            self.push(delay, What::Grant(i, run, target.clone(), request.clone()));
+            self.push(delay, What::Grant(i, run, to.clone(), request.clone()));
         }
     }
 
-    fn grant(&mut self, i: usize, run: u64, name: &VmName, request: &GrantRequest) {
-        let Some(t) = self.targets.iter().position(|t| t.name == *name) else {
-            return;
-        };
-        if self.is(Fault::CrashTarget(t)) || self.is(Fault::CutGrants(i, t)) {
+    fn grant(&mut self, i: usize, run: u64, to: Receiver, request: GrantRequest) {
+        if self.is_grant_lost(i, &to, &request) {
             return;
         }
-        if self.is(Fault::DelayGrants(t)) && request.incarnation.is_none() {
+        if self.is_grant_late(&to) {
+            // A frozen receiver takes what has reached it when it returns.
+            self.push(10, What::Grant(i, run, to, request));
             return;
         }
-        if self.is(Fault::PauseTarget(t)) || self.is(Fault::DelayGrants(t)) {
-            // A frozen target takes what has reached it when it returns.
-            self.push(10, What::Grant(i, run, name.clone(), request.clone()));
-            return;
-        }
-        let target = &mut self.targets[t];
-        let reply = target.holder.grant(request, target.clock.at(self.now));
-        if let Some(trace) = &mut self.trace {
-            trace.push(format!(
-                "{} {name} from entry-{i} {request:?} -> {reply:?}",
-                self.now
-            ));
-        }
-        self.check_exclusive(&reply, t);
-        if !self.loses() && !self.is(Fault::CutGrants(i, t)) {
+        let epoch = request.controller_epoch;
+        let sequence = request.sequence;
+        let reply = self.take_grant(&to, &request);
+        self.check_exclusive(&reply);
+        if !self.loses() && !self.is_grant_lost(i, &to, &request) {
             let delay = self.delay();
             let event = Event::Granted {
-                target: name.clone(),
-                epoch: request.controller_epoch,
-                sequence: request.sequence,
+                target: to.target,
+                epoch,
+                sequence,
                 reply: Some(reply),
             };
             self.push(delay, What::Deliver(i, run, event));
         }
     }
 
-    fn check_exclusive(&mut self, reply: &GrantReply, t: usize) {
+    fn is_grant_lost(&self, i: usize, to: &Receiver, request: &GrantRequest) -> bool {
+        if let Some(front) = to.front {
+            let cut = self.is(Fault::CutDaemons(i)) || self.is(Fault::CutDaemons(front));
+            return self.is(Fault::CrashDaemon(front)) || (cut && front != i);
+        }
+        let t = self.index_of(&to.target);
+        self.is(Fault::CrashTarget(t))
+            || self.is(Fault::CutGrants(i, t))
+            || (self.is(Fault::DelayGrants(t)) && request.incarnation.is_none())
+    }
+
+    fn is_grant_late(&self, to: &Receiver) -> bool {
+        match to.front {
+            Some(front) => self.is(Fault::PauseDaemon(front)),
+            None => {
+                let t = self.index_of(&to.target);
+                self.is(Fault::PauseTarget(t)) || self.is(Fault::DelayGrants(t))
+            }
+        }
+    }
+
+    fn take_grant(&mut self, to: &Receiver, request: &GrantRequest) -> GrantReply {
+        let reply = match to.front {
+            Some(front) => {
+                let daemon = &mut self.daemons[front];
+                let now = daemon.clock.at(self.now);
+                let new = || LeaseHolder::new(daemon.link.incarnation);
+                let holder = daemon.fronts.entry(to.target.clone()).or_insert_with(new);
+                holder.grant(request, now)
+            }
+            None => {
+                let t = self.index_of(&to.target);
+                let target = &mut self.targets[t];
+                let now = target.clock.at(self.now);
+                target.holder.grant(request, now)
+            }
+        };
+        if let Some(trace) = &mut self.trace {
+            let (name, now) = (&to.target, self.now);
+            trace.push(format!(
+                "{now} {name} {:?} {request:?} -> {reply:?}",
+                to.front
+            ));
+        }
+        reply
+    }
+
+    fn index_of(&self, target: &VmName) -> usize {
+        let found = self.targets.iter().position(|t| t.name == *target);
+        found.expect("the target exists")
+    }
+
+    fn check_exclusive(&mut self, reply: &GrantReply) {
         if !reply.accepted {
             return;
         }
         for p in 0..PARTITIONS {
             let admitting = self.admitting(p);
-            let here = admitting.iter().any(|(n, _)| *n == self.targets[t].name);
-            if here && admitting.len() > 1 {
+            if admitting.len() > 1 {
                 self.violate(format!("partition {p} is admitted by {admitting:?}"));
             }
         }
@@ -666,6 +748,7 @@
             .collect();
         let facts = Facts {
             targets,
+            checks_grants: !self.fronted,
             members,
             hold_ms: HOLD_MS,
             weights: Weights::default(),
--- a/tests/term.rs
+++ b/tests/term.rs
@@ -30,6 +30,7 @@
         standbys: Vec::new(),
         hold_ms: 1_000,
         outstanding: Vec::new(),
+        fronts: Vec::new(),
         released: false,
         operation: operation.into(),
     }
