Add conditional configuration changes, audit records and full declaration checks

Failed try: a test waited for a number of row reads that never came and hung for ten minutes; it now waits for the delayed transaction with a time limit.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,12 @@
 //! The configuration in force.
 
+pub mod change;
+pub mod plan;
 pub mod reader;
 
+pub use change::{ChangeOutcome, Changer};
+pub use plan::{Change, ChangeRequest};
+
 use crate::{
     collections::Set,
     declaration::{Declaration, DeclarationError, Preset},
--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -1,5 +1,11 @@
 //! Declarations: the services and presets that operators keep in version control.
 
+pub mod check;
+pub mod difference;
+
+pub use check::Problem;
+pub use difference::{FieldChange, difference};
+
 use crate::world::Contract;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -27,18 +33,27 @@
     /// It names a preset that it does not declare.
     #[error("preset \"{0}\" is not declared")]
     UnknownPreset(Arc<str>),
+    /// It has values that are not allowed.
+    #[error("the declaration has values that are not allowed:{}", lines(.0))]
+    Invalid(Vec<Problem>),
+}
+
+fn lines(problems: &[Problem]) -> String {
+    problems.iter().map(|p| format!("\n  {p}")).collect()
 }
 
 impl Declaration {
     /// Parses and checks TOML text.
     ///
     /// # Errors
-    /// [`DeclarationError`] for the first problem found.
+    /// [`DeclarationError::Syntax`] for text that cannot be read, else
+    /// [`DeclarationError::Invalid`] with all problems.
     pub fn parse(text: &str) -> Result<Self, DeclarationError> {
         let declaration: Self =
             toml::from_str(text).map_err(|e| DeclarationError::Syntax(e.to_string()))?;
-        if declaration.preset(&declaration.initial_preset).is_none() {
-            return Err(DeclarationError::UnknownPreset(declaration.initial_preset));
+        let problems = check::problems(&declaration);
+        if !problems.is_empty() {
+            return Err(DeclarationError::Invalid(problems));
         }
         Ok(declaration)
     }
--- /dev/null
+++ b/src/declaration/difference.rs
@@ -0,0 +1,122 @@
+//! The difference between two declarations, and which differences are not allowed.
+
+use super::Declaration;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display},
+    sync::Arc,
+};
+
+/// A field that differs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FieldChange {
+    /// The field, for example `services.rounds.slots`.
+    pub field: Arc<str>,
+    /// Its former value; `None` if it was not there.
+    pub from: Option<Value>,
+    /// Its new value; `None` if it is not there any more.
+    pub to: Option<Value>,
+}
+
+impl Display for FieldChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.from, &self.to) {
+            (Some(from), Some(to)) => write!(f, "{}: {from} -> {to}", self.field),
+            (None, Some(to)) => write!(f, "{}: added with {to}", self.field),
+            (Some(from), None) => write!(f, "{}: removed, was {from}", self.field),
+            (None, None) => f.write_str(&self.field),
+        }
+    }
+}
+
+/// The fields that differ, in order of name. Services and presets are matched by name, and
+/// defaults count as if they were written out.
+pub fn difference(from: Option<&Declaration>, to: &Declaration) -> Vec<FieldChange> {
+    let before = from.map(fields).unwrap_or_default();
+    let after = fields(to);
+    let names = before.keys().chain(after.keys());
+    let mut changes: Vec<FieldChange> = names
+        .filter(|name| before.get(*name) != after.get(*name))
+        .map(|name| FieldChange {
+            field: name.as_str().into(),
+            from: before.get(name).cloned(),
+            to: after.get(name).cloned(),
+        })
+        .collect();
+    changes.sort_by(|a, b| a.field.cmp(&b.field));
+    changes.dedup_by(|a, b| a.field == b.field);
+    changes
+}
+
+/// Why `to` must not replace `from` while the preset named `in_force` is in force.
+pub fn refusals(from: &Declaration, to: &Declaration, in_force: &str) -> Vec<String> {
+    let mut reasons = Vec::new();
+    for before in from.services.iter().filter(|service| service.keyed) {
+        let Some(after) = to.services.iter().find(|s| s.name == before.name) else {
+            continue;
+        };
+        if !after.keyed {
+            reasons.push(format!(
+                "services.{}.keyed cannot change to false: its keys have owners; declare the \
+                 service under another name",
+                before.name
+            ));
+        } else if after.partitions != before.partitions {
+            reasons.push(format!(
+                "services.{}.partitions cannot change from {} to {}: it would move every key; \
+                 declare the service under another name",
+                before.name, before.partitions, after.partitions
+            ));
+        }
+    }
+    if to.preset(in_force).is_none() {
+        reasons.push(format!(
+            "presets.{in_force} is in force and cannot be dropped; use another preset first"
+        ));
+    }
+    reasons
+}
+
+fn fields(declaration: &Declaration) -> BTreeMap<String, Value> {
+    let value = serde_json::to_value(declaration).expect("a declaration is valid JSON");
+    let mut fields = BTreeMap::new();
+    flatten(String::new(), value, &mut fields);
+    fields
+}
+
+fn flatten(path: String, value: Value, fields: &mut BTreeMap<String, Value>) {
+    match value {
+        Value::Object(object) => flatten_object(&path, object, fields),
+        Value::Array(entries)
+            if !entries.is_empty() && entries.iter().all(|e| name_of(e).is_some()) =>
+        {
+            for entry in entries {
+                let name = name_of(&entry).unwrap_or_default().to_owned();
+                flatten(join(&path, &name), entry, fields);
+            }
+        }
+        value => {
+            fields.insert(path, value);
+        }
+    }
+}
+
+fn flatten_object(path: &str, object: Map<String, Value>, fields: &mut BTreeMap<String, Value>) {
+    for (name, value) in object {
+        flatten(join(path, &name), value, fields);
+    }
+}
+
+fn name_of(entry: &Value) -> Option<&str> {
+    entry.get("name")?.as_str()
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions; threads around them do the I/O. `docs/design.md` describes the
 //! protocol and who owns which state.
 
+pub mod audit;
 pub mod clock;
 pub mod collections;
 pub mod config;
--- a/tests/support/fake_store.rs
+++ b/tests/support/fake_store.rs
@@ -117,6 +117,11 @@
         self.state().rows.get(name).cloned()
     }
 
+    /// Transactions that [`FakeStore::release`] would let take effect.
+    pub fn delayed(&self) -> usize {
+        self.state().delayed.len()
+    }
+
     pub fn row_reads(&self) -> u64 {
         self.state().row_reads
     }
