--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -15,11 +15,17 @@
 pub use target::Target;
 
 use crate::{
+    judge::owners_of,
     platform::{Faults, Platform},
     proxy::Flow,
     target::{Execution, read_history},
 };
-use fireflygauge::world::ServiceName;
+use fireflygauge::{
+    collections::{Map, Set},
+    ownership::row::GroupRow,
+    table::Owner,
+    world::{ServiceName, VmName},
+};
 use std::{
     future::Future,
     io,
@@ -147,7 +153,8 @@
         let index = self.daemons.len();
         let name = format!("entry-{index}");
         let platform = &mut self.platform;
-        let mut daemon = Daemon::new(&name, zone, self.ip, platform, &self.dir).await?;
+        let ips = [self.ip, next_ip()];
+        let mut daemon = Daemon::new(&name, zone, ips, platform, &self.dir).await?;
         for target in &self.targets {
             daemon.connect(target.name(), target.addr()).await?;
         }
@@ -173,12 +180,34 @@
             .collect()
     }
 
+    /// The controller row of the keyed service.
+    pub fn group_row(&self) -> Option<GroupRow> {
+        let row = self.platform.row(&format!("group/{KEYED}/0"))?;
+        serde_json::from_str(&row.value).ok()
+    }
+
     /// Index of the daemon that the controller row of the keyed service names as holder.
     pub fn controller(&self) -> Option<usize> {
-        let row = self.platform.row(&format!("group/{KEYED}/0"))?;
-        let row: serde_json::Value = serde_json::from_str(&row.value).ok()?;
-        let holder = row.get("holder")?.to_string();
-        (0..self.daemons.len()).find(|&i| holder.contains(&format!("\"{}\"", self.daemons[i].name)))
+        let holder = self.group_row()?.holder.name;
+        (0..self.daemons.len()).find(|&i| self.daemons[i].name == holder)
+    }
+
+    /// Whether the controller has as many standbys as there are daemons for, up to two.
+    pub fn has_standbys(&self) -> bool {
+        let standbys = self.group_row().map_or(0, |row| row.standbys.len());
+        standbys >= self.daemons.len().saturating_sub(1).min(2)
+    }
+
+    /// Owner of each assigned partition of the keyed service, as last written.
+    pub fn assignments(&self) -> Map<u32, Owner> {
+        let rows = self.platform.revisions(&format!("assign/{KEYED}/"));
+        rows.iter().flat_map(owners_of).collect()
+    }
+
+    /// Names of the targets that own partitions, as last written.
+    pub fn owners(&self) -> Set<VmName> {
+        let owners = self.assignments().into_values();
+        owners.map(|owner| owner.target).collect()
     }
 
     /// Executions of all targets so far, in order of their ends.
@@ -192,6 +221,21 @@
         all
     }
 
+    /// Names of daemons and targets that ended by themselves.
+    pub fn crashed(&mut self) -> Vec<VmName> {
+        let daemons = self.daemons.iter_mut().filter_map(|d| {
+            let ended = d.child.as_mut()?.status().is_some();
+            ended.then(|| d.name.clone())
+        });
+        let mut crashed: Vec<VmName> = daemons.collect();
+        for target in &mut self.targets {
+            if target.child.crashed() {
+                crashed.push(target.name().clone());
+            }
+        }
+        crashed
+    }
+
     /// Addresses for callers of the daemons that run.
     pub fn entries(&self) -> Vec<SocketAddr> {
         let running = self.daemons.iter().filter(|d| d.is_running());
@@ -206,8 +250,8 @@
     permit.expect("the semaphore is never closed")
 }
 
-/// A loopback address of this process and deployment. Connections leave from 127.0.0.1, so a
-/// port found free on another address stays free until it is bound.
+/// A loopback address of this process. Connections leave from 127.0.0.1, so a port found free on
+/// another address stays free until its user binds it, if nobody else binds port 0 there.
 fn next_ip() -> IpAddr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -4,7 +4,13 @@
     caller::{Attempt, CallResult},
     target::Execution,
 };
-use fireflygauge::collections::{Map, Set};
+use fireflygauge::{
+    collections::{Map, Set},
+    ownership::{row::AssignmentRow, timing::ROW_PARTITIONS},
+    store::Row,
+    table::Owner,
+    world::VmName,
+};
 use http::Method;
 use std::sync::Arc;
 
@@ -13,10 +19,30 @@
 pub struct Histories {
     /// Executions of all targets.
     pub executions: Vec<Execution>,
+    /// Every revision of the assignment rows of the keyed service.
+    pub assignments: Vec<Row>,
     /// Requests of all callers.
     pub attempts: Vec<Attempt>,
 }
 
+/// Time between two answers for one key, on the machine's boot-time clock.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Gap {
+    /// The key.
+    pub key: Arc<str>,
+    /// When the answer before it was complete, in microseconds.
+    pub from_us: u64,
+    /// When the answer after it was complete, in microseconds.
+    pub to_us: u64,
+}
+
+impl Gap {
+    /// Its length, in milliseconds.
+    pub fn ms(&self) -> u64 {
+        (self.to_us - self.from_us) / 1_000
+    }
+}
+
 impl Histories {
     /// Every violation of a guarantee; empty if all of them held.
     pub fn violations(&self) -> Vec<String> {
@@ -24,6 +50,7 @@
         all.extend(self.answers());
         all.extend(self.refusals());
         all.extend(self.repetitions());
+        all.extend(self.assigned());
         all
     }
 
@@ -111,6 +138,36 @@
             .collect()
     }
 
+    /// Acknowledged assignments: written ownership epochs never fall, every change of owner raises
+    /// them, and nothing takes effect under an owner and epoch that were not written.
+    pub fn assigned(&self) -> Vec<String> {
+        let mut latest: Map<u32, Owner> = Map::default();
+        let mut written: Set<(u32, VmName, u64)> = Set::default();
+        let mut wrong = Vec::new();
+        for (partition, owner) in self.assignments.iter().flat_map(owners_of) {
+            if let Some(before) = latest.get(&partition)
+                && (owner.epoch < before.epoch
+                    || (owner.epoch == before.epoch && owner.target != before.target))
+            {
+                wrong.push(format!(
+                    "partition {partition}: {owner:?} replaces {before:?}"
+                ));
+            }
+            written.insert((partition, owner.target.clone(), owner.epoch));
+            latest.insert(partition, owner);
+        }
+        for run in self.effects() {
+            if let (Some(partition), Some(epoch)) = (run.partition, run.epoch)
+                && !written.contains(&(partition, run.target.clone(), epoch))
+            {
+                wrong.push(format!(
+                    "ran under an assignment that was not written: {run:?}"
+                ));
+            }
+        }
+        wrong
+    }
+
     /// Attempts by outcome.
     pub fn outcomes(&self) -> Map<&'static str, usize> {
         let mut counts = Map::default();
@@ -128,19 +185,44 @@
         counts
     }
 
-    /// The longest time between two answers for one key, in milliseconds.
-    pub fn longest_unserved_ms(&self) -> u64 {
+    /// The longest time between two answers for one key that ended after `since_us`.
+    pub fn longest_gap(&self, since_us: u64) -> Gap {
         let mut last: Map<&Arc<str>, u64> = Map::default();
-        let mut longest = 0;
+        let mut longest = Gap::default();
         let mut answered: Vec<&Attempt> =
             self.attempts.iter().filter(|a| a.is_answered()).collect();
         answered.sort_by_key(|a| a.done_us);
         for attempt in answered {
-            if let Some(previous) = last.insert(&attempt.ask.key, attempt.done_us) {
-                longest = longest.max(attempt.done_us - previous);
+            let to_us = attempt.done_us;
+            let from_us = last.insert(&attempt.ask.key, to_us).unwrap_or(to_us);
+            if to_us >= since_us && to_us - from_us > longest.to_us - longest.from_us {
+                longest = Gap {
+                    key: Arc::clone(&attempt.ask.key),
+                    from_us,
+                    to_us,
+                };
+            }
+        }
+        longest
+    }
+
+    /// What the requests in a gap met, with counts.
+    pub fn reasons(&self, gap: &Gap) -> Map<String, usize> {
+        let mut counts = Map::default();
+        for attempt in &self.attempts {
+            if attempt.ask.key == gap.key
+                && gap.from_us < attempt.done_us
+                && attempt.done_us < gap.to_us
+            {
+                let reason = match &attempt.result {
+                    CallResult::NotRun(_, refusal) => format!("not-run: {}", refusal.code),
+                    CallResult::Unknown(_, refusal) => format!("unknown: {}", refusal.code),
+                    other => format!("{other:?}"),
+                };
+                *counts.entry(reason).or_default() += 1;
             }
         }
-        longest / 1_000
+        counts
     }
 
     /// Partitions that more than one target ran requests for, one count for each change.
@@ -159,6 +241,23 @@
     }
 }
 
+/// Partition and owner of each assignment in a row of the table service.
+///
+/// # Panics
+/// If the row is not an assignment row.
+pub fn owners_of(row: &Row) -> Vec<(u32, Owner)> {
+    let index: usize = row
+        .name
+        .rsplit_once('/')
+        .map_or(0, |(_, i)| i.parse().unwrap_or(0));
+    let content: AssignmentRow = serde_json::from_str(&row.value).expect("the row is readable");
+    let first = index as u32 * ROW_PARTITIONS;
+    let owners = (first..).zip(content.owners());
+    owners
+        .filter_map(|(partition, owner)| Some((partition, owner?)))
+        .collect()
+}
+
 fn one_owner(runs: &mut Vec<&Execution>) -> Vec<String> {
     runs.sort_by_key(|e| (e.epoch, e.end_us));
     let mut wrong = Vec::new();
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -6,9 +6,11 @@
 pub mod arrivals;
 pub mod client;
 pub mod keys;
+pub mod measure;
 pub mod mix;
 pub mod options;
 pub mod outage;
+pub mod placement;
 pub mod plot;
 pub mod processor;
 pub mod report;
--- a/standins/src/workload.rs
+++ b/standins/src/workload.rs
@@ -1,6 +1,7 @@
 //! Steady requests of many callers while a test injects faults.
 
 use crate::caller::{Ask, Attempt, CallResult, Caller};
+use fireflygauge::collections::Set;
 use http::Method;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{
@@ -30,6 +31,8 @@
     pub timeout_ms: u64,
     /// Longest service time at the target, in milliseconds.
     pub work_ms: u64,
+    /// Whether every third request has an idempotency key, which needs the journal.
+    pub journaled: bool,
     /// Seeds the choices of daemon, method and service time.
     pub seed: u64,
 }
@@ -43,6 +46,7 @@
             interval: Duration::from_millis(25),
             timeout_ms: 300,
             work_ms: 4,
+            journaled: true,
             seed,
         }
     }
@@ -94,7 +98,7 @@
     /// Whether every key was answered since `since_us` of the machine's boot-time clock.
     pub fn all_answered_since(&self, since_us: u64, keys: usize) -> bool {
         let attempts = self.attempts();
-        let answered: std::collections::BTreeSet<&str> = attempts
+        let answered: Set<&str> = attempts
             .iter()
             .filter(|a| a.sent_us >= since_us && a.is_answered())
             .map(|a| &*a.ask.key)
@@ -102,13 +106,23 @@
         answered.len() == keys
     }
 
+    /// Attempts since the last answer.
+    pub fn unanswered_streak(&self) -> usize {
+        let attempts = self.attempts();
+        attempts
+            .iter()
+            .rev()
+            .take_while(|a| !a.is_answered())
+            .count()
+    }
+
     /// Replaces the daemons in use.
     pub fn use_daemons(&self, entries: Vec<SocketAddr>) {
         *self.balancer.lock().expect("no thread panics with it") = entries;
     }
 
     /// Lets the requests under way end and returns all attempts.
-    pub async fn finish(mut self) -> Vec<Attempt> {
+    pub async fn finish(&mut self) -> Vec<Attempt> {
         self.stop.send_replace(true);
         while let Some(ended) = self.tasks.join_next().await {
             ended.expect("a caller does not panic");
@@ -146,7 +160,7 @@
         let ask = Ask::new(method, self.mix.service, &self.key)
             .within(self.mix.timeout_ms)
             .working(work_ms);
-        if number % 3 == 2 {
+        if self.mix.journaled && number % 3 == 2 {
             let name = format!(
                 "{}-{}-{}-{number}",
                 self.mix.service, self.mix.seed, self.key
