--- a/standins/src/judge.rs
+++ b/standins/src/judge.rs
@@ -185,16 +185,19 @@
         counts
     }
 
-    /// The longest time between two answers for one key that ended after `since_us`.
+    /// The longest time between two answers for one key that ended after `since_us`; a key that
+    /// is still waiting for an answer counts until its latest attempt.
     pub fn longest_gap(&self, since_us: u64) -> Gap {
         let mut last: Map<&Arc<str>, u64> = Map::default();
         let mut longest = Gap::default();
-        let mut answered: Vec<&Attempt> =
-            self.attempts.iter().filter(|a| a.is_answered()).collect();
-        answered.sort_by_key(|a| a.done_us);
-        for attempt in answered {
+        let mut attempts: Vec<&Attempt> = self.attempts.iter().collect();
+        attempts.sort_by_key(|a| a.done_us);
+        for attempt in attempts {
             let to_us = attempt.done_us;
-            let from_us = last.insert(&attempt.ask.key, to_us).unwrap_or(to_us);
+            let from_us = last.get(&attempt.ask.key).copied().unwrap_or(to_us);
+            if attempt.is_answered() {
+                last.insert(&attempt.ask.key, to_us);
+            }
             if to_us >= since_us && to_us - from_us > longest.to_us - longest.from_us {
                 longest = Gap {
                     key: Arc::clone(&attempt.ask.key),
--- a/standins/src/scenario.rs
+++ b/standins/src/scenario.rs
@@ -70,15 +70,23 @@
     async fn ready(&self) {
         let standbys = || self.cluster.has_standbys();
         wait_until("the controller has standbys", START_TIME, standbys).await;
-        for daemon in self.cluster.entries() {
-            for service in [KEYED, UNKEYED] {
-                let ask = Ask::new(Method::GET, service, "ready");
-                wait_for("a daemon serves", START_TIME, || async {
-                    let attempt = self.caller.ask(daemon, &ask).await;
-                    attempt.is_answered().then_some(())
-                })
-                .await;
-            }
+        for daemon in 0..self.cluster.daemons.len() {
+            self.ready_at(daemon).await;
+        }
+    }
+
+    /// Waits until a daemon answers requests of both services.
+    ///
+    /// # Panics
+    /// If it does not in time.
+    pub async fn ready_at(&self, daemon: usize) {
+        for service in [KEYED, UNKEYED] {
+            let ask = Ask::new(Method::GET, service, "ready");
+            wait_for("a daemon serves", START_TIME, || async {
+                let attempt = self.ask(daemon, &ask).await;
+                attempt.is_answered().then_some(())
+            })
+            .await;
         }
     }
 
--- /dev/null
+++ b/standins/tests/answers.rs
@@ -0,0 +1,214 @@
+//! A caller gets the whole answer to its own request or a truthful refusal.
+
+use futures_util::future::join_all;
+use http::{Method, StatusCode};
+use standins::{
+    caller::{Ask, Attempt, CallResult},
+    cluster::{KEYED, Layout, UNKEYED, wait_until},
+    platform::{Availability, Faults},
+    proxy::{Flow, LinkFaults},
+    scenario::{Scenario, seed},
+    target::{Control, EchoFault},
+    workload::Mix,
+};
+use std::time::Duration;
+use test_case::test_case;
+
+const REACTION: Duration = Duration::from_secs(15);
+
+/// Sets the faults of every link from a daemon to a target.
+fn set_links(scenario: &Scenario, faults: LinkFaults) {
+    for daemon in &scenario.cluster.daemons {
+        daemon.set_target_faults(faults);
+    }
+}
+
+async fn control_all(scenario: &Scenario, control: &Control) {
+    for target in &scenario.cluster.targets {
+        target.control(control).await;
+    }
+}
+
+/// Asks daemon 0 for several keys, one after the other.
+async fn ask_keys(scenario: &Scenario, ask: &Ask, count: usize) -> Vec<Attempt> {
+    let mut attempts = Vec::new();
+    for key in 0..count {
+        let ask = Ask {
+            key: format!("k{key}").into(),
+            ..ask.clone()
+        };
+        attempts.push(scenario.ask(0, &ask).await);
+    }
+    attempts
+}
+
+fn is_not_run(attempt: &Attempt) -> bool {
+    matches!(attempt.result, CallResult::NotRun(..))
+}
+
+fn is_unknown(attempt: &Attempt) -> bool {
+    matches!(attempt.result, CallResult::Unknown(..))
+}
+
+fn sent(bytes: u64) -> LinkFaults {
+    LinkFaults {
+        cut_after_sent: Some(bytes),
+        ..LinkFaults::default()
+    }
+}
+
+fn received(bytes: u64) -> LinkFaults {
+    LinkFaults {
+        cut_after_received: Some(bytes),
+        ..LinkFaults::default()
+    }
+}
+
+/// Guards against part of an answer passed off as whole, and against a refusal as not-run of a
+/// request that may have run: the connection is cut at some byte.
+#[test_case(sent(0), 0; "before the request")]
+#[test_case(sent(60), 0; "within the head of the request")]
+// The first request on a connection passes as a whole, the second one in part.
+#[test_case(sent(700), 5; "within the second request")]
+#[test_case(received(0), 0; "before the answer")]
+#[test_case(received(40), 0; "within the head of the answer")]
+#[test_case(received(700), 0; "within the body of the answer")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connection_cut(faults: LinkFaults, posts_answered: usize) {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    for service in [KEYED, UNKEYED] {
+        for method in [Method::GET, Method::POST] {
+            let mut ask = Ask::new(method.clone(), service, "k").within(400);
+            ask.answer_bytes = 2_000;
+            set_links(&scenario, faults);
+            let cut = ask_keys(&scenario, &ask, 6).await;
+            set_links(&scenario, LinkFaults::default());
+            let answered = cut.iter().filter(|a| a.is_answered()).count();
+            // A read may be sent again, on a new connection, if a whole one fits within the limit.
+            let most = match method {
+                Method::GET if posts_answered > 0 => 6,
+                _ => posts_answered,
+            };
+            assert!(answered <= most, "{method}: {cut:?}");
+        }
+    }
+    set_links(&scenario, LinkFaults::default());
+    scenario.finish().await;
+}
+
+/// Guards against answers to the wrong request after time-outs: answers arrive after their
+/// request was given up, on connections that are used again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn late_answers_reach_nobody_else() {
+    let mix = Mix {
+        timeout_ms: 60,
+        work_ms: 120,
+        ..Mix::keyed(seed(31))
+    };
+    let scenario = Scenario::start(Layout::default(), mix).await;
+    for flow in [Flow::ToUpstream, Flow::Pass, Flow::Freeze, Flow::Pass] {
+        set_links(&scenario, LinkFaults::flow(flow));
+        scenario.hold(Duration::from_millis(400)).await;
+    }
+    let histories = scenario.finish().await;
+    assert!(histories.outcomes().contains_key("unknown"));
+}
+
+/// Guards against an answer with another request's id passed on to the caller.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answer_with_a_wrong_request_id_is_refused() {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    let control = Control {
+        echo: EchoFault::WrongId,
+        ..Control::default()
+    };
+    control_all(&scenario, &control).await;
+    let attempts = ask_keys(&scenario, &Ask::new(Method::POST, KEYED, "k"), 6).await;
+    assert!(attempts.iter().all(is_unknown), "{attempts:?}");
+    control_all(&scenario, &Control::default()).await;
+    scenario.finish().await;
+}
+
+/// Guards against a caller that left whose exchange is not cancelled, or disturbs the next one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_of_a_caller_that_left_is_cancelled() {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    let long = Ask::new(Method::POST, KEYED, "k1")
+        .working(20_000)
+        .within(25_000);
+    let short = Duration::from_millis(300);
+    let left = tokio::time::timeout(short, scenario.ask(0, &long)).await;
+    assert!(left.is_err(), "the request takes longer");
+    let cancelled = || {
+        let executions = scenario.cluster.executions();
+        executions.iter().any(|e| !e.effect && &*e.key == "k1")
+    };
+    wait_until("the target sees the caller leave", REACTION, cancelled).await;
+    let next = ask_keys(&scenario, &Ask::new(Method::POST, KEYED, "k"), 6).await;
+    assert!(next.iter().all(Attempt::is_answered), "{next:?}");
+    scenario.finish().await;
+}
+
+/// Guards against a refusal that claims too much or too little: the target proves that it did not
+/// run the request, so it is not-run, and it has no effect.
+#[test_case(Control { shed: true, ..Control::default() }; "shed")]
+#[test_case(Control { refuse_draining: true, ..Control::default() }; "draining")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refused_by_the_target(control: Control) {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    control_all(&scenario, &control).await;
+    for service in [KEYED, UNKEYED] {
+        let ask = Ask::new(Method::POST, service, "k").within(300);
+        let attempts = ask_keys(&scenario, &ask, 6).await;
+        assert!(attempts.iter().all(is_not_run), "{attempts:?}");
+    }
+    control_all(&scenario, &Control::default()).await;
+    scenario.finish().await;
+}
+
+/// Guards against a request that waits beyond its deadline and runs nevertheless.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn deadline_passes_in_the_queue() {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    let long = Ask::new(Method::POST, KEYED, "k1")
+        .working(600)
+        .within(2_000);
+    let short = Ask::new(Method::POST, KEYED, "k1").within(150);
+    let asks: Vec<&Ask> = (0..30)
+        .map(|i| if i < 10 { &long } else { &short })
+        .collect();
+    let attempts = join_all(asks.into_iter().map(|ask| scenario.ask(0, ask))).await;
+    let refused = attempts.iter().filter(|a| is_not_run(a)).count();
+    assert!(refused > 0, "{attempts:?}");
+    scenario.finish().await;
+}
+
+/// Guards against requests that need the journal being sent without it, and against others being
+/// refused because of it.
+#[test_case(Availability::Refuse; "store refuses")]
+#[test_case(Availability::Hang; "store hangs")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn journal_unavailable(availability: Availability) {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    let faults = Faults::store(availability);
+    scenario.cluster.platform.set_faults(faults);
+    let plain = Ask::new(Method::POST, KEYED, "k1");
+    let journaled = scenario.ask(0, &plain.clone().once("store-down")).await;
+    assert!(is_not_run(&journaled), "{journaled:?}");
+    assert!(scenario.ask(0, &plain).await.is_answered());
+    scenario.cluster.platform.set_faults(Faults::default());
+    let again = scenario.ask(0, &plain.once("store-down")).await;
+    assert!(again.is_answered(), "{again:?}");
+    scenario.finish().await;
+}
+
+/// Guards against refusals that leave even the smallest caller without outcome and contact; the
+/// caller takes every answer apart, and what lacks them counts as malformed.
+#[test_case(Ask::new(Method::GET, "nothing", "k"), StatusCode::NOT_FOUND; "unknown service")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn malformed_request(ask: Ask, expected: StatusCode) {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    let attempt = scenario.ask(0, &ask).await;
+    assert!(matches!(attempt.result, CallResult::NotRun(status, _) if status == expected));
+    scenario.finish().await;
+}
--- /dev/null
+++ b/standins/tests/outage.rs
@@ -0,0 +1,139 @@
+//! A long outage of the store: keys are served, nothing moves, and nothing is broken afterwards.
+
+use fireflygauge::{clock::Millis, ownership::timing::DELEGATE_READ};
+use http::Method;
+use standins::{
+    caller::{Ask, CallResult},
+    cluster::{KEYED, Layout, wait_until},
+    platform::{Availability, Faults},
+    scenario::{Scenario, seed},
+    target::history::machine_us,
+    workload::Mix,
+};
+use std::time::Duration;
+use test_case::test_case;
+
+/// Many times the lease of 1.2 s.
+const OUTAGE: Duration = Duration::from_secs(10);
+/// Longest time without an answer for a key while nothing but the store is lost.
+const UNSERVED_MS: u64 = 500;
+const REACTION: Duration = Duration::from_secs(15);
+
+fn mix(default_seed: u64) -> Mix {
+    Mix {
+        journaled: false,
+        ..Mix::keyed(seed(default_seed))
+    }
+}
+
+/// Starts a deployment whose standbys have read that they are standbys; delegates read the
+/// controller row every second, and before that they refuse hold mode.
+async fn start(default_seed: u64) -> Scenario {
+    let scenario = Scenario::start(Layout::default(), mix(default_seed)).await;
+    scenario.hold((DELEGATE_READ + Millis(200)).into()).await;
+    scenario
+}
+
+fn outage(availability: Availability) -> Faults {
+    Faults {
+        list: availability,
+        ..Faults::store(availability)
+    }
+}
+
+/// Guards against keys that go unserved, or move, because the store is down, and against long
+/// leases that outlast it: a target lost after its return is replaced as usual.
+#[test_case(Availability::Refuse, 51; "store refuses")]
+#[test_case(Availability::Hang, 52; "store hangs")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn keys_are_served_through_an_outage(availability: Availability, default_seed: u64) {
+    let mut scenario = start(default_seed).await;
+    let before = scenario.cluster.assignments();
+    let start_us = machine_us();
+    scenario.cluster.platform.set_faults(outage(availability));
+    scenario.hold(OUTAGE).await;
+    let during = scenario.histories().longest_gap(start_us);
+    assert!(during.ms() < UNSERVED_MS, "unserved for {} ms", during.ms());
+    scenario.cluster.platform.set_faults(Faults::default());
+    scenario.hold(Duration::from_secs(2)).await;
+    assert_eq!(scenario.cluster.assignments(), before, "nothing moved");
+    let lost_us = machine_us();
+    let lost = scenario.cluster.targets_of(KEYED)[0];
+    scenario.cluster.targets[lost].child.kill();
+    scenario.served(REACTION).await;
+    let unserved = scenario.histories().longest_gap(lost_us).ms();
+    assert!(
+        unserved < 2_000,
+        "unserved for {unserved} ms after the outage"
+    );
+    scenario.finish().await;
+}
+
+/// Guards against two owners when the controller is lost during an outage: its successor, which
+/// cannot know which long leases still run, must not move a key before they end or are replaced.
+#[test_case(false; "controller killed")]
+#[test_case(true; "controller frozen and back")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn controller_lost_during_an_outage(frozen: bool) {
+    let mut scenario = start(53).await;
+    let controller = scenario
+        .cluster
+        .controller()
+        .expect("there is a controller");
+    scenario
+        .cluster
+        .platform
+        .set_faults(outage(Availability::Refuse));
+    scenario.hold(Duration::from_secs(3)).await;
+    let lost_us = machine_us();
+    let address = scenario.cluster.daemons[controller].caller_addr();
+    if frozen {
+        scenario.cluster.daemons[controller].freeze();
+    } else {
+        scenario.cluster.daemons[controller].kill();
+    }
+    let mut others = scenario.cluster.entries();
+    others.retain(|entry| *entry != address);
+    scenario.load.use_daemons(others);
+    scenario.hold(Duration::from_secs(4)).await;
+    let during = scenario.histories().longest_gap(lost_us);
+    assert!(during.ms() < 1_000, "unserved for {} ms", during.ms());
+    scenario.cluster.platform.set_faults(Faults::default());
+    let succeeded = || scenario.cluster.controller() != Some(controller);
+    wait_until("another daemon takes over", REACTION, succeeded).await;
+    scenario.served(REACTION).await;
+    if frozen {
+        scenario.cluster.daemons[controller].thaw();
+    }
+    scenario.served(REACTION).await;
+    scenario.finish().await;
+}
+
+/// Guards against a daemon that waits for the store to learn configuration and owners, which its
+/// peers could tell it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemon_started_in_an_outage_learns_from_peers() {
+    let mut scenario = start(54).await;
+    let controller = scenario
+        .cluster
+        .controller()
+        .expect("there is a controller");
+    let restarted = (controller + 1) % 3;
+    // The list still answers: without it a new daemon knows no peer.
+    let faults = Faults::store(Availability::Refuse);
+    scenario.cluster.platform.set_faults(faults);
+    scenario.hold(Duration::from_secs(2)).await;
+    scenario.cluster.daemons[restarted].kill();
+    scenario.cluster.daemons[restarted]
+        .spawn()
+        .expect("the daemon starts");
+    scenario.ready_at(restarted).await;
+    let ask = Ask::new(Method::POST, KEYED, "k1").once("in-an-outage");
+    let journaled = scenario.ask(restarted, &ask).await;
+    assert!(
+        matches!(journaled.result, CallResult::NotRun(..)),
+        "{journaled:?}"
+    );
+    scenario.cluster.platform.set_faults(Faults::default());
+    scenario.finish().await;
+}
--- /dev/null
+++ b/standins/tests/stops.rs
@@ -0,0 +1,114 @@
+//! Planned stops: targets are emptied within seconds, and daemons stop without cutting off a
+//! request.
+
+use standins::{
+    cluster::{KEYED, Layout, UNKEYED},
+    scenario::{Scenario, seed},
+    target::{Control, history::machine_us},
+    workload::Mix,
+};
+use std::time::Duration;
+use test_case::test_case;
+
+/// Time after which a leaving target must receive no new work.
+const EMPTIED_WITHIN: Duration = Duration::from_secs(4);
+/// Time to watch it afterwards.
+const WATCHED: Duration = Duration::from_secs(1);
+/// Time for a daemon to stop or to get ready.
+const STOP_TIME: Duration = Duration::from_secs(20);
+
+/// Who says that a target is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Drain {
+    Platform,
+    Target,
+}
+
+async fn drain(scenario: &Scenario, target: usize, by: Drain) {
+    let target = &scenario.cluster.targets[target];
+    match by {
+        Drain::Platform => scenario.cluster.platform.register(target.leaving_vm()),
+        Drain::Target => {
+            let control = Control {
+                leaving: true,
+                ..Control::default()
+            };
+            target.control(&control).await;
+        }
+    }
+}
+
+/// Guards against new work on a leaving target after a few seconds, and against requests cut off
+/// or refused on the way.
+#[test_case(KEYED, Drain::Platform, 41; "keyed, by the platform's list")]
+#[test_case(KEYED, Drain::Target, 42; "keyed, by the target")]
+#[test_case(UNKEYED, Drain::Platform, 43; "any, by the platform's list")]
+#[test_case(UNKEYED, Drain::Target, 44; "any, by the target")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn leaving_target_is_emptied(service: &'static str, by: Drain, default_seed: u64) {
+    let mix = Mix {
+        service,
+        work_ms: 30,
+        timeout_ms: 1_000,
+        ..Mix::keyed(seed(default_seed))
+    };
+    let scenario = Scenario::start(Layout::default(), mix).await;
+    let leaving = scenario.cluster.targets_of(service)[0];
+    let since_us = machine_us();
+    drain(&scenario, leaving, by).await;
+    scenario.hold(EMPTIED_WITHIN + WATCHED).await;
+    let name = scenario.cluster.targets[leaving].name().clone();
+    let histories = scenario.finish().await;
+    let limit_us = since_us + EMPTIED_WITHIN.as_micros() as u64;
+    let late = |e: &&standins::target::Execution| e.target == name && e.start_us > limit_us;
+    assert_eq!(histories.executions.iter().find(late), None);
+    let last = histories.executions.iter().filter(|e| e.target == name);
+    let last_us = last.map(|e| e.start_us).max().unwrap_or(since_us);
+    println!(
+        "{service}, {by:?}: last work after {} ms",
+        last_us.saturating_sub(since_us) / 1_000
+    );
+    assert_eq!(histories.outcomes().get("unknown"), None);
+    assert_eq!(histories.outcomes().get("broken"), None);
+}
+
+/// Asks a daemon to stop while callers go on using it, and starts it again.
+async fn restart(scenario: &mut Scenario, daemon: usize) {
+    let child = scenario.cluster.daemons[daemon]
+        .child
+        .as_mut()
+        .expect("it runs");
+    child.terminate();
+    let status = child.ended(STOP_TIME).await;
+    assert!(status.success(), "the daemon ended with {status}");
+    scenario.cluster.daemons[daemon]
+        .spawn()
+        .expect("the daemon starts");
+    scenario.ready_at(daemon).await;
+}
+
+/// Guards against a stop that cuts off requests in flight or loses its groups for the length of a
+/// lease: one daemon, then all of them one after the other, restart under load.
+#[test_case(1, 45; "one daemon")]
+#[test_case(3, 46; "all daemons, one after the other")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemons_restart_under_load(count: usize, default_seed: u64) {
+    let mix = Mix {
+        work_ms: 60,
+        timeout_ms: 1_000,
+        ..Mix::keyed(seed(default_seed))
+    };
+    let mut scenario = Scenario::start(Layout::default(), mix).await;
+    let first = scenario
+        .cluster
+        .controller()
+        .expect("there is a controller");
+    for offset in 0..count {
+        restart(&mut scenario, (first + offset) % 3).await;
+        scenario.served(STOP_TIME).await;
+    }
+    let histories = scenario.finish().await;
+    assert_eq!(histories.outcomes().get("unknown"), None);
+    assert_eq!(histories.outcomes().get("broken"), None);
+    assert_eq!(histories.moves(), 0, "no key moved");
+}
