Measure refused time apart from sampled gaps

Cause: the gap of a partition contains the wait for its next request, so the longest gap was bounded by the length of the run. Change: the longest time between the first and the last refused request of a partition is reported beside it; latency is measured with and without service time.

--- a/standins/src/load/measure/faults.rs
+++ b/standins/src/load/measure/faults.rs
@@ -16,7 +16,8 @@
 };
 
 const TARGETS: usize = 5;
-const RATE: f64 = 2_000.0;
+/// About four requests a second to each partition.
+const RATE: f64 = 4_000.0;
 /// Time of the load before the fault.
 const BEFORE: Duration = Duration::from_secs(8);
 
@@ -51,6 +52,7 @@
         "gaps",
         "partition-seconds unserved",
         "longest s",
+        "longest refused s",
         "partitions moved",
         "imbalance before",
         "after",
@@ -79,7 +81,9 @@
     let length = BEFORE.as_secs_f64() + options.duration_s.max(5.0);
     let args = [
         "--only=rounds".to_owned(),
-        "--zipf=0.5".into(),
+        "--zipf=0".into(),
+        "--keys=100000".into(),
+        "--max-in-flight=400".into(),
         format!("--rate={RATE}"),
         format!("--duration-s={length}"),
         format!("--seed={}", options.seed),
@@ -121,6 +125,7 @@
         report.unserved.gaps.to_string(),
         format!("{:.1}", report.unserved.total_s),
         format!("{:.2}", report.unserved.longest_s),
+        format!("{:.2}", report.unserved.longest_refused_s),
         moved.to_string(),
         format!("{:.2}", imbalance(before)),
         format!("{:.2}", imbalance(after)),
--- a/standins/src/load/measure/load.rs
+++ b/standins/src/load/measure/load.rs
@@ -53,15 +53,18 @@
         ],
     })?;
     let mut more = flags(&["--only=records", "--only=rounds", "--non-idempotent=0.5"]);
-    more.push(format!("--work-ms={WORK_MS}"));
-    // Half of the capacity of both services; records gets a third of the mix.
-    more.push(format!("--rate=50,{}", CAPACITY / 2.0 * 1.5));
     let records = deployment.targets.iter().filter(|t| t.service == "records");
     more.extend(records.map(|t| format!("--direct=records={}", t.addr)));
-    let steps = run(&deployment, &args(options, &more))?;
-    print!("{}", text(&steps));
-    for report in steps.iter().map(Step::report) {
-        print_added(&report);
+    // Half of the capacity of both services; records gets a third of the mix.
+    let half = CAPACITY / 2.0 * 1.5;
+    for work_ms in [WORK_MS, 0.0] {
+        let mut more = more.clone();
+        more.extend([format!("--work-ms={work_ms}"), format!("--rate=50,{half}")]);
+        let steps = run(&deployment, &args(options, &more))?;
+        println!("service time {work_ms} ms\n{}", text(&steps));
+        for report in steps.iter().map(Step::report) {
+            print_added(&report);
+        }
     }
     Ok(())
 }
--- a/standins/src/load/outage.rs
+++ b/standins/src/load/outage.rs
@@ -10,7 +10,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Outages {
     open: Map<(usize, Partition), Gap>,
-    closed: Vec<Duration>,
+    /// Length of each gap, and the part of it in which requests were refused.
+    closed: Vec<(Duration, Duration)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -26,8 +27,10 @@
     pub gaps: usize,
     /// Sum of all gaps, in partition-seconds.
     pub total_s: f64,
-    /// Longest gap, in seconds.
+    /// Longest gap, in seconds. It contains the time until the partition's next request.
     pub longest_s: f64,
+    /// Longest time from a partition's first refused request to its last one, in seconds.
+    pub longest_refused_s: f64,
 }
 
 impl Outages {
@@ -58,7 +61,7 @@
             (true, Some(gap)) if due > gap.last => {
                 let gap = *gap;
                 self.open.remove(&place);
-                self.closed.push(ended.saturating_sub(gap.first));
+                self.closed.push(gap.lengths(ended));
             }
             (true, _) => {}
         }
@@ -66,13 +69,22 @@
 
     /// The unserved time up to `end`, with gaps still open counted to there.
     pub fn unserved(&self, end: Duration) -> Unserved {
-        let open = self.open.values().map(|gap| end.saturating_sub(gap.first));
+        let open = self.open.values().map(|gap| gap.lengths(end));
         let gaps = self.closed.iter().copied().chain(open);
-        gaps.filter(|gap| *gap >= MIN_GAP)
-            .fold(Unserved::default(), |sum, gap| Unserved {
+        gaps.filter(|(length, _)| *length >= MIN_GAP).fold(
+            Unserved::default(),
+            |sum, (length, refused)| Unserved {
                 gaps: sum.gaps + 1,
-                total_s: sum.total_s + gap.as_secs_f64(),
-                longest_s: sum.longest_s.max(gap.as_secs_f64()),
-            })
+                total_s: sum.total_s + length.as_secs_f64(),
+                longest_s: sum.longest_s.max(length.as_secs_f64()),
+                longest_refused_s: sum.longest_refused_s.max(refused.as_secs_f64()),
+            },
+        )
+    }
+}
+
+impl Gap {
+    fn lengths(&self, end: Duration) -> (Duration, Duration) {
+        (end.saturating_sub(self.first), self.last - self.first)
     }
 }
