Measure slopes for the capacity page

capacity-slopes prints sizes and times of the pure parts by size; fireflygauge-measure idle prints what idle daemons cost by their number.

--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -15,5 +15,6 @@
 pub mod processor;
 pub mod report;
 pub mod run;
+pub mod slopes;
 pub mod tally;
 pub mod verdict;
--- a/standins/src/load/measure.rs
+++ b/standins/src/load/measure.rs
@@ -36,6 +36,8 @@
     Fairness,
     /// Send until shed, fixed division and adaptive limit, with nine daemons.
     Admission,
+    /// Processor time and memory of idle daemons, by their number.
+    Idle,
     /// Unserved time and moves when a target is lost, one joins, and the controller is lost.
     Faults,
 }
@@ -51,6 +53,7 @@
         What::Overload => load::overload(options),
         What::Fairness => load::fairness(options),
         What::Admission => load::admission(options),
+        What::Idle => load::idle(options),
         What::Faults => faults::faults(options),
     }
 }
--- a/standins/src/load/measure/load.rs
+++ b/standins/src/load/measure/load.rs
@@ -4,14 +4,23 @@
     MeasureOptions,
     deployment::{Deployment, Plan},
 };
-use crate::load::report::{Line, Step, StepReport, text};
+use crate::load::{
+    processor::{processor_time, resident_kib},
+    report::{Line, Step, StepReport, text},
+};
 use comfy_table::{Table, presets::ASCII_MARKDOWN};
 use eyre::Result;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 /// Service time of targets in most measurements, in milliseconds.
 const WORK_MS: f64 = 5.0;
 const SLOTS: f64 = 4.0;
 const TARGETS: usize = 4;
+/// Time after the start in which connections and membership come to rest.
+const SETTLE: Duration = Duration::from_secs(3);
 /// Requests per second that the targets of one service can run.
 const CAPACITY: f64 = TARGETS as f64 * SLOTS / (WORK_MS / 1_000.0);
 
@@ -281,3 +290,55 @@
         format!("{:.2}", cores / report.elapsed_s),
     ]
 }
+
+/// No requests at all: what control costs in the controller and in the other daemons.
+pub(super) fn idle(options: &MeasureOptions) -> Result<()> {
+    let mut table = table(&[
+        "daemons",
+        "targets",
+        "controller, % of a core",
+        "median of the others",
+        "most of the others",
+        "resident MiB, median",
+        "store reads/s",
+        "writes/s",
+    ]);
+    for (daemons, targets) in [(3, 4), (9, 4), (18, 4), (36, 4), (9, 10), (9, 20), (9, 40)] {
+        let deployment = Deployment::start(&Plan {
+            daemons,
+            daemon_flags: Vec::new(),
+            targets: vec![("rounds", targets, Vec::new())],
+        })?;
+        thread::sleep(SETTLE);
+        let controller = deployment.controller().unwrap_or_default();
+        let pids: Vec<u32> = deployment.entries.iter().map(|e| e.child.id()).collect();
+        let used = || {
+            pids.iter()
+                .map(|pid| processor_time(*pid).unwrap_or_default())
+        };
+        let (before, store, since): (Vec<_>, _, _) =
+            (used().collect(), deployment.store_use(), Instant::now());
+        thread::sleep(Duration::from_secs_f64(options.duration_s));
+        let elapsed = since.elapsed().as_secs_f64();
+        let percent =
+            |(now, before): (Duration, &Duration)| (now - *before).as_secs_f64() / elapsed * 100.0;
+        let mut shares: Vec<f64> = used().zip(&before).map(percent).collect();
+        let after = deployment.store_use();
+        let own = shares.remove(controller);
+        shares.sort_by(f64::total_cmp);
+        let mut memory: Vec<u64> = pids.iter().filter_map(|pid| resident_kib(*pid)).collect();
+        memory.sort_unstable();
+        table.add_row([
+            daemons.to_string(),
+            targets.to_string(),
+            format!("{own:.2}"),
+            format!("{:.2}", shares[shares.len() / 2]),
+            format!("{:.2}", shares[shares.len() - 1]),
+            format!("{:.1}", memory[memory.len() / 2] as f64 / 1024.0),
+            format!("{:.0}", (after.reads - store.reads) as f64 / elapsed),
+            format!("{:.0}", (after.writes - store.writes) as f64 / elapsed),
+        ]);
+    }
+    println!("{table}");
+    Ok(())
+}
