--- a/standins/src/load/slopes/input.rs
+++ b/standins/src/load/slopes/input.rs
@@ -54,6 +54,7 @@
             revision,
         },
         owners: (0..partitions).map(owner).collect(),
+        fronts: Vec::new(),
     }
 }
 
