--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -6,6 +6,7 @@
 pub mod arrivals;
 pub mod client;
 pub mod keys;
+pub mod measure;
 pub mod mix;
 pub mod options;
 pub mod outage;
@@ -14,5 +15,6 @@
 pub mod processor;
 pub mod report;
 pub mod run;
+pub mod slopes;
 pub mod tally;
 pub mod verdict;
