--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::Clock,
     routing::{
+        front::Fronts,
         path::{RequestPath, RequestPathContext},
         prober,
         request::Head,
@@ -85,6 +86,21 @@
     policies: Policies,
     listener: std::net::TcpListener,
     stop: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<Stopped>> {
+    let fronts = Fronts::new(cx.link.clone(), cx.clock);
+    serve_fronting(cx, policies, fronts, listener, stop)
+}
+
+/// Like [`serve_with`], as the front daemon of targets that do not check grants.
+///
+/// # Errors
+/// If the listener cannot be used or a thread cannot be started.
+pub fn serve_fronting(
+    cx: RequestPathContext,
+    policies: Policies,
+    fronts: Fronts,
+    listener: std::net::TcpListener,
+    stop: watch::Receiver<bool>,
 ) -> io::Result<JoinHandle<Stopped>> {
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -99,7 +115,7 @@
     thread::Builder::new()
         .name("request-main".into())
         .spawn(move || {
-            let stopped = runtime.block_on(run(&cx, policies, listener, stop));
+            let stopped = runtime.block_on(run(&cx, policies, fronts, listener, stop));
             runtime.shutdown_timeout(Duration::from_millis(100));
             stopped
         })
@@ -108,10 +124,11 @@
 async fn run(
     cx: &RequestPathContext,
     policies: Policies,
+    fronts: Fronts,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) -> Stopped {
-    let path = RequestPath::new(cx, policies);
+    let path = RequestPath::new(cx, policies, fronts);
     if let Err(e) = prober::start(cx.directory.clone(), path.targets(), cx.clock, stop.clone()) {
         log::error!(target: "request", "Prober not started. error=\"{e}\"");
     }
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -4,6 +4,7 @@
     answer::{Progress, answer},
     dispatch::{Dispatched, dispatch},
     exchange::Exchange,
+    front::Fronts,
     journal::Begun,
     outcome::{Outcome, OutcomeKind},
     refusal::{Code, RecentRefusals},
@@ -57,10 +58,10 @@
 
 impl RequestPath {
     /// Creates the request path. It needs the runtime that it will be used on.
-    pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
-        Self {
-            shared: Arc::new(Shared::new(cx, policies)),
-        }
+    pub fn new(cx: &RequestPathContext, policies: Policies, fronts: Fronts) -> Self {
+        let shared = Arc::new(Shared::new(cx, policies, fronts));
+        shared.fronts.serve_on(&shared);
+        Self { shared }
     }
 
     /// The refusal of a request whose handling failed.
