--- /dev/null
+++ b/tests/routing/front.rs
@@ -0,0 +1,166 @@
+//! Targets that do not check grants, and the daemon that holds their lease.
+
+use crate::{
+    daemon::{Daemon, group, link, link_of, request, until},
+    fake_target::{FakeTarget, Reply},
+};
+use fireflygauge::{
+    clock::Clock,
+    partition::Partition,
+    peer::message::PeerReply,
+    routing::{
+        Code,
+        front::{Claim, Fronts},
+        outcome::OutcomeKind,
+    },
+    target_api::{GrantReply, GrantRequest},
+};
+use std::time::Duration;
+use test_case::test_case;
+
+const LEASE_MS: u64 = 1_200;
+
+/// Grants `partitions` of the fronted target, counted from now.
+fn grant(fronts: &Fronts, sequence: u64, partitions: &[u32], lease_ms: u64) -> GrantReply {
+    let mut request = GrantRequest {
+        group: group("scales"),
+        controller_epoch: 1,
+        sequence,
+        incarnation: None,
+        echo: None,
+        lease_ms,
+        set_id: sequence,
+        partitions: None,
+    };
+    let contact = fronts.take_grant("scales-0".into(), &request);
+    request.sequence += 1;
+    request.incarnation = Some(contact.incarnation);
+    request.echo = Some(contact.reading);
+    request.partitions = Some(partitions.iter().map(|&p| (Partition(p), 1)).collect());
+    fronts.take_grant("scales-0".into(), &request)
+}
+
+fn claim(partition: u32, epoch: u64) -> Claim {
+    Claim {
+        group: group("scales"),
+        target: "scales-0".into(),
+        partition: Partition(partition),
+        epoch,
+    }
+}
+
+/// Guards against requests for a partition that this daemon holds no lease for.
+#[test_case(claim(1, 1), true; "held")]
+#[test_case(claim(2, 1), false; "other_partition")]
+#[test_case(claim(1, 2), false; "other_epoch")]
+#[test_case(Claim { target: "scales-1".into(), ..claim(1, 1) }, false; "other_target")]
+fn only_a_held_lease_admits(claim: Claim, admitted: bool) {
+    let fronts = Fronts::new(link(), Clock::start());
+    assert!(grant(&fronts, 1, &[1], LEASE_MS).accepted);
+    let begun = fronts.begin(claim);
+    assert_eq!(begun.is_ok(), admitted);
+    if let Err(code) = begun {
+        assert_eq!(code, Code::NotOwner);
+    }
+}
+
+/// Guards against a move while the target may still run a request whose connection was lost.
+#[tokio::test]
+async fn lost_request_keeps_its_partition_until_its_deadline() {
+    let clock = Clock::start();
+    let fronts = Fronts::new(link(), clock);
+    grant(&fronts, 1, &[1], LEASE_MS);
+    fronts.begin(claim(1, 1)).expect("a lease").settle();
+    assert!(grant(&fronts, 3, &[], LEASE_MS).draining.is_empty());
+    grant(&fronts, 5, &[1], LEASE_MS);
+    let mut lost = fronts.begin(claim(1, 1)).expect("a lease");
+    let deadline = lost.limit(clock.now() + fireflygauge::clock::Millis(200));
+    drop(lost);
+    let mut sequence = 7;
+    loop {
+        let draining = grant(&fronts, sequence, &[], LEASE_MS).draining;
+        sequence += 2;
+        if draining.is_empty() {
+            break;
+        }
+        assert!(
+            clock.now() < deadline + fireflygauge::clock::Millis(5_000),
+            "it never ends"
+        );
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    assert!(
+        clock.now() >= deadline,
+        "it was given up before the deadline"
+    );
+}
+
+/// Lets `from` pass requests on to `front`.
+fn connect(from: &Daemon, front: &Daemon) {
+    let fronts = front.fronts.clone();
+    from.fronts.connect(Box::new(move |_, req, _| {
+        let fronts = fronts.clone();
+        Box::pin(async move { Ok(PeerReply::Forward(fronts.serve(req).await)) })
+    }));
+}
+
+/// Guards against daemons that send to a target without holding its lease.
+#[test_case(true, "answered", 1; "with_lease")]
+#[test_case(false, "not-owner", 0; "without_lease")]
+#[tokio::test]
+async fn requests_pass_through_the_front(leased: bool, code: &str, runs: usize) {
+    let target = FakeTarget::start(|_| Reply::Echo).await;
+    let front = Daemon::start(&[], &[], None).await;
+    let other = Daemon::start_as(link_of("entry-2"), &[], &[], None).await;
+    connect(&other, &front);
+    for daemon in [&front, &other] {
+        daemon.list_fronted(target.addr, &front.link).await;
+    }
+    if leased {
+        grant(&front.fronts, 1, &[0, 1, 2, 3, 4, 5, 6, 7], LEASE_MS);
+    }
+    for daemon in [&front, &other] {
+        let req = request("POST", "/scales/k").header("x-timeout-ms", "300");
+        let answer = daemon.call(req, "body").await;
+        assert_eq!(answer.code(), code);
+    }
+    let received = target.received();
+    assert_eq!(received.len(), 2 * runs);
+    assert!(received.iter().all(|r| r.body == "body"));
+    for deadline in received.iter().filter_map(|r| r.header("x-deadline-ms")) {
+        let deadline: u64 = deadline.parse().expect("a number");
+        assert!(deadline <= 300, "{deadline}");
+    }
+}
+
+/// Guards against a request that outlives the lease under which it was sent.
+#[tokio::test]
+async fn request_ends_with_the_lease() {
+    let target = FakeTarget::start(|_| Reply::Late(Duration::from_secs(5), "late")).await;
+    let front = Daemon::start(&[], &[], None).await;
+    front.list_fronted(target.addr, &front.link).await;
+    grant(&front.fronts, 1, &[0, 1, 2, 3, 4, 5, 6, 7], 300);
+    let answer = front.call(request("POST", "/scales/k"), "").await;
+    assert_eq!(answer.outcome(), OutcomeKind::Unknown);
+    until(|| target.received().len() == 1).await;
+    let deadline: u64 = target.received()[0]
+        .header("x-deadline-ms")
+        .and_then(|text| text.parse().ok())
+        .expect("a deadline");
+    assert!(deadline <= 300, "{deadline}");
+}
+
+/// Guards against a target that is sent requests while no daemon holds its lease.
+#[tokio::test]
+async fn target_without_front_gets_nothing() {
+    let target = FakeTarget::start(|_| Reply::Echo).await;
+    let daemon = Daemon::start(&[], &[], None).await;
+    daemon.list_fronted(target.addr, &link_of("gone")).await;
+    let req = request("POST", "/scales/k").header("x-timeout-ms", "200");
+    let answer = daemon.call(req, "").await;
+    assert_eq!(
+        (answer.outcome(), &*answer.code()),
+        (OutcomeKind::NotRun, "no-owner")
+    );
+    assert!(target.received().is_empty());
+}
