--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,7 +5,6 @@
 use crate::{
     clock::Clock,
     routing::{
-        front::Fronts,
         path::{RequestPath, RequestPathContext},
         prober,
         request::Head,
@@ -86,21 +85,6 @@
     policies: Policies,
     listener: std::net::TcpListener,
     stop: watch::Receiver<bool>,
-) -> io::Result<JoinHandle<Stopped>> {
-    let fronts = Fronts::new(cx.link.clone(), cx.clock);
-    serve_fronting(cx, policies, fronts, listener, stop)
-}
-
-/// Like [`serve_with`], as the front daemon of targets that do not check grants.
-///
-/// # Errors
-/// If the listener cannot be used or a thread cannot be started.
-pub fn serve_fronting(
-    cx: RequestPathContext,
-    policies: Policies,
-    fronts: Fronts,
-    listener: std::net::TcpListener,
-    stop: watch::Receiver<bool>,
 ) -> io::Result<JoinHandle<Stopped>> {
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -115,7 +99,7 @@
     thread::Builder::new()
         .name("request-main".into())
         .spawn(move || {
-            let stopped = runtime.block_on(run(&cx, policies, fronts, listener, stop));
+            let stopped = runtime.block_on(run(&cx, policies, listener, stop));
             runtime.shutdown_timeout(Duration::from_millis(100));
             stopped
         })
@@ -124,11 +108,10 @@
 async fn run(
     cx: &RequestPathContext,
     policies: Policies,
-    fronts: Fronts,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) -> Stopped {
-    let path = RequestPath::new(cx, policies, fronts);
+    let path = RequestPath::new(cx, policies);
     if let Err(e) = prober::start(cx.directory.clone(), path.targets(), cx.clock, stop.clone()) {
         log::error!(target: "request", "Prober not started. error=\"{e}\"");
     }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -6,7 +6,6 @@
 pub mod dispatch;
 pub mod exchange;
 pub mod fairness;
-pub mod front;
 pub mod gate;
 pub mod journal;
 pub mod limit;
@@ -19,7 +18,6 @@
 pub mod refusal;
 pub mod request;
 pub mod retry;
-pub mod sending;
 pub mod shared;
 pub mod targets;
 
--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -3,27 +3,24 @@
 use super::{
     choice::choose,
     exchange::Exchange,
-    front::{Claim, Place, group_of, pairs_of},
     reference::Base36,
     refusal::Code,
     request::CallerRequest,
     retry::{Again, again, delay},
-    sending::{Sending, send},
     shared::Shared,
-    targets::TargetState,
+    targets::{TargetState, ended},
 };
 use crate::{
     clock::Millis,
     entry::snapshot::Snapshot,
     partition::Partition,
-    peer::message::ForwardRequest,
-    target_api::{CALLER, OWNERSHIP_EPOCH, PARTITION, REQUEST_ID},
-    world::{Link, Target, TargetKey},
+    target_api::{DEADLINE_MS, OWNERSHIP_EPOCH, PARTITION, REQUEST_ID},
+    world::TargetKey,
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
 use http_body_util::Full;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -100,7 +97,7 @@
     /// Waits until the request may be sent again; false if it may not.
     async fn wait_for_retry(&mut self, result: &Exchange) -> bool {
         let service = &self.req.contract.name;
-        match again(result, self.req.idempotent, self.tried.len() as u32) {
+        match again(result, self.req.idempotent, self.attempts) {
             Again::No => return false,
             Again::AtOnce => {}
             Again::Moved => return self.wait_for_table().await,
@@ -168,75 +165,45 @@
             .cx
             .targets
             .state(route.target, target, &self.req.contract);
-        let result = self.send(&snapshot, route, target, &state).await;
-        self.attempts += u32::from(was_sent(&result));
-        result
+        self.send(&snapshot, route, &state).await
     }
 
-    async fn send(
-        &self,
-        snapshot: &Snapshot,
-        route: Route,
-        target: &Target,
-        state: &TargetState,
-    ) -> Exchange {
+    async fn send(&mut self, snapshot: &Snapshot, route: Route, state: &TargetState) -> Exchange {
         let (cx, req) = (self.cx, self.req);
-        let id = format!("{}-{}", Base36(req.id), self.tried.len());
-        let message = message(req, route, &id);
-        let place = cx.fronts.place(snapshot, &req.contract, &target.name);
-        let claim = match (place, route.ownership) {
-            (Place::Anywhere, _) => None,
-            (Place::Here, Some((partition, epoch))) => Some(Claim {
-                group: group_of(&req.contract),
-                target: target.name.clone(),
-                partition,
-                epoch,
-            }),
-            (Place::At(front), Some((_, epoch))) => {
-                return self.forward(front, target, epoch, message).await;
-            }
-            (Place::Here | Place::At(_), None) | (Place::Nowhere, _) => {
-                return Exchange::NotRun(Code::NoOwner);
-            }
-        };
-        let sending = Sending {
-            state,
-            target: &target.name.0,
-            caller: &req.caller,
-            queue_length: cx.queue_length(snapshot),
-            deadline: req.deadline,
-            message,
-            id: &id,
-            claim,
+        let queue_length = queue_length(snapshot);
+        let entered = state
+            .admission
+            .enter(&req.caller, queue_length, req.deadline);
+        let permit = match entered.await {
+            Ok(permit) => permit,
+            Err(code) => return Exchange::NotRun(code),
         };
-        send(cx, sending).await
+        if permit.waited() {
+            let waiting = state.admission.gate().queue_len();
+            let name = self.target.as_deref().unwrap_or_default();
+            cx.metrics.queued(name, waiting);
+        }
+        let sent = cx.clock.now();
+        let given: Duration = req.deadline.since(sent).into();
+        let result = self.exchange(route, state, given).await;
+        let now = cx.clock.now();
+        permit.end(ended(&result, now.since(sent)));
+        state.learn(&result, given, now);
+        result
     }
 
-    /// Passes the request to the target's front daemon, which queues for it.
-    async fn forward(
-        &self,
-        front: Link,
-        target: &Target,
-        epoch: u64,
-        mut message: Request<Full<Bytes>>,
-    ) -> Exchange {
-        let left = self.left();
-        if left == Millis::ZERO {
+    async fn exchange(&mut self, route: Route, state: &TargetState, given: Duration) -> Exchange {
+        let Some(connection) = state.pool.connection(given).await else {
+            return Exchange::NotRun(Code::ConnectFailed);
+        };
+        let left = self.cx.clock.until(self.req.deadline);
+        if left.is_zero() {
             return Exchange::NotRun(Code::TooLate);
         }
-        if let Ok(caller) = HeaderValue::from_str(&self.req.caller) {
-            message.headers_mut().insert(CALLER, caller);
-        }
-        let request = ForwardRequest {
-            target: target.name.clone(),
-            method: self.req.method.as_str().into(),
-            path: message.uri().to_string().into(),
-            headers: pairs_of(message.headers()),
-            body: self.req.body.to_vec(),
-            time_left_ms: left.0,
-            ownership_epoch: epoch,
-        };
-        self.cx.fronts.forward(front, request, left.into()).await
+        self.attempts += 1;
+        let id = format!("{}-{}", Base36(self.req.id), self.attempts);
+        let message = message(self.req, route, &id, left);
+        connection.exchange(message, &id, left).await
     }
 
     fn snapshot(&self) -> Arc<Snapshot> {
@@ -257,13 +224,9 @@
     }
 }
 
-/// Whether anything was sent to a target, as far as is known here.
-fn was_sent(result: &Exchange) -> bool {
-    use Code::{ConnectFailed, NeverWritten, NoOwner, QueueFull, TooLate};
-    !matches!(
-        result,
-        Exchange::NotRun(ConnectFailed | NeverWritten | NoOwner | QueueFull | TooLate)
-    )
+fn queue_length(snapshot: &Snapshot) -> usize {
+    let config = snapshot.config.as_ref();
+    config.map_or(0, |config| config.preset.queue_length as usize)
 }
 
 fn route(
@@ -303,8 +266,8 @@
     })
 }
 
-/// The request as sent to a target, complete but for its deadline.
-fn message(req: &CallerRequest, route: Route, id: &str) -> Request<Full<Bytes>> {
+/// The request as sent to a target.
+fn message(req: &CallerRequest, route: Route, id: &str, left: Duration) -> Request<Full<Bytes>> {
     let mut message = Request::new(Full::new(req.body.clone()));
     *message.method_mut() = req.method.clone();
     *message.uri_mut() = req.path.clone();
@@ -315,6 +278,7 @@
     }
     let id = HeaderValue::from_str(id).expect("the id is ASCII");
     headers.insert(REQUEST_ID, id);
+    headers.insert(DEADLINE_MS, (left.as_millis() as u64).into());
     if let Some((partition, epoch)) = route.ownership {
         headers.insert(PARTITION, partition.0.into());
         headers.insert(OWNERSHIP_EPOCH, epoch.into());
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -4,7 +4,6 @@
     answer::{Progress, answer},
     dispatch::{Dispatched, dispatch},
     exchange::Exchange,
-    front::Fronts,
     journal::Begun,
     outcome::{Outcome, OutcomeKind},
     refusal::{Code, RecentRefusals},
@@ -58,10 +57,10 @@
 
 impl RequestPath {
     /// Creates the request path. It needs the runtime that it will be used on.
-    pub fn new(cx: &RequestPathContext, policies: Policies, fronts: Fronts) -> Self {
-        let shared = Arc::new(Shared::new(cx, policies, fronts));
-        shared.fronts.serve_on(&shared);
-        Self { shared }
+    pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
+        Self {
+            shared: Arc::new(Shared::new(cx, policies)),
+        }
     }
 
     /// The refusal of a request whose handling failed.
--- a/src/routing/shared.rs
+++ b/src/routing/shared.rs
@@ -2,7 +2,6 @@
 
 use super::{
     exchange::Exchange,
-    front::Fronts,
     journal::Journal,
     path::RequestPathContext,
     refusal::{Code, RecentRefusals},
@@ -13,7 +12,7 @@
 use crate::{
     clock::Clock,
     collections::Map,
-    entry::{directory::Directory, metrics::Metrics, snapshot::Snapshot},
+    entry::{directory::Directory, metrics::Metrics},
     world::{Link, ServiceName},
 };
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,8 +34,6 @@
     pub metrics: Metrics,
     /// State of targets.
     pub targets: Arc<Targets>,
-    /// Targets that do not check grants.
-    pub fronts: Fronts,
     /// The journal.
     pub journal: Journal,
     /// Refusals for the operator's tool.
@@ -49,14 +46,13 @@
 
 impl Shared {
     /// Creates the state. It needs the runtime that it will be used on.
-    pub fn new(cx: &RequestPathContext, policies: Policies, fronts: Fronts) -> Self {
+    pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
         Self {
             link: cx.link.clone(),
             clock: cx.clock,
             directory: cx.directory.clone(),
             metrics: cx.metrics.clone(),
             targets: Arc::new(Targets::new(policies, cx.clock)),
-            fronts,
             journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
             recent: cx.recent.clone(),
             body_bytes: Arc::new(Semaphore::new(BODY_BYTES)),
@@ -111,12 +107,6 @@
         budget.is_some_and(|budget| budget.spend(result))
     }
 
-    /// Requests that may wait for one target.
-    pub fn queue_length(&self, snapshot: &Snapshot) -> usize {
-        let config = snapshot.config.as_ref();
-        config.map_or(0, |config| config.preset.queue_length as usize)
-    }
-
     fn budgets(&self) -> MutexGuard<'_, Map<ServiceName, RetryBudget>> {
         self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
     }
