Serve targets that do not check grants through front daemons

Cause: the controller grants the lease of such a target to one daemon, but daemons refused those grants, so the service was not served. A daemon that stops waits until its fronts are returned. The controller moves fronts into their targets' zones one a second, since the first daemon to start was the front of all targets and stayed so. The closures between the daemon's parts move from entry::runtime to entry::wiring.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,3 +6,4 @@
 pub mod runtime;
 pub mod settings;
 pub mod snapshot;
+mod wiring;
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -1,31 +1,21 @@
 //! Starts the daemon's threads, joins them and stops them in order.
 
 use super::{
-    directory::Directory,
     http::{self, Stopped},
     metrics::Metrics,
     settings::Settings,
+    wiring::Wiring,
 };
 use crate::{
-    clock::Clock,
-    http_client::HttpClient,
-    ownership::driver::{self, DriverContext, DriverHandle, GrantReplyFn, HoldReplyFn},
-    peer::{
-        message::{ForwardReply, HoldReply, HoldRequest, PeerReply, PeerRequest},
-        service::{PeerContext, PeerHandle, PeerService},
-    },
+    ownership::driver::DriverHandle,
+    peer::service::PeerService,
     routing::{path::RequestPathContext, refusal::RecentRefusals, targets::Policies},
-    store::StoreClient,
-    target_api::{GrantReply, GrantRequest},
     world::{Incarnation, Link},
 };
 use eyre::WrapErr;
 use std::{
     net::{SocketAddr, TcpListener},
-    sync::{
-        Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::atomic::Ordering,
     thread::JoinHandle,
     time::Duration,
 };
@@ -36,11 +26,6 @@
 
 /// Longest time to hand over controlled groups at a stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for a standby to answer a hold request; a later answer is of no use, since the controller's
-/// own lease ends.
-const HOLD_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time for a front daemon to answer a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Runs the daemon until SIGTERM or SIGINT, then stops it gracefully.
 ///
@@ -78,11 +63,9 @@
 
 /// A running daemon.
 pub struct Daemon {
-    link: Link,
+    wiring: Wiring,
     caller_addr: SocketAddr,
     operator_addr: SocketAddr,
-    directory: Directory,
-    stopping: Arc<AtomicBool>,
     driver: DriverHandle,
     peers: PeerService,
     stop_callers: watch::Sender<bool>,
@@ -120,36 +103,28 @@
             "Starting."
         );
 
-        let clock = Clock::start();
-        let directory = Directory::start();
-        let stopping = Arc::new(AtomicBool::new(false));
-        // The driver sends through the peer thread, which is started after it.
-        let peer_handle: Arc<OnceLock<PeerHandle>> = Arc::default();
-        let driver = start_driver(&settings, &link, clock, &directory, &peer_handle);
-        let peers = PeerService::start(
-            peer_listener,
-            peer_context(&settings, &link, clock, &directory, &driver, &stopping),
-        )?;
-        peer_handle.get_or_init(|| peers.handle());
+        let wiring = Wiring::new(settings, link);
+        let driver = wiring.start_driver();
+        let peers = PeerService::start(peer_listener, wiring.peer_context(&driver))?;
+        wiring.peers.get_or_init(|| peers.handle());
 
         let (stop_callers, stop) = watch::channel(false);
         let cx = RequestPathContext {
-            link: link.clone(),
-            clock,
-            directory: directory.clone(),
-            store: store_client(&settings),
-            workers: settings.workers.into(),
-            stop_timeout: Duration::from_millis(settings.stop_timeout_ms),
-            metrics: Metrics::new(settings.statsd_addr)?,
+            link: wiring.link.clone(),
+            clock: wiring.clock,
+            directory: wiring.directory.clone(),
+            store: wiring.store_client(),
+            workers: wiring.settings.workers.into(),
+            stop_timeout: Duration::from_millis(wiring.settings.stop_timeout_ms),
+            metrics: Metrics::new(wiring.settings.statsd_addr)?,
             recent: RecentRefusals::default(),
+            fronts: wiring.fronts.clone(),
         };
         let callers = http::serve_with(cx, policies, caller_listener, stop)?;
         Ok(Self {
-            link,
+            wiring,
             caller_addr,
             operator_addr,
-            directory,
-            stopping,
             driver,
             peers,
             stop_callers,
@@ -169,12 +144,12 @@
 
     /// The address that serves other daemons, with the daemon's name and run.
     pub fn link(&self) -> &Link {
-        &self.link
+        &self.wiring.link
     }
 
     /// Whether the daemon can serve callers.
     pub fn is_ready(&self) -> bool {
-        self.directory.snapshot().load().is_ready()
+        self.wiring.directory.snapshot().load().is_ready()
     }
 
     /// Hands over controlled groups, finishes the requests in flight and ends all threads.
@@ -182,7 +157,7 @@
     /// # Errors
     /// If requests were cut off at the time limit.
     pub fn stop(self) -> eyre::Result<()> {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.wiring.stopping.store(true, Ordering::Relaxed);
         if !self.driver.release(RELEASE_TIMEOUT) {
             log::warn!(target: "entry", "Not all groups were handed over; their leases will end.");
         }
@@ -191,6 +166,9 @@
             .callers
             .join()
             .map_err(|_| eyre::eyre!("the request path panicked"))?;
+        if !self.wiring.fronts.wait_returned(RELEASE_TIMEOUT) {
+            log::warn!(target: "entry", "Not all targets got another front daemon.");
+        }
         self.peers.stop();
         log::info!(target: "entry", "Stopped.");
         match stopped {
@@ -205,113 +183,3 @@
 fn bind(flag: &str, addr: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(addr).wrap_err_with(|| format!("{flag} {addr} cannot be used"))
 }
-
-/// Creates a client for one thread: its connections belong to the runtime that opens them.
-fn store_client(settings: &Settings) -> StoreClient {
-    StoreClient::new(
-        settings.platform_addr,
-        Duration::from_millis(settings.store_timeout_ms),
-    )
-}
-
-fn start_driver(
-    settings: &Settings,
-    link: &Link,
-    clock: Clock,
-    directory: &Directory,
-    peers: &Arc<OnceLock<PeerHandle>>,
-) -> DriverHandle {
-    let (hold_peers, grant_peers) = (Arc::clone(peers), Arc::clone(peers));
-    driver::spawn(DriverContext {
-        link: link.clone(),
-        clock,
-        store: store_client(settings),
-        http: HttpClient::new(),
-        directory: directory.clone(),
-        send_hold: Arc::new(move |to, req, reply: HoldReplyFn| {
-            let on_reply = Box::new(move |result| {
-                if let Ok(PeerReply::Hold(answer)) = result {
-                    reply(answer);
-                }
-            });
-            if let Some(peers) = hold_peers.get() {
-                peers.post(to, PeerRequest::Hold(req), HOLD_TIMEOUT, on_reply);
-            }
-        }),
-        send_grant: Arc::new(move |to, target, grant, reply: GrantReplyFn| {
-            let Some(peers) = grant_peers.get() else {
-                return reply(None);
-            };
-            let on_reply = Box::new(move |result| match result {
-                Ok(PeerReply::Grant(answer)) => reply(Some(answer)),
-                _ => reply(None),
-            });
-            peers.post(
-                to,
-                PeerRequest::Grant { target, grant },
-                GRANT_TIMEOUT,
-                on_reply,
-            );
-        }),
-    })
-}
-
-fn peer_context(
-    settings: &Settings,
-    link: &Link,
-    clock: Clock,
-    directory: &Directory,
-    driver: &DriverHandle,
-    stopping: &Arc<AtomicBool>,
-) -> PeerContext {
-    let snapshot = Arc::clone(directory.snapshot());
-    let (hold_driver, controls_driver) = (driver.clone(), driver.clone());
-    let is_stopping = Arc::clone(stopping);
-    let incarnation = link.incarnation;
-    PeerContext {
-        link: link.clone(),
-        clock,
-        directory: directory.clone(),
-        store: store_client(settings),
-        controls: Arc::new(move || controls_driver.controls()),
-        ready: Arc::new(move || snapshot.load().is_ready()),
-        stopping: Arc::new(move || is_stopping.load(Ordering::Relaxed)),
-        answer_hold: Arc::new(move |req| {
-            let driver = hold_driver.clone();
-            Box::pin(async move { answer_hold(driver, req).await })
-        }),
-        take_grant: Arc::new(move |(_, req)| Box::pin(async move { no_front(incarnation, &req) })),
-        forward: Arc::new(|_| {
-            Box::pin(async { ForwardReply::NotRun("This daemon is no front daemon.".into()) })
-        }),
-    }
-}
-
-/// The driver answers from its own thread, so the wait must not block the peer thread.
-async fn answer_hold(driver: DriverHandle, req: HoldRequest) -> HoldReply {
-    let refused = HoldReply {
-        group: req.group.clone(),
-        controller_epoch: req.controller_epoch,
-        standby: req.standby,
-        acknowledged: false,
-    };
-    tokio::task::spawn_blocking(move || driver.answer_hold(req))
-        .await
-        .unwrap_or(refused)
-}
-
-/// Refuses a grant for a target that this daemon is not the front of.
-fn no_front(incarnation: Incarnation, req: &GrantRequest) -> GrantReply {
-    GrantReply {
-        accepted: false,
-        incarnation,
-        reading: 0,
-        controller_epoch: req.controller_epoch,
-        sequence: req.sequence,
-        set_id: None,
-        lease_left_ms: 0,
-        draining: Vec::new(),
-        leaving: false,
-        heat: Vec::new(),
-    }
-}
--- /dev/null
+++ b/src/entry/wiring.rs
@@ -0,0 +1,123 @@
+//! Connects the daemon's parts to each other.
+
+use super::{directory::Directory, settings::Settings};
+use crate::{
+    clock::Clock,
+    http_client::HttpClient,
+    ownership::driver::{self, DriverContext, DriverHandle, GrantReplyFn, HoldReplyFn},
+    peer::{
+        message::{PeerReply, PeerRequest},
+        service::{PeerContext, PeerHandle},
+    },
+    routing::front::Fronts,
+    store::StoreClient,
+    world::Link,
+};
+use std::{
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+/// Time for a standby to answer a hold request; a later answer is of no use, since the controller's
+/// own lease ends.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for a front daemon to answer a grant.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// What several parts of one daemon share.
+#[derive(Clone, Debug)]
+pub(super) struct Wiring {
+    pub settings: Settings,
+    pub link: Link,
+    pub clock: Clock,
+    pub directory: Directory,
+    pub stopping: Arc<AtomicBool>,
+    /// The peer links; set once they are up, since parts that send through them start earlier.
+    pub peers: Arc<OnceLock<PeerHandle>>,
+    pub fronts: Fronts,
+}
+
+impl Wiring {
+    pub fn new(settings: Settings, link: Link) -> Self {
+        let clock = Clock::start();
+        let peers: Arc<OnceLock<PeerHandle>> = Arc::default();
+        Self {
+            fronts: Fronts::new(link.incarnation, clock, Arc::clone(&peers)),
+            settings,
+            link,
+            clock,
+            directory: Directory::start(),
+            stopping: Arc::default(),
+            peers,
+        }
+    }
+
+    /// Creates a client for one thread: its connections belong to the runtime that opens them.
+    pub fn store_client(&self) -> StoreClient {
+        let timeout = Duration::from_millis(self.settings.store_timeout_ms);
+        StoreClient::new(self.settings.platform_addr, timeout)
+    }
+
+    pub fn start_driver(&self) -> DriverHandle {
+        let (hold_peers, grant_peers) = (Arc::clone(&self.peers), Arc::clone(&self.peers));
+        driver::spawn(DriverContext {
+            link: self.link.clone(),
+            clock: self.clock,
+            store: self.store_client(),
+            http: HttpClient::new(),
+            directory: self.directory.clone(),
+            send_hold: Arc::new(move |to, req, reply: HoldReplyFn| {
+                let on_reply = Box::new(move |result| {
+                    if let Ok(PeerReply::Hold(answer)) = result {
+                        reply(answer);
+                    }
+                });
+                if let Some(peers) = hold_peers.get() {
+                    peers.post(to, PeerRequest::Hold(req), HOLD_TIMEOUT, on_reply);
+                }
+            }),
+            send_grant: Arc::new(move |to, target, grant, reply: GrantReplyFn| {
+                let Some(peers) = grant_peers.get() else {
+                    return reply(None);
+                };
+                let on_reply = Box::new(move |result| match result {
+                    Ok(PeerReply::Grant(answer)) => reply(Some(answer)),
+                    _ => reply(None),
+                });
+                let req = PeerRequest::Grant { target, grant };
+                peers.post(to, req, GRANT_TIMEOUT, on_reply);
+            }),
+        })
+    }
+
+    pub fn peer_context(&self, driver: &DriverHandle) -> PeerContext {
+        let snapshot = Arc::clone(self.directory.snapshot());
+        let stopping = Arc::clone(&self.stopping);
+        let (hold_driver, controls_driver) = (driver.clone(), driver.clone());
+        let (grant_fronts, forward_fronts) = (self.fronts.clone(), self.fronts.clone());
+        PeerContext {
+            link: self.link.clone(),
+            clock: self.clock,
+            directory: self.directory.clone(),
+            store: self.store_client(),
+            controls: Arc::new(move || controls_driver.controls()),
+            ready: Arc::new(move || snapshot.load().is_ready()),
+            stopping: Arc::new(move || stopping.load(Ordering::Relaxed)),
+            answer_hold: Arc::new(move |req| {
+                let reply = hold_driver.answer_hold(req);
+                Box::pin(async move { reply })
+            }),
+            take_grant: Arc::new(move |(target, req)| {
+                let reply = grant_fronts.take_grant(&target, &req);
+                Box::pin(async move { reply })
+            }),
+            forward: Arc::new(move |req| {
+                let fronts = forward_fronts.clone();
+                Box::pin(async move { fronts.receive(req).await })
+            }),
+        }
+    }
+}
--- a/src/ownership/controller/fronting.rs
+++ b/src/ownership/controller/fronting.rs
@@ -7,16 +7,18 @@
 use super::{Common, holding::Holding};
 use crate::{
     collections::Map,
-    ownership::granter::TargetLease,
-    world::{Link, VmName},
+    ownership::{granter::TargetLease, timing::FRONT_INTERVAL},
+    world::{Link, VmName, ZoneName},
 };
 
 impl Holding {
     /// Names fronts for listed targets that have none or whose front is lost or stopping.
     pub(super) fn advance_fronts(&mut self, cx: &mut Common) {
         if cx.facts.checks_grants || self.hold.is_begun() {
+            self.misplaced = None;
             return;
         }
+        self.find_misplaced(cx);
         let vacant: Vec<VmName> = cx
             .facts
             .targets
@@ -39,10 +41,36 @@
                 "Front daemon chosen. target={name} front={}",
                 front.name
             ));
+            if self.misplaced.as_ref() == Some(&name) {
+                self.misplaced = None;
+            }
             self.fronts.insert(name, front);
         }
     }
 
+    /// Picks one target at a time whose front is in another zone though a daemon in its own zone
+    /// is live: the first daemon to start is the front of all targets until others are known.
+    fn find_misplaced(&mut self, cx: &Common) {
+        if self.misplaced.is_some() || cx.now < self.next_front_move {
+            return;
+        }
+        self.next_front_move = cx.now + FRONT_INTERVAL;
+        let zone_has_daemon = |zone: &ZoneName| {
+            let mut live = cx.facts.members.iter().chain([&cx.me]);
+            live.any(|link| link.zone == *zone && cx.is_live(link))
+        };
+        let misplaced = self.fronts.iter().find(|(name, front)| {
+            let listed = cx.facts.targets.get(*name);
+            listed.is_some_and(|t| t.zone != front.zone && zone_has_daemon(&t.zone))
+        });
+        self.misplaced = misplaced.map(|(name, _)| name.clone());
+    }
+
+    /// Whether the front of `target` has to return its lease, so that another one can be named.
+    pub(super) fn must_return(&self, target: &VmName, front: &Link, cx: &Common) -> bool {
+        !cx.is_live(front) || self.misplaced.as_ref() == Some(target)
+    }
+
     /// Whether fronts wait to be written.
     pub(super) fn has_new_fronts(&self) -> bool {
         !self
@@ -53,7 +81,7 @@
 
     fn is_unfit(&self, target: &VmName, front: &Link, cx: &Common) -> bool {
         let silent = |lease: &TargetLease| lease.is_failing() && !lease.is_reachable(cx.now);
-        !cx.is_live(front) || self.targets.get(target).is_some_and(silent)
+        self.must_return(target, front, cx) || self.targets.get(target).is_some_and(silent)
     }
 
     fn is_returned(&self, target: &VmName, cx: &Common) -> bool {
--- a/src/ownership/controller/granting.rs
+++ b/src/ownership/controller/granting.rs
@@ -78,13 +78,19 @@
         let hold_length = self.hold_length();
         let hold = self.hold.is_active().then_some(Millis(hold_length));
         let empty = GrantSet::new(Vec::new());
+        let returning: Vec<VmName> = self
+            .fronts
+            .iter()
+            .filter(|(name, front)| self.must_return(name, front, cx))
+            .map(|(name, _)| name.clone())
+            .collect();
         for (name, lease) in &mut self.targets {
             let Some(receiver) = receiver(name, &self.row, &self.fronts, &cx.facts) else {
                 continue;
             };
             let set = match receiver {
                 // A front that is to be replaced has to return the lease first.
-                Receiver::Front(front) if !cx.is_live(front) && hold.is_none() => &empty,
+                Receiver::Front(_) if returning.contains(name) && hold.is_none() => &empty,
                 _ => self.sets.get(name).unwrap_or(&empty),
             };
             let due = match hold {
--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -51,6 +51,9 @@
     pub taken_over: Millis,
     /// Fronts that the next write names; they may be used once the row confirms them.
     pub fronts: BTreeMap<VmName, Link>,
+    /// A target whose front is to be replaced by one in the target's zone.
+    pub misplaced: Option<VmName>,
+    pub next_front_move: Millis,
     /// When a target last answered.
     pub last_contact: Millis,
     /// Gives the lease away because no target can be reached.
@@ -97,6 +100,8 @@
             moves: BTreeMap::new(),
             fronts: attempt.row.fronts.iter().cloned().collect(),
             last_contact: cx.now,
+            misplaced: None,
+            next_front_move: Millis::ZERO,
             isolated: false,
             candidates: Vec::new(),
             next_placement: Millis::ZERO,
--- a/src/ownership/timing.rs
+++ b/src/ownership/timing.rs
@@ -59,6 +59,10 @@
 /// Time for which such a daemon takes over no group.
 pub const ISOLATION_PENALTY: Millis = Millis(3_000);
 
+/// Time between replacements of front daemons that are in another zone than their target. Each
+/// one leaves the target's keys unserved for some tens of milliseconds.
+pub const FRONT_INTERVAL: Millis = Millis(1_000);
+
 /// Time between rounds of placement.
 pub const PLACEMENT_INTERVAL: Millis = Millis(500);
 /// Longest wait after a takeover for listed targets to answer before partitions are placed.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     config::ConfigSnapshot,
+    partition::Partition,
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
-    world::{GroupId, Incarnation, Link, Vm, VmName},
+    world::{GroupId, Incarnation, Link, ServiceName, Vm, VmName},
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -166,20 +167,28 @@
 /// A caller's request on its way to the front daemon of its target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ForwardRequest {
+    /// Identifies the request within the records of the daemon that the caller asked.
+    pub id: u64,
+    /// The service.
+    pub service: ServiceName,
     /// The target.
     pub target: VmName,
+    /// The partition of the request's key.
+    pub partition: Partition,
+    /// Ownership epoch under which it is sent.
+    pub ownership_epoch: u64,
+    /// The caller, for fairness.
+    pub caller: Arc<str>,
     /// Method.
     pub method: Arc<str>,
     /// Path and query.
     pub path: Arc<str>,
-    /// Headers, the daemon's own included.
+    /// Headers that are passed on.
     pub headers: Vec<(Arc<str>, Vec<u8>)>,
     /// Body.
     pub body: Vec<u8>,
     /// Time left, in milliseconds.
     pub time_left_ms: u64,
-    /// Ownership epoch under which it is sent.
-    pub ownership_epoch: u64,
 }
 
 /// What became of a [`ForwardRequest`].
@@ -194,8 +203,8 @@
         /// Body.
         body: Vec<u8>,
     },
-    /// It is proved that it did not run.
+    /// It is proved that it did not run; the code of the reason.
     NotRun(Arc<str>),
-    /// It may have run.
+    /// It may have run; the code of the reason.
     Unknown(Arc<str>),
 }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -6,6 +6,7 @@
 pub mod dispatch;
 pub mod exchange;
 pub mod fairness;
+pub mod front;
 pub mod gate;
 pub mod journal;
 pub mod limit;
--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -3,6 +3,7 @@
 use super::{
     choice::choose,
     exchange::Exchange,
+    front::FrontPermit,
     reference::Base36,
     refusal::Code,
     request::CallerRequest,
@@ -15,7 +16,7 @@
     entry::snapshot::Snapshot,
     partition::Partition,
     target_api::{DEADLINE_MS, OWNERSHIP_EPOCH, PARTITION, REQUEST_ID},
-    world::TargetKey,
+    world::{GroupId, Link, TargetKey, VmName},
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, header};
@@ -49,16 +50,7 @@
 /// Sends `req` until its outcome is known or too little time is left.
 pub async fn dispatch(cx: &Shared, req: &CallerRequest) -> Dispatched {
     cx.count_first_try(&req.contract.name);
-    let mut run = Run {
-        cx,
-        req,
-        changes: cx.directory.changes(),
-        route: None,
-        tried: Vec::new(),
-        target: None,
-        attempts: 0,
-        waits: 0,
-    };
+    let mut run = Run::new(cx, req);
     let result = run.until_final().await;
     Dispatched {
         result,
@@ -67,6 +59,18 @@
     }
 }
 
+/// Sends `req` once along `route`, for which this daemon is the front.
+pub async fn dispatch_to(cx: &Shared, req: &CallerRequest, route: Route) -> Exchange {
+    let mut run = Run::new(cx, req);
+    let snapshot = run.snapshot();
+    let Some(target) = snapshot.targets.get(route.target) else {
+        return Exchange::NotRun(Code::NoOwner);
+    };
+    run.target = Some(Arc::clone(&target.name.0));
+    let state = cx.targets.state(route.target, target, &req.contract);
+    run.send(&snapshot, route, &state).await
+}
+
 /// The course of one request.
 struct Run<'a> {
     cx: &'a Shared,
@@ -79,7 +83,20 @@
     waits: u32,
 }
 
-impl Run<'_> {
+impl<'a> Run<'a> {
+    fn new(cx: &'a Shared, req: &'a CallerRequest) -> Self {
+        Self {
+            cx,
+            req,
+            changes: cx.directory.changes(),
+            route: None,
+            tried: Vec::new(),
+            target: None,
+            attempts: 0,
+            waits: 0,
+        }
+    }
+
     async fn until_final(&mut self) -> Exchange {
         let mut may_have_run = None;
         loop {
@@ -161,6 +178,9 @@
         };
         self.target = Some(Arc::clone(&target.name.0));
         self.tried.push(route.target);
+        if let Some(front) = front_elsewhere(self.cx, &snapshot, route, self.req) {
+            return self.forward(front, &target.name, route).await;
+        }
         let state = self
             .cx
             .targets
@@ -168,6 +188,17 @@
         self.send(&snapshot, route, &state).await
     }
 
+    async fn forward(&mut self, front: Option<Link>, target: &VmName, route: Route) -> Exchange {
+        let (Some(front), Some(ownership)) = (front, route.ownership) else {
+            return Exchange::NotRun(Code::NoOwner);
+        };
+        self.attempts += 1;
+        self.cx
+            .fronts
+            .forward(front, target, ownership, self.req)
+            .await
+    }
+
     async fn send(&mut self, snapshot: &Snapshot, route: Route, state: &TargetState) -> Exchange {
         let (cx, req) = (self.cx, self.req);
         let queue_length = queue_length(snapshot);
@@ -196,14 +227,38 @@
         let Some(connection) = state.pool.connection(given).await else {
             return Exchange::NotRun(Code::ConnectFailed);
         };
-        let left = self.cx.clock.until(self.req.deadline);
+        // The lease is checked last, so that as little time as possible passes until the request
+        // is written.
+        let permit = match self.front_permit(route) {
+            Ok(permit) => permit,
+            Err(code) => return Exchange::NotRun(code),
+        };
+        let lease_end = permit.as_ref().map(FrontPermit::deadline);
+        let deadline = lease_end.map_or(self.req.deadline, |end| end.min(self.req.deadline));
+        let left = self.cx.clock.until(deadline);
         if left.is_zero() {
             return Exchange::NotRun(Code::TooLate);
         }
         self.attempts += 1;
         let id = format!("{}-{}", Base36(self.req.id), self.attempts);
         let message = message(self.req, route, &id, left);
-        connection.exchange(message, &id, left).await
+        let result = connection.exchange(message, &id, left).await;
+        if let Some(permit) = permit.filter(|_| !matches!(result, Exchange::MayHaveRun(_))) {
+            permit.end();
+        }
+        result
+    }
+
+    /// The permit to send to a target that does not check grants; `None` if none is needed.
+    fn front_permit(&self, route: Route) -> Result<Option<FrontPermit>, Code> {
+        let Some((partition, epoch)) = route.ownership.filter(|_| !self.req.contract.checks_grants)
+        else {
+            return Ok(None);
+        };
+        let snapshot = self.snapshot();
+        let target = snapshot.targets.get(route.target).ok_or(Code::NoOwner)?;
+        let permit = self.cx.fronts.begin(&target.name, partition, epoch);
+        permit.map(Some).ok_or(Code::NotOwner)
     }
 
     fn snapshot(&self) -> Arc<Snapshot> {
@@ -266,6 +321,32 @@
     })
 }
 
+/// The front daemon that `req` has to be passed to: `None` if this daemon may send it to the
+/// target itself, `Some(None)` if the front is not known.
+fn front_elsewhere(
+    cx: &Shared,
+    snapshot: &Snapshot,
+    route: Route,
+    req: &CallerRequest,
+) -> Option<Option<Link>> {
+    if req.contract.checks_grants || route.ownership.is_none() {
+        return None;
+    }
+    let group = GroupId {
+        service: req.contract.name.clone(),
+        index: 0,
+    };
+    let target = snapshot.targets.get(route.target)?;
+    match snapshot
+        .tables
+        .get(&group)
+        .and_then(|table| table.front(&target.name))
+    {
+        Some(front) if *front == cx.link => None,
+        front => Some(front.cloned()),
+    }
+}
+
 /// The request as sent to a target.
 fn message(req: &CallerRequest, route: Route, id: &str, left: Duration) -> Request<Full<Bytes>> {
     let mut message = Request::new(Full::new(req.body.clone()));
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -4,6 +4,7 @@
     answer::{Progress, answer},
     dispatch::{Dispatched, dispatch},
     exchange::Exchange,
+    front::{Fronts, Receiver},
     journal::Begun,
     outcome::{Outcome, OutcomeKind},
     refusal::{Code, RecentRefusals},
@@ -47,6 +48,8 @@
     pub metrics: Metrics,
     /// Refusals for the operator's tool.
     pub recent: RecentRefusals,
+    /// Leases held in place of targets that do not check grants.
+    pub fronts: Fronts,
 }
 
 /// Handle to the request path.
@@ -58,9 +61,9 @@
 impl RequestPath {
     /// Creates the request path. It needs the runtime that it will be used on.
     pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
-        Self {
-            shared: Arc::new(Shared::new(cx, policies)),
-        }
+        let shared = Arc::new(Shared::new(cx, policies));
+        cx.fronts.receive_with(Receiver::new(Arc::clone(&shared)));
+        Self { shared }
     }
 
     /// The refusal of a request whose handling failed.
--- a/src/routing/shared.rs
+++ b/src/routing/shared.rs
@@ -2,6 +2,7 @@
 
 use super::{
     exchange::Exchange,
+    front::Fronts,
     journal::Journal,
     path::RequestPathContext,
     refusal::{Code, RecentRefusals},
@@ -36,6 +37,8 @@
     pub targets: Arc<Targets>,
     /// The journal.
     pub journal: Journal,
+    /// Leases held in place of targets.
+    pub fronts: Fronts,
     /// Refusals for the operator's tool.
     pub recent: RecentRefusals,
     body_bytes: Arc<Semaphore>,
@@ -54,6 +57,7 @@
             metrics: cx.metrics.clone(),
             targets: Arc::new(Targets::new(policies, cx.clock)),
             journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
+            fronts: cx.fronts.clone(),
             recent: cx.recent.clone(),
             body_bytes: Arc::new(Semaphore::new(BODY_BYTES)),
             budgets: Mutex::default(),
--- a/standins/src/bin/standin-target.rs
+++ b/standins/src/bin/standin-target.rs
@@ -7,7 +7,7 @@
 use std::{io, net::SocketAddr, path::PathBuf, time::Duration};
 
 #[derive(Parser)]
-#[command(version, about)]
+#[command(version, about, args_override_self = true)]
 struct Options {
     /// Address to serve; port 0 chooses a free port.
     #[arg(long, default_value = "127.0.0.1:0")]
--- /dev/null
+++ b/standins/tests/front.rs
@@ -0,0 +1,143 @@
+//! A service whose targets do not check grants: one daemon holds the lease in place of each.
+
+use standins::{
+    cluster::{Cluster, Declared, KEYED, Layout, UNKEYED, wait_for, wait_until},
+    scenario::{Scenario, seed},
+    workload::Mix,
+};
+use std::time::Duration;
+
+/// Time for a takeover, another front and a move while a fault is present.
+const REACTION: Duration = Duration::from_secs(15);
+
+async fn start(default_seed: u64) -> Scenario {
+    let unchecked = vec!["--checks-grants=false".to_owned()];
+    let targets = [(KEYED, unchecked), (UNKEYED, Vec::new())];
+    let layout = Layout {
+        daemons: vec!["zone-a", "zone-b", "zone-c", "zone-c"],
+        targets: targets
+            .into_iter()
+            .flat_map(|(service, flags)| {
+                ["zone-a", "zone-b", "zone-c"].map(|zone| (service, zone, flags.clone()))
+            })
+            .collect(),
+        declared: Some(Declared::with("partitions = 64\nchecks_grants = false", "")),
+    };
+    Scenario::start(layout, Mix::keyed(seed(default_seed))).await
+}
+
+/// A daemon that is the front of some target and not the controller.
+async fn front(cluster: &Cluster) -> usize {
+    wait_for(
+        "another daemon than the controller is a front",
+        REACTION,
+        || async {
+            let row = cluster.group_row()?;
+            let is_front = |i: &usize| {
+                let name = &cluster.daemons[*i].name;
+                row.fronts.iter().any(|(_, link)| link.name == *name)
+            };
+            let mut fronts = (0..cluster.daemons.len()).filter(is_front);
+            fronts.find(|i| Some(*i) != cluster.controller())
+        },
+    )
+    .await
+}
+
+async fn replaced(scenario: &Scenario, old: usize) {
+    let name = scenario.cluster.daemons[old].name.clone();
+    let replaced = || {
+        let row = scenario.cluster.group_row();
+        row.is_some_and(|row| row.fronts.iter().all(|(_, link)| link.name != name))
+    };
+    wait_until("other daemons are the fronts", REACTION, replaced).await;
+}
+
+fn without(scenario: &Scenario, daemon: usize) {
+    let cluster = &scenario.cluster;
+    let others = (0..cluster.daemons.len()).filter(|i| *i != daemon);
+    let entries = others.map(|i| cluster.daemons[i].caller_addr());
+    scenario.load.use_daemons(entries.collect());
+}
+
+/// Guards against a second front that sends while the first one, which is frozen and returns with
+/// requests in its queues, still may.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn front_frozen_past_its_lease_sends_nothing_when_it_returns() {
+    let scenario = start(71).await;
+    let frozen = front(&scenario.cluster).await;
+    scenario.cluster.daemons[frozen].freeze();
+    without(&scenario, frozen);
+    replaced(&scenario, frozen).await;
+    scenario.served(REACTION).await;
+    scenario.cluster.daemons[frozen].thaw();
+    scenario.load.use_daemons(scenario.cluster.entries());
+    scenario.served(REACTION).await;
+    scenario.finish().await;
+}
+
+/// Guards against keys that stay unserved when their front daemon is lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lost_front_is_replaced() {
+    let mut scenario = start(72).await;
+    let lost = front(&scenario.cluster).await;
+    without(&scenario, lost);
+    scenario.cluster.daemons[lost].kill();
+    replaced(&scenario, lost).await;
+    scenario.served(REACTION).await;
+    scenario.cluster.daemons[lost]
+        .spawn()
+        .expect("the daemon starts");
+    scenario.finish().await;
+}
+
+/// Guards against a controller whose successor does not know which fronts hold leases.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn front_and_controller_are_lost_together() {
+    let mut scenario = start(73).await;
+    let (lost, controller) = (
+        front(&scenario.cluster).await,
+        scenario
+            .cluster
+            .controller()
+            .expect("there is a controller"),
+    );
+    let entries = (0..scenario.cluster.daemons.len())
+        .filter(|i| ![lost, controller].contains(i))
+        .map(|i| scenario.cluster.daemons[i].caller_addr());
+    scenario.load.use_daemons(entries.collect());
+    scenario.cluster.daemons[lost].freeze();
+    scenario.cluster.daemons[controller].kill();
+    replaced(&scenario, lost).await;
+    scenario.served(REACTION).await;
+    scenario.cluster.daemons[lost].thaw();
+    scenario.cluster.daemons[controller]
+        .spawn()
+        .expect("the daemon starts");
+    scenario.finish().await;
+}
+
+/// Guards against a planned stop of a front daemon that leaves keys unserved until its leases end,
+/// or cuts off requests that others have forwarded to it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stopping_front_hands_its_targets_over() {
+    let mut scenario = start(74).await;
+    let stopped = front(&scenario.cluster).await;
+    without(&scenario, stopped);
+    let child = scenario.cluster.daemons[stopped]
+        .child
+        .as_mut()
+        .expect("the daemon runs");
+    child.terminate();
+    let status = child.ended(REACTION).await;
+    assert!(status.success(), "the daemon ended with {status}");
+    scenario.cluster.daemons[stopped].child = None;
+    scenario.served(REACTION).await;
+    let histories = scenario.finish().await;
+    let cut = histories
+        .outcomes()
+        .get("unknown")
+        .copied()
+        .unwrap_or_default();
+    assert_eq!(cut, 0, "requests were cut off");
+}
--- a/tests/routing/daemon.rs
+++ b/tests/routing/daemon.rs
@@ -9,7 +9,10 @@
         http::{Stopped, serve},
         metrics::Metrics,
     },
-    routing::{RecentRefusals, RequestPathContext, outcome::OutcomeKind, outcome::RefusalBody},
+    routing::{
+        RecentRefusals, RequestPathContext, front::Fronts, outcome::OutcomeKind,
+        outcome::RefusalBody,
+    },
     store::StoreClient,
     table::{Owner, RoutingTable, TableVersion},
     world::{GroupId, Incarnation, Link, Vm, VmName, VmRole, VmState},
@@ -18,7 +21,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use std::{net::SocketAddr, thread::JoinHandle, time::Duration};
+use std::{net::SocketAddr, sync::Arc, thread::JoinHandle, time::Duration};
 use tokio::{
     net::TcpStream,
     sync::watch,
@@ -121,15 +124,17 @@
         let addr = listener.local_addr().expect("an address");
         let closed: SocketAddr = "127.0.0.1:1".parse().expect("an address");
         let (stop, stopped) = watch::channel(false);
+        let clock = Clock::start();
         let cx = RequestPathContext {
             link: link(),
-            clock: Clock::start(),
+            clock,
             directory: directory.clone(),
             store: StoreClient::new(store.unwrap_or(closed), Duration::from_millis(200)),
             workers: 1,
             stop_timeout: LIMIT,
             metrics: Metrics::default(),
             recent: RecentRefusals::default(),
+            fronts: Fronts::new(link().incarnation, clock, Arc::default()),
         };
         let (recent, metrics) = (cx.recent.clone(), cx.metrics.clone());
         let daemon = Self {
