End a front permit at the request's own deadline

Cause: a request without a known end held its partition until the lease ended, in hold mode up to 15 minutes, although the target was told the caller's much earlier deadline. A permit that was found too late was not ended at all. Change: the permit takes the deadline that the target is told.

--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -229,14 +229,19 @@
         };
         // The lease is checked last, so that as little time as possible passes until the request
         // is written.
-        let permit = match self.front_permit(route) {
+        let mut permit = match self.front_permit(route) {
             Ok(permit) => permit,
             Err(code) => return Exchange::NotRun(code),
         };
-        let lease_end = permit.as_ref().map(FrontPermit::deadline);
-        let deadline = lease_end.map_or(self.req.deadline, |end| end.min(self.req.deadline));
+        let deadline = match &mut permit {
+            Some(permit) => permit.limit(self.req.deadline),
+            None => self.req.deadline,
+        };
         let left = self.cx.clock.until(deadline);
         if left.is_zero() {
+            if let Some(permit) = permit {
+                permit.end();
+            }
             return Exchange::NotRun(Code::TooLate);
         }
         self.attempts += 1;
--- a/src/routing/front/permit.rs
+++ b/src/routing/front/permit.rs
@@ -32,8 +32,10 @@
         }
     }
 
-    /// When the request must have ended.
-    pub fn deadline(&self) -> Millis {
+    /// Shortens `deadline` to that of the permit and takes it as what the target is told: the
+    /// request ends by then, which may be long before the end of a lease in hold mode.
+    pub fn limit(&mut self, deadline: Millis) -> Millis {
+        self.deadline = self.deadline.min(deadline);
         self.deadline
     }
 
--- a/tests/routing/daemon.rs
+++ b/tests/routing/daemon.rs
@@ -39,6 +39,11 @@
 keyed = true
 partitions = 8
 [[services]]
+name = "scales"
+keyed = true
+partitions = 8
+checks_grants = false
+[[services]]
 name = "records"
 [[presets]]
 name = "ordinary"
@@ -55,6 +60,9 @@
     pub recent: RecentRefusals,
     /// Its counters.
     pub metrics: Metrics,
+    /// The leases that it holds in place of targets.
+    pub fronts: Fronts,
+    vms: Vec<Vm>,
     stop: watch::Sender<bool>,
     thread: Option<JoinHandle<Stopped>>,
 }
@@ -118,13 +126,14 @@
                 .collect()
         };
         let vms = [named("rounds", rounds), named("records", records)].concat();
-        directory.tell(News::Vms(vms));
+        directory.tell(News::Vms(vms.clone()));
         directory.tell(News::Config(config(1, DECLARATION)));
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let closed: SocketAddr = "127.0.0.1:1".parse().expect("an address");
         let (stop, stopped) = watch::channel(false);
         let clock = Clock::start();
+        let fronts = Fronts::new(link().incarnation, clock, Arc::default());
         let cx = RequestPathContext {
             link: link(),
             clock,
@@ -134,7 +143,7 @@
             stop_timeout: LIMIT,
             metrics: Metrics::default(),
             recent: RecentRefusals::default(),
-            fronts: Fronts::new(link().incarnation, clock, Arc::default()),
+            fronts: fronts.clone(),
         };
         let (recent, metrics) = (cx.recent.clone(), cx.metrics.clone());
         let daemon = Self {
@@ -143,6 +152,8 @@
             recent,
             metrics,
             stop,
+            fronts,
+            vms,
             thread: Some(serve(cx, listener, stopped).expect("a server")),
         };
         daemon.assign(1, "rounds-0");
@@ -150,21 +161,24 @@
         daemon
     }
 
+    /// Lists the target of `scales` at `addr`, whose front daemon is `front`.
+    pub async fn list_fronted(&self, addr: SocketAddr, front: &Link) {
+        let vms = [self.vms.clone(), vec![vm("scales-0", "scales", addr)]].concat();
+        self.directory.tell(News::Vms(vms));
+        let mut table = owned_by("scales", 1, "scales-0");
+        table.fronts = vec![("scales-0".into(), front.clone())];
+        self.directory.tell(News::Table(table));
+        let owned = || {
+            let snapshot = self.directory.snapshot().load();
+            let owners = &snapshot.services[&"scales".into()].owners;
+            owners.first().is_some_and(Option::is_some)
+        };
+        until(owned).await;
+    }
+
     /// Gives all partitions of `rounds` to `target` in table `revision`.
     pub fn assign(&self, revision: u64, target: &str) {
-        let group = GroupId {
-            service: "rounds".into(),
-            index: 0,
-        };
-        let mut table = RoutingTable::empty(group, 8);
-        table.version = TableVersion {
-            controller_epoch: 1,
-            revision,
-        };
-        table.owners.fill(Some(Owner {
-            target: target.into(),
-            epoch: revision,
-        }));
+        let table = owned_by("rounds", revision, target);
         self.directory.tell(News::Table(table));
     }
 
@@ -193,10 +207,36 @@
     }
 }
 
-/// This daemon.
+/// The control group of a service.
+pub fn group(service: &str) -> GroupId {
+    GroupId {
+        service: service.into(),
+        index: 0,
+    }
+}
+
+fn owned_by(service: &str, revision: u64, target: &str) -> RoutingTable {
+    let mut table = RoutingTable::empty(group(service), 8);
+    table.version = TableVersion {
+        controller_epoch: 1,
+        revision,
+    };
+    table.owners.fill(Some(Owner {
+        target: target.into(),
+        epoch: revision,
+    }));
+    table
+}
+
+/// The usual daemon.
 pub fn link() -> Link {
+    link_of("entry-1")
+}
+
+/// The daemon named `name`.
+pub fn link_of(name: &str) -> Link {
     Link {
-        name: VmName::from("entry-1"),
+        name: VmName::from(name),
         incarnation: Incarnation(7),
         zone: "a".into(),
         peer_addr: "127.0.0.1:1".parse().expect("an address"),
--- a/tests/routing/http.rs
+++ b/tests/routing/http.rs
@@ -74,16 +74,18 @@
     let target = FakeTarget::start(|_| Reply::Ok("yes")).await;
     let daemon = Daemon::start(&[target.addr], &[], None).await;
     let mut unfinished = Vec::new();
-    for _ in 0..64 {
-        let mut stream = TcpStream::connect(daemon.addr).await.expect("a connection");
-        let head = b"POST /rounds/k HTTP/1.1\r\nhost: x\r\ncontent-length: 1048576\r\n\r\n";
-        stream.write_all(head).await.expect("sent");
-        unfinished.push(stream);
-    }
+    // A body that arrives while another call holds a byte is refused, so they go on arriving.
     let refused = async {
-        while daemon.call(request("POST", "/rounds/k"), "x").await.code() != "overloaded" {}
+        while daemon.call(request("POST", "/rounds/k"), "x").await.code() != "overloaded" {
+            let mut stream = TcpStream::connect(daemon.addr).await.expect("a connection");
+            let head = b"POST /rounds/k HTTP/1.1\r\nhost: x\r\nx-timeout-ms: 30000\r\n\
+                         content-length: 1048576\r\n\r\n";
+            stream.write_all(head).await.expect("sent");
+            unfinished.push(stream);
+        }
     };
     timeout(LIMIT, refused).await.expect("the limit is reached");
+    assert!(unfinished.len() >= 64);
     let empty = daemon.call(request("GET", "/rounds/k"), "").await;
     assert_eq!(empty.outcome(), OutcomeKind::Answered);
     drop(unfinished);
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod fake_store;
 mod fake_target;
+mod front;
 mod http;
 mod journal;
 mod reference;
