--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 pub mod directory;
 pub mod http;
 pub mod metrics;
+pub mod operator_api;
 pub mod runtime;
 pub mod settings;
 pub mod snapshot;
--- a/tests/declaration.rs
+++ b/tests/declaration.rs
@@ -42,9 +42,11 @@
 /// An operator must see all problems at once, not one at each try.
 #[test]
 fn all_problems_are_reported() {
-    let text = EXAMPLE
-        .replace("slots = 4", "slots = 0")
-        .replace("queue_length = 128", "queue_length = 0");
+    let text = EXAMPLE.replacen("slots = 4", "slots = 0", 1).replacen(
+        "queue_length = 128",
+        "queue_length = 0",
+        1,
+    );
     match Declaration::parse(&text) {
         Err(DeclarationError::Invalid(problems)) => assert_eq!(problems.len(), 2, "{problems:?}"),
         other => panic!("{other:?}"),
@@ -56,7 +58,7 @@
 fn difference_names_fields() {
     let from = Declaration::parse(EXAMPLE).unwrap();
     let text = EXAMPLE
-        .replace("slots = 4", "slots = 8")
+        .replacen("slots = 4", "slots = 8", 1)
         .replace("name = \"billing\"", "name = \"invoices\"");
     let to = Declaration::parse(&text).unwrap();
     let changes: Vec<String> = difference(Some(&from), &to)
