Refuse declarations that a cut-off daemon could turn into double ownership

Cause: a daemon that has not heard of a change keeps its former rules. If keyed or checks_grants changed under it, it would send requests past the owner or the front daemon; a removed service that returns with another partition count would map its keys to former owners. Change: such declarations are refused, the last one by the assignment rows in the store.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force.
 
 pub mod change;
+mod former;
 pub mod plan;
 pub mod reader;
 
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -1,13 +1,14 @@
 //! Changes of the configuration: conditional, audited, and acknowledged only when committed.
 
 use super::{
-    ConfigHead, ConfigSnapshot,
+    ConfigHead, ConfigSnapshot, former,
     plan::{ChangeRequest, Plan, Stamp, plan},
     reader::{self, HEAD_ROW},
 };
 use crate::{
-    audit::{self, AuditRecord},
+    audit::{self, Action, AuditRecord},
     collections::Set,
+    declaration::Declaration,
     entry::directory::{Directory, News},
     store::{CommitOutcome, Row, StoreClient, StoreError, Transaction},
     world::VmName,
@@ -120,7 +121,11 @@
         };
         let listed = self.listed_targets();
         match plan(current.config.as_ref(), request, &listed, stamp) {
-            Ok(Some(plan)) => self.carry_out(current, plan).await,
+            Ok(Some(plan)) => match self.former_refusals(&current, &plan).await {
+                Ok(reasons) if reasons.is_empty() => self.carry_out(current, plan).await,
+                Ok(reasons) => ChangeOutcome::Refused { reasons },
+                Err(e) => unavailable(e),
+            },
             Ok(None) => ChangeOutcome::Unchanged {
                 version: current.version(),
             },
@@ -164,6 +169,22 @@
         )))
     }
 
+    async fn former_refusals(
+        &self,
+        current: &Current,
+        plan: &Plan,
+    ) -> Result<Vec<String>, StoreError> {
+        if plan.record.action != Action::Apply {
+            return Ok(Vec::new());
+        }
+        let parse = |body: &str| Declaration::parse(body).ok();
+        let before = current.config.as_ref().and_then(|c| parse(&c.body));
+        match parse(&plan.next.body) {
+            Some(after) => former::refusals(&self.store, before.as_ref(), &after).await,
+            None => Ok(Vec::new()),
+        }
+    }
+
     fn listed_targets(&self) -> Set<VmName> {
         let snapshot = self.directory.snapshot().load();
         snapshot.target_names.keys().cloned().collect()
--- a/src/declaration/difference.rs
+++ b/src/declaration/difference.rs
@@ -1,6 +1,7 @@
 //! The difference between two declarations, and which differences are not allowed.
 
 use super::Declaration;
+use crate::world::Contract;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 use std::{
@@ -53,23 +54,9 @@
 /// Why `to` must not replace `from` while the preset named `in_force` is in force.
 pub fn refusals(from: &Declaration, to: &Declaration, in_force: &str) -> Vec<String> {
     let mut reasons = Vec::new();
-    for before in from.services.iter().filter(|service| service.keyed) {
-        let Some(after) = to.services.iter().find(|s| s.name == before.name) else {
-            continue;
-        };
-        if !after.keyed {
-            reasons.push(format!(
-                "services.{}.keyed cannot change to false: its keys have owners; declare the \
-                 service under another name",
-                before.name
-            ));
-        } else if after.partitions != before.partitions {
-            reasons.push(format!(
-                "services.{}.partitions cannot change from {} to {}: it would move every key; \
-                 declare the service under another name",
-                before.name, before.partitions, after.partitions
-            ));
-        }
+    for before in &from.services {
+        let after = to.services.iter().find(|s| s.name == before.name);
+        reasons.extend(after.and_then(|after| service_refusal(before, after)));
     }
     if to.preset(in_force).is_none() {
         reasons.push(format!(
@@ -79,6 +66,27 @@
     reasons
 }
 
+/// Why `after` must not replace `before`. A daemon that has not heard of the change yet, for example
+/// because it is cut off, would still send requests by the former rules.
+fn service_refusal(before: &Contract, after: &Contract) -> Option<String> {
+    let what = if before.keyed != after.keyed {
+        format!("keyed cannot change to {}", after.keyed)
+    } else if before.keyed && before.partitions != after.partitions {
+        let (from, to) = (before.partitions, after.partitions);
+        format!("partitions cannot change from {from} to {to}: it would move every key")
+    } else if before.keyed && before.checks_grants && !after.checks_grants {
+        "checks_grants cannot change to false: a daemon that has not heard of it would still send \
+         requests past the front daemon"
+            .into()
+    } else {
+        return None;
+    };
+    let name = &before.name;
+    Some(format!(
+        "services.{name}.{what}; declare the service under another name"
+    ))
+}
+
 fn fields(declaration: &Declaration) -> BTreeMap<String, Value> {
     let value = serde_json::to_value(declaration).expect("a declaration is valid JSON");
     let mut fields = BTreeMap::new();
--- a/tests/config_changes.rs
+++ b/tests/config_changes.rs
@@ -9,8 +9,9 @@
     audit::{self, AuditRecord},
     config::{Change, ChangeOutcome, ChangeRequest, Changer, ConfigHead, reader},
     entry::directory::{Directory, News},
-    store::CommitReply,
-    world::{Vm, VmRole, VmState},
+    ownership::row::{self, AssignmentRow},
+    store::{CommitOutcome, CommitReply, Transaction},
+    world::{GroupId, Vm, VmRole, VmState},
 };
 use std::{
     thread,
@@ -282,6 +283,8 @@
 /// Changes that would move every key or leave no preset in force must be refused with the reason.
 #[test_case(apply(&EXAMPLE.replace("partitions = 1024", "partitions = 512")), "services.rounds.partitions cannot change from 1024 to 512"; "partition_count")]
 #[test_case(apply(&EXAMPLE.replace("keyed = true", "keyed = false")), "services.rounds.keyed cannot change"; "no_longer_keyed")]
+#[test_case(apply(&EXAMPLE.replacen("slots = 4", "checks_grants = false", 1)), "services.rounds.checks_grants cannot change to false"; "grants_no_longer_checked")]
+#[test_case(apply(&EXAMPLE.replace("name = \"records\"", "name = \"records\"\nkeyed = true")), "services.records.keyed cannot change to true"; "newly_keyed")]
 #[test_case(apply(&EXAMPLE.replace("\"ordinary\"", "\"plain\"")), "presets.ordinary is in force"; "preset_in_force")]
 #[test_case(apply("deployment = 3"), "cannot be read"; "syntax")]
 #[test_case(preset("siesta"), "no preset is named siesta; declared are: ordinary, peak, maintenance"; "unknown_preset")]
@@ -299,6 +302,40 @@
     assert_eq!(head(&store).version, 1);
 }
 
+/// A service that comes back must have the partitions that its assignment still has.
+#[test_case(64, false; "other_count")]
+#[test_case(128, true; "same_count")]
+#[tokio::test]
+async fn former_assignment_binds(partitions: u32, allowed: bool) {
+    let (store, anna, _) = applied().await;
+    let group = GroupId {
+        service: "fields".into(),
+        index: 0,
+    };
+    let row = AssignmentRow::new(&vec![None; 128], 1, "test".into());
+    let write =
+        Transaction::default().replace(&row::assignment_row_name(&group, 0), 0, row::to_json(&row));
+    assert!(matches!(
+        store.client().commit(&write).await,
+        CommitOutcome::Committed(_)
+    ));
+    let service =
+        format!("[[services]]\nname = \"fields\"\nkeyed = true\npartitions = {partitions}");
+    let outcome = anna
+        .change(1, apply(&format!("{EXAMPLE}\n{service}\n")))
+        .await;
+    assert_eq!(
+        matches!(outcome, ChangeOutcome::Committed { .. }),
+        allowed,
+        "{outcome:?}"
+    );
+    assert_eq!(
+        matches!(outcome, ChangeOutcome::Refused { .. }),
+        !allowed,
+        "{outcome:?}"
+    );
+}
+
 /// Asking twice for the same must be harmless, and a drain must reach the head and the audit.
 #[tokio::test]
 async fn drain_is_recorded_once() {
