--- /dev/null
+++ b/standins/tests/peer_faults.rs
@@ -0,0 +1,231 @@
+//! Links between daemons that freeze, break off, delay or repeat what they carry.
+
+use fireflygauge::{
+    clock::Clock,
+    config::{ConfigHead, ConfigSnapshot, reader},
+    entry::directory::{Directory, News},
+    peer::{
+        PeerContext, PeerService,
+        message::{ForwardReply, HoldReply},
+    },
+    store::StoreClient,
+    table::{Owner, RoutingTable, TableVersion},
+    target_api::GrantReply,
+    world::{GroupId, Incarnation, Link, Vm, VmRole, VmState},
+};
+use standins::{
+    platform::{Faults, Platform},
+    proxy::{Flow, LinkFaults, ProxyLink},
+};
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use test_case::test_case;
+use tokio::time::sleep;
+
+const EXAMPLE: &str = include_str!("../../examples/ma-west.toml");
+const LIMIT: Duration = Duration::from_secs(15);
+const ANY: &str = "127.0.0.1:0";
+
+/// A daemon whose peers reach it through a faulty link.
+struct Daemon {
+    link: Link,
+    directory: Directory,
+    inbound: ProxyLink,
+    _service: PeerService,
+}
+
+impl Daemon {
+    async fn start(name: &str, platform: &Platform) -> Self {
+        let listener = TcpListener::bind(ANY).unwrap();
+        let upstream = listener.local_addr().unwrap();
+        let inbound = ProxyLink::start(ANY.parse().unwrap(), upstream)
+            .await
+            .unwrap();
+        let link = Link {
+            name: name.into(),
+            incarnation: Incarnation::random(),
+            zone: name[..1].into(),
+            peer_addr: inbound.addr(),
+        };
+        platform.register(listed(&link));
+        let directory = Directory::start();
+        let context = context(&link, &directory, platform.addr());
+        Self {
+            link,
+            directory,
+            inbound,
+            _service: PeerService::start(listener, context).unwrap(),
+        }
+    }
+
+    fn version(&self) -> u64 {
+        let snapshot = self.directory.snapshot().load();
+        let config = snapshot.config.as_ref().map_or(0, |c| c.version());
+        let table = snapshot.tables.get(&group());
+        config.min(table.map_or(0, |table| table.version.revision))
+    }
+
+    fn live(&self) -> usize {
+        let snapshot = self.directory.snapshot().load();
+        snapshot.members.iter().filter(|m| m.age_ms == 0).count()
+    }
+
+    fn learn(&self, version: u64) {
+        self.directory.tell(News::Config(config(version)));
+        self.directory.tell(News::Table(table(version)));
+    }
+}
+
+fn listed(link: &Link) -> Vm {
+    Vm {
+        name: link.name.clone(),
+        zone: link.zone.clone(),
+        addr: link.peer_addr,
+        state: VmState::Live,
+        role: VmRole::Entry {
+            peer_addr: link.peer_addr,
+            operator_addr: link.peer_addr,
+        },
+    }
+}
+
+fn context(link: &Link, directory: &Directory, platform: SocketAddr) -> PeerContext {
+    PeerContext {
+        link: link.clone(),
+        clock: Clock::start(),
+        directory: directory.clone(),
+        store: StoreClient::new(platform, Duration::from_millis(400)),
+        controls: Arc::new(Vec::new),
+        ready: Arc::new(|| true),
+        stopping: Arc::new(|| false),
+        answer_hold: Arc::new(|_| Box::pin(std::future::pending::<HoldReply>())),
+        take_grant: Arc::new(|_| Box::pin(std::future::pending::<GrantReply>())),
+        forward: Arc::new(|_| Box::pin(async { ForwardReply::NotRun("unexpected".into()) })),
+    }
+}
+
+fn config(version: u64) -> ConfigSnapshot {
+    ConfigSnapshot {
+        head: ConfigHead {
+            version,
+            body_hash: reader::hash_of(EXAMPLE),
+            preset: "ordinary".into(),
+            drained: Vec::new(),
+            by: "test".into(),
+            at: "2026-01-01T00:00:00Z".into(),
+            operation: "test".into(),
+        },
+        body: EXAMPLE.into(),
+    }
+}
+
+fn group() -> GroupId {
+    GroupId {
+        service: "listings".into(),
+        index: 0,
+    }
+}
+
+fn table(revision: u64) -> RoutingTable {
+    let mut table = RoutingTable::empty(group(), 1024);
+    table.version = TableVersion {
+        controller_epoch: 1,
+        revision,
+    };
+    table.owners[revision as usize] = Some(Owner {
+        target: "t".into(),
+        epoch: revision,
+    });
+    table
+}
+
+async fn wait_for(what: &str, mut done: impl FnMut() -> bool) -> Duration {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < LIMIT, "not in time: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+    started.elapsed()
+}
+
+/// Two zones of three daemons that know each other.
+async fn start() -> (Platform, Vec<Daemon>) {
+    let platform = Platform::start(ANY.parse().unwrap(), Faults::default())
+        .await
+        .unwrap();
+    let mut daemons = Vec::new();
+    for name in ["a1", "a2", "a3", "b1", "b2", "b3"] {
+        daemons.push(Daemon::start(name, &platform).await);
+    }
+    wait_for("all members are live", || {
+        daemons.iter().all(|d| d.live() == 5)
+    })
+    .await;
+    (platform, daemons)
+}
+
+/// Whatever one link does, changes must reach all others, and the rest once it works again.
+#[test_case(LinkFaults::flow(Flow::Freeze); "frozen")]
+#[test_case(LinkFaults::flow(Flow::Cut); "cut")]
+#[test_case(LinkFaults::flow(Flow::ToUpstream); "replies_lost")]
+#[test_case(LinkFaults::flow(Flow::ToClient); "requests_lost")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faulty_link_of_a_delegate(faults: LinkFaults) {
+    let (_platform, daemons) = start().await;
+    daemons[0].inbound.set(faults);
+    daemons[5].learn(1);
+    let others = &daemons[1..];
+    let time = wait_for("others have the change", || {
+        others.iter().all(|d| d.version() == 1)
+    })
+    .await;
+    println!("{faults:?}: others have the change after {time:?}");
+    daemons[2].learn(2);
+    wait_for("others have the next change", || {
+        others.iter().all(|d| d.version() == 2)
+    })
+    .await;
+    daemons[0].inbound.set(LinkFaults::default());
+    wait_for("all have it", || daemons.iter().all(|d| d.version() == 2)).await;
+    wait_for("all members are live", || {
+        daemons.iter().all(|d| d.live() == 5)
+    })
+    .await;
+}
+
+/// Delayed, repeated and truncated messages on all links must neither revert a version nor last.
+#[test_case(LinkFaults { delay_ms: 60, ..LinkFaults::default() }; "delayed")]
+#[test_case(LinkFaults { replay_after_ms: Some(300), ..LinkFaults::default() }; "repeated_late")]
+#[test_case(LinkFaults { cut_after_received: Some(700), ..LinkFaults::default() }; "replies_truncated")]
+#[test_case(LinkFaults { cut_after_sent: Some(700), ..LinkFaults::default() }; "requests_truncated")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn faulty_links_everywhere(faults: LinkFaults) {
+    let (_platform, daemons) = start().await;
+    daemons.iter().for_each(|d| d.inbound.set(faults));
+    let mut highest = vec![0; daemons.len()];
+    for version in 1..=10 {
+        daemons[version as usize % daemons.len()].learn(version);
+        let until = Instant::now() + Duration::from_millis(150);
+        wait_for("the next change", || {
+            for (daemon, highest) in daemons.iter().zip(&mut highest) {
+                let version = daemon.version();
+                assert!(version >= *highest, "{} reverted", daemon.link.name);
+                *highest = version;
+            }
+            Instant::now() >= until
+        })
+        .await;
+    }
+    daemons
+        .iter()
+        .for_each(|d| d.inbound.set(LinkFaults::default()));
+    let time = wait_for("all have it", || daemons.iter().all(|d| d.version() == 10)).await;
+    println!("{faults:?}: all caught up {time:?} after the faults");
+    wait_for("all members are live", || {
+        daemons.iter().all(|d| d.live() == 5)
+    })
+    .await;
+}
