Answer every sender when the peer links stop

Cause: a request still in the ring, or in flight, at the stop of the peer thread lost its callback, against the promise of PeerHandle::post. Change: the slot for the reply fills itself when dropped. Also tests the roll call behind status.

--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -76,7 +76,24 @@
     to: Link,
     request: PeerRequest,
     limit: Duration,
-    on_reply: OnReply,
+    reply: ReplySlot,
+}
+
+/// Passes on the result of a request exactly once, also if the thread ends before there is one.
+struct ReplySlot(Option<OnReply>);
+
+impl ReplySlot {
+    fn fill(&mut self, result: Result<PeerReply, PeerError>) {
+        if let Some(on_reply) = self.0.take() {
+            on_reply(result);
+        }
+    }
+}
+
+impl Drop for ReplySlot {
+    fn drop(&mut self) {
+        self.fill(Err(PeerError::Incomplete("this daemon is stopping".into())));
+    }
 }
 
 /// Sends requests through the peer thread, from any thread or runtime.
@@ -98,12 +115,13 @@
             to,
             request,
             limit,
-            on_reply,
+            reply: ReplySlot(Some(on_reply)),
         };
         if let Err(e) = self.tx.try_send(Command::Send(Box::new(outgoing)))
-            && let Command::Send(outgoing) = e.into_inner()
+            && let Command::Send(mut outgoing) = e.into_inner()
         {
-            (outgoing.on_reply)(Err(PeerError::NotSent("the peer links are busy".into())));
+            let busy = PeerError::NotSent("the peer links are busy or stopped".into());
+            outgoing.reply.fill(Err(busy));
         }
     }
 
@@ -209,12 +227,12 @@
 
 async fn obey(shared: Arc<Shared>, command: Command) {
     match command {
-        Command::Send(outgoing) => {
+        Command::Send(mut outgoing) => {
             let result = shared
                 .client
                 .send(outgoing.to.peer_addr, &outgoing.request, outgoing.limit)
                 .await;
-            (outgoing.on_reply)(result);
+            outgoing.reply.fill(result);
         }
         Command::RollCall(reply) => {
             // The asking side may have given up.
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -11,11 +11,11 @@
     entry::directory::{Directory, News},
     partition::Partition,
     peer::{
-        PeerContext, PeerService,
-        message::{ForwardReply, HoldReply},
+        PeerContext, PeerHandle, PeerService,
+        message::{ForwardReply, HoldReply, PeerRequest},
     },
     table::{Owner, RoutingTable, TableVersion},
-    target_api::GrantReply,
+    target_api::{GrantReply, GrantRequest},
     world::{GroupId, Incarnation, Link, Vm, VmRole, VmState},
 };
 use std::{
@@ -23,6 +23,7 @@
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
+        mpsc,
     },
     thread,
     time::{Duration, Instant},
@@ -304,6 +305,75 @@
     });
 }
 
+/// An operator must see which version each daemon has, and which word is not confirmed.
+#[tokio::test]
+async fn roll_call_names_every_daemon() {
+    let store = FakeStore::start();
+    let mut daemons = start(&store, THREE_ZONES);
+    wait_for_members(&daemons);
+    daemons[4].directory.tell(News::Config(config(7)));
+    wait_for("the change is everywhere", || {
+        daemons.iter().all(|d| config_version(d) == 7)
+    });
+    let handle = daemons[8].service.handle();
+    let started = Instant::now();
+    loop {
+        let members = handle.members().await.unwrap();
+        assert_eq!(members.len(), daemons.len());
+        let confirmed = members.iter().filter(|m| m.confirmed);
+        if confirmed.filter(|m| m.report.config_version == 7).count() == daemons.len() {
+            break;
+        }
+        assert!(started.elapsed() < LIMIT, "not confirmed: {members:?}");
+    }
+    println!("confirmed by all in {:?}", started.elapsed());
+    daemons.remove(3).service.stop();
+    let members = handle.members().await.unwrap();
+    let unconfirmed: Vec<_> = members.iter().filter(|m| !m.confirmed).collect();
+    assert_eq!(unconfirmed.len(), 3, "{unconfirmed:?}");
+    assert!(unconfirmed.iter().all(|m| m.report.link.zone == "b".into()));
+}
+
+/// A sender must get a result for every request, also when its own links stop first.
+#[test]
+fn stop_answers_every_sender() {
+    let store = FakeStore::start();
+    let mut daemons = start(&store, &[("a1", "a"), ("a2", "a")]);
+    let to = daemons[1].link.clone();
+    let stopped = daemons.remove(0).service;
+    let (tx, rx) = mpsc::channel();
+    let handle = stopped.handle();
+    let post = |handle: &PeerHandle| {
+        let tx = tx.clone();
+        let request = PeerRequest::Grant {
+            target: "t".into(),
+            grant: grant(),
+        };
+        let on_reply = Box::new(move |result| tx.send(result).unwrap());
+        handle.post(to.clone(), request, LIMIT, on_reply);
+    };
+    (0..100).for_each(|_| post(&handle));
+    stopped.stop();
+    post(&handle);
+    for _ in 0..101 {
+        let result = rx.recv_timeout(LIMIT).expect("every request has a result");
+        assert!(result.is_err(), "{result:?}");
+    }
+}
+
+fn grant() -> GrantRequest {
+    GrantRequest {
+        group: group(),
+        controller_epoch: 1,
+        sequence: 1,
+        incarnation: None,
+        echo: None,
+        lease_ms: 0,
+        set_id: 0,
+        partitions: None,
+    }
+}
+
 /// Only delegates may load the platform, and the list must reach the others all the same.
 #[test]
 fn vm_list_is_passed_on() {
