--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -43,18 +43,27 @@
 impl Wiring {
     pub fn new(settings: Settings, link: Link) -> Self {
         let clock = Clock::start();
-        let peers: Arc<OnceLock<PeerHandle>> = Arc::default();
         Self {
-            fronts: Fronts::new(link.incarnation, clock, Arc::clone(&peers)),
+            fronts: Fronts::new(link.clone(), clock),
             settings,
             link,
             clock,
             directory: Directory::start(),
             stopping: Arc::default(),
-            peers,
+            peers: Arc::default(),
         }
     }
 
+    /// Opens the way to peers for the parts that were started before.
+    pub fn connect(&self, peers: &PeerHandle) {
+        self.peers.get_or_init(|| peers.clone());
+        let peers = peers.clone();
+        self.fronts.connect(Box::new(move |to, req, limit| {
+            let peers = peers.clone();
+            Box::pin(async move { peers.send(to, PeerRequest::Forward(req), limit).await })
+        }));
+    }
+
     /// Creates a client for one thread: its connections belong to the runtime that opens them.
     pub fn store_client(&self) -> StoreClient {
         let timeout = Duration::from_millis(self.settings.store_timeout_ms);
@@ -111,12 +120,12 @@
                 Box::pin(async move { reply })
             }),
             take_grant: Arc::new(move |(target, req)| {
-                let reply = grant_fronts.take_grant(&target, &req);
+                let reply = grant_fronts.take_grant(target, &req);
                 Box::pin(async move { reply })
             }),
             forward: Arc::new(move |req| {
                 let fronts = forward_fronts.clone();
-                Box::pin(async move { fronts.receive(req).await })
+                Box::pin(async move { fronts.serve(req).await })
             }),
         }
     }
--- a/src/routing/path.rs
+++ b/src/routing/path.rs
@@ -4,7 +4,7 @@
     answer::{Progress, answer},
     dispatch::{Dispatched, dispatch},
     exchange::Exchange,
-    front::{Fronts, Receiver},
+    front::Fronts,
     journal::Begun,
     outcome::{Outcome, OutcomeKind},
     refusal::{Code, RecentRefusals},
@@ -48,8 +48,6 @@
     pub metrics: Metrics,
     /// Refusals for the operator's tool.
     pub recent: RecentRefusals,
-    /// Leases held in place of targets that do not check grants.
-    pub fronts: Fronts,
 }
 
 /// Handle to the request path.
@@ -60,9 +58,9 @@
 
 impl RequestPath {
     /// Creates the request path. It needs the runtime that it will be used on.
-    pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
-        let shared = Arc::new(Shared::new(cx, policies));
-        cx.fronts.receive_with(Receiver::new(Arc::clone(&shared)));
+    pub fn new(cx: &RequestPathContext, policies: Policies, fronts: Fronts) -> Self {
+        let shared = Arc::new(Shared::new(cx, policies, fronts));
+        shared.fronts.serve_on(&shared);
         Self { shared }
     }
 
