--- a/src/ownership/controller.rs
+++ b/src/ownership/controller.rs
@@ -12,6 +12,7 @@
 mod holding;
 mod moving;
 mod observing;
+mod writing;
 
 use super::{
     facts::Facts,
--- a/src/ownership/controller/observing.rs
+++ b/src/ownership/controller/observing.rs
@@ -209,6 +209,10 @@
             changes: Vec::new(),
             answered: false,
         });
+        let unsettled = takeover.writes.attempts();
+        takeover
+            .assignments
+            .retain(|known, _| unsettled.iter().any(|a| a.operation == *known));
         takeover
             .assignments
             .insert(Arc::clone(&operation), assignments);
--- /dev/null
+++ b/src/ownership/controller/writing.rs
@@ -0,0 +1,126 @@
+//! The controller while it holds the lease: the writes that it sends.
+
+use super::{Action, Common, holding::Holding};
+use crate::{
+    ownership::{
+        assignments::Change,
+        row::{GroupRow, OutstandingHold, to_json},
+        term::Attempt,
+        timing::{COMMIT_PATIENCE, CONTROLLER_RENEWAL, WRITE_INTERVAL, WRITE_RETRY},
+    },
+    store::Transaction,
+};
+use std::sync::Arc;
+
+/// Unsettled writes with moves beyond which further writes only renew the lease.
+const MAX_UNSETTLED_MOVES: usize = 4;
+
+impl Holding {
+    /// Sends the next write if it is time: a renewal, with the moves that are ready.
+    pub(super) fn write_if_due(&mut self, cx: &mut Common) {
+        if self.writes.awaits(cx.now - COMMIT_PATIENCE) {
+            return;
+        }
+        let changes = self.changes_to_write(cx);
+        let urgent = !changes.is_empty()
+            || self.is_releasing(cx)
+            || self.hold.is_begun()
+            || self.has_new_fronts();
+        let interval = match (urgent, self.writes.attempts().is_empty()) {
+            (true, true) => WRITE_INTERVAL,
+            (true, false) => WRITE_RETRY,
+            (false, _) => CONTROLLER_RENEWAL,
+        };
+        if cx.now >= self.last_write + interval {
+            self.write(changes, cx);
+        }
+    }
+
+    fn changes_to_write(&mut self, cx: &Common) -> Vec<Change> {
+        let unsettled = self.writes.attempts().iter();
+        let with_moves = unsettled.filter(|a| !a.changes.is_empty()).count();
+        if !self.is_valid(cx.now)
+            || self.is_releasing(cx)
+            || self.hold.is_begun()
+            || !self.assignments.is_writable()
+            || with_moves >= MAX_UNSETTLED_MOVES
+        {
+            return Vec::new();
+        }
+        self.ready_changes(cx)
+    }
+
+    fn write(&mut self, changes: Vec<Change>, cx: &mut Common) {
+        let operation = cx.next_operation();
+        let row = self.next_row(&operation, cx);
+        let version = self.writes.version();
+        let mut transaction = Transaction::default().replace(&cx.row_name, version, to_json(&row));
+        if !changes.is_empty() {
+            transaction = self
+                .assignments
+                .write(transaction, &changes, row.epoch, &operation);
+        }
+        self.last_write = cx.now;
+        self.writes.begin(Attempt {
+            operation: Arc::clone(&operation),
+            sent: cx.now,
+            row,
+            changes,
+            answered: false,
+        });
+        cx.out.push(Action::Commit {
+            operation,
+            transaction,
+        });
+    }
+
+    fn next_row(&self, operation: &Arc<str>, cx: &Common) -> GroupRow {
+        // While a write is unsettled, its standbys stay: hold mode asks those of every row that
+        // may be in force.
+        let latest = self.writes.attempts().last().map_or(&self.row, |a| &a.row);
+        let settled = self.writes.attempts().is_empty() && !self.hold.is_begun();
+        let (standbys, hold_ms) = if settled {
+            let standbys = cx.facts.choose_standbys(&cx.me, &self.row.standbys);
+            (standbys, cx.facts.hold_ms)
+        } else {
+            (latest.standbys.clone(), latest.hold_ms)
+        };
+        GroupRow {
+            epoch: self.row.epoch + u64::from(self.hold.is_begun()),
+            holder: cx.me.clone(),
+            lease: latest.lease + 1,
+            standbys,
+            hold_ms,
+            outstanding: self.outstanding(cx),
+            fronts: self.fronts.clone().into_iter().collect(),
+            released: self.is_releasing(cx),
+            operation: Arc::clone(operation),
+        }
+    }
+
+    /// Targets that may hold a long lease when a write sent now takes effect. Once hold mode has
+    /// begun, that may be any: it may be entered before the outcome of this write is known.
+    fn outstanding(&self, cx: &Common) -> Vec<OutstandingHold> {
+        let any = self.hold.is_begun() && !self.is_releasing(cx);
+        let owners = self.assignments.targets();
+        self.targets
+            .iter()
+            .filter(|(name, lease)| {
+                !cx.is_gone(name) && (lease.is_held() || any && owners.contains(name))
+            })
+            .map(|(name, _)| {
+                let length = self.hold_lengths.get(name).copied().unwrap_or_default();
+                OutstandingHold {
+                    target: name.clone(),
+                    hold_ms: length.max(self.hold_length()),
+                }
+            })
+            .collect()
+    }
+
+    /// Length of long leases, in milliseconds: the shortest that a row in force may name.
+    pub(super) fn hold_length(&self) -> u64 {
+        let attempts = self.writes.attempts().iter().map(|a| a.row.hold_ms);
+        attempts.fold(self.row.hold_ms, u64::min)
+    }
+}
