--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -12,7 +12,10 @@
         placement::Candidate,
         row::GroupRow,
         term::{Attempt, Settled, Writes},
-        timing::{CONTROLLER_LEASE, ISOLATED_AFTER, ISOLATION_PENALTY, TARGET_LEASE, latest_end},
+        timing::{
+            CONTROLLER_LEASE, ISOLATED_AFTER, ISOLATION_PENALTY, TARGET_LEASE, WRITE_RETRY,
+            latest_end,
+        },
     },
     partition::Partition,
     table::{RoutingTable, TableVersion},
