--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -48,6 +48,9 @@
     pub settled_at: Millis,
     /// Fronts that the next write names; they may be used once the row confirms them.
     pub fronts: BTreeMap<VmName, Link>,
+    /// A target whose front is to be replaced by one in the target's zone.
+    pub misplaced: Option<VmName>,
+    pub next_front_move: Millis,
     /// When a target or front last answered, this daemon excepted.
     pub last_contact: Millis,
     /// Whether an exchange has failed since.
@@ -97,6 +100,8 @@
             fronts: attempt.row.fronts.iter().cloned().collect(),
             last_contact: cx.now,
             is_failing: false,
+            misplaced: None,
+            next_front_move: Millis::ZERO,
             isolated: false,
             candidates: Vec::new(),
             next_placement: Millis::ZERO,
--- a/src/ownership/timing.rs
+++ b/src/ownership/timing.rs
@@ -62,6 +62,10 @@
 /// Time for which such a daemon takes over no group.
 pub const ISOLATION_PENALTY: Millis = Millis(3_000);
 
+/// Time between replacements of front daemons that are in another zone than their target. Each
+/// one leaves the target's keys unserved for some tens of milliseconds.
+pub const FRONT_INTERVAL: Millis = Millis(1_000);
+
 /// Time between rounds of placement.
 pub const PLACEMENT_INTERVAL: Millis = Millis(500);
 /// Longest wait for newly listed targets to answer before the partitions of a new group are placed.
--- a/src/routing/shared.rs
+++ b/src/routing/shared.rs
@@ -1,6 +1,8 @@
 //! State that all requests share.
 
 use super::{
+    exchange::Exchange,
+    front::Fronts,
     journal::Journal,
     path::RequestPathContext,
     refusal::{Code, RecentRefusals},
@@ -35,6 +37,8 @@
     pub targets: Arc<Targets>,
     /// The journal.
     pub journal: Journal,
+    /// Leases held in place of targets.
+    pub fronts: Fronts,
     /// Refusals for the operator's tool.
     pub recent: RecentRefusals,
     body_bytes: Arc<Semaphore>,
@@ -53,6 +57,7 @@
             metrics: cx.metrics.clone(),
             targets: Arc::new(Targets::new(policies, cx.clock)),
             journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
+            fronts: cx.fronts.clone(),
             recent: cx.recent.clone(),
             body_bytes: Arc::new(Semaphore::new(BODY_BYTES)),
             budgets: Mutex::default(),
@@ -99,10 +104,11 @@
         }
     }
 
-    /// Spends a retry if one is left.
-    pub fn spend_retry(&self, service: &ServiceName) -> bool {
+    /// Spends a retry after `result` if one is left.
+    pub fn spend_retry(&self, service: &ServiceName, result: &Exchange) -> bool {
         let mut budgets = self.budgets();
-        budgets.get_mut(service).is_some_and(RetryBudget::spend)
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.spend(result))
     }
 
     fn budgets(&self) -> MutexGuard<'_, Map<ServiceName, RetryBudget>> {
