--- a/src/ownership/controller/fronting.rs
+++ b/src/ownership/controller/fronting.rs
@@ -31,6 +31,9 @@
             .collect();
         for name in vacant {
             let front = self.choose_front(&name, cx);
+            if self.misplaced.as_ref() == Some(&name) {
+                self.misplaced = None;
+            }
             if self.fronts.get(&name) == Some(&front) {
                 continue;
             }
@@ -41,9 +44,6 @@
                 "Front daemon chosen. target={name} front={}",
                 front.name
             ));
-            if self.misplaced.as_ref() == Some(&name) {
-                self.misplaced = None;
-            }
             self.fronts.insert(name, front);
         }
     }
@@ -55,10 +55,9 @@
             return;
         }
         self.next_front_move = cx.now + FRONT_INTERVAL;
-        let zone_has_daemon = |zone: &ZoneName| {
-            let mut live = cx.facts.members.iter().chain([&cx.me]);
-            live.any(|link| link.zone == *zone && cx.is_live(link))
-        };
+        // The controller itself is avoided as a front, so it does not count.
+        let zone_has_daemon =
+            |zone: &ZoneName| cx.facts.members.iter().any(|link| link.zone == *zone);
         let misplaced = self.fronts.iter().find(|(name, front)| {
             let listed = cx.facts.targets.get(*name);
             listed.is_some_and(|t| t.zone != front.zone && zone_has_daemon(&t.zone))
@@ -90,8 +89,8 @@
             .is_none_or(|lease| lease.ends() <= cx.now || lease.is_returned(cx.now))
     }
 
-    /// The live daemon with the fewest targets, one in the target's zone if possible, and another
-    /// one than now if possible.
+    /// The live daemon with the fewest targets, one in the target's zone if possible; the present
+    /// front and the controller only if there is no other.
     fn choose_front(&self, target: &VmName, cx: &Common) -> Link {
         let mut loads: Map<&VmName, usize> = Map::default();
         for front in self.fronts.values() {
@@ -102,8 +101,10 @@
         let present = self.fronts.get(target);
         live.min_by_key(|link| {
             let load = loads.get(&link.name).copied().unwrap_or_default();
-            let same = present == Some(*link);
-            (same, Some(&link.zone) != zone, load, &link.name)
+            // The controller itself comes last: it would not notice that it is cut off, and both
+            // duties would be lost together.
+            let avoided = present == Some(*link) || **link == cx.me;
+            (avoided, Some(&link.zone) != zone, load, &link.name)
         })
         .unwrap_or(&cx.me)
         .clone()
