Define hot partitions by the mean partition

Cause: hot partitions were defined by a share of a target's mean load, so that every partition counts as hot where a target has few of them. Change: a partition is hot from twice the mean partition's load. Adds the size of sync replies by number of groups to the slopes.

--- a/src/ownership/placement.rs
+++ b/src/ownership/placement.rs
@@ -32,15 +32,15 @@
 pub struct Tuning {
     /// Imbalance above 1 at which moves start, for weights of 1 for imbalance and churn.
     pub start_per_cost: f64,
-    /// Share of the mean load of a target from which a partition counts as hot.
-    pub hot_share: f64,
+    /// Load from which a partition counts as hot, in means of all partitions.
+    pub hot_factor: f64,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
             start_per_cost: 0.1,
-            hot_share: 0.04,
+            hot_factor: 2.0,
         }
     }
 }
@@ -188,7 +188,7 @@
     let room = (bound - loads.of[to]).min(loads.of[from] - loads.mean);
     let fits = |p: &usize| loads.size[*p] <= room;
     let by_size = |a: &usize, b: &usize| loads.size[*a].total_cmp(&loads.size[*b]);
-    let hot_size = loads.mean * tuning.hot_share;
+    let hot_size = loads.mean_partition() * tuning.hot_factor;
     let movable = (0..loads.size.len()).filter(|p| loads.is_movable(*p, from));
     let (hot, others): (Vec<_>, Vec<_>) = movable.partition(|p| loads.size[*p] >= hot_size);
     if let Some(p) = others.iter().copied().filter(fits).max_by(by_size) {
@@ -285,6 +285,10 @@
         targets.min_by(|a, b| self.of[*a].total_cmp(&self.of[*b]))
     }
 
+    fn mean_partition(&self) -> f64 {
+        self.size.iter().sum::<f64>() / self.size.len().max(1) as f64
+    }
+
     fn is_movable(&self, p: usize, from: usize) -> bool {
         self.owner[p] == Some(from) && !self.moving[p] && self.size[p] >= self.mean * MIN_GAIN
     }
--- a/standins/src/bin/placement-trace.rs
+++ b/standins/src/bin/placement-trace.rs
@@ -55,9 +55,9 @@
     /// Imbalance above 1 at which greedy moves start, for weights of 1.
     #[arg(long, default_value_t = Tuning::default().start_per_cost)]
     start_per_cost: f64,
-    /// Share of a target's mean load from which the greedy policy takes a partition for hot.
-    #[arg(long, default_value_t = Tuning::default().hot_share)]
-    hot_share: f64,
+    /// Load from which the greedy policy takes a partition for hot, in means of all partitions.
+    #[arg(long, default_value_t = Tuning::default().hot_factor)]
+    hot_factor: f64,
     /// Unserved time of a planned move, in milliseconds.
     #[arg(long, default_value_t = 30.0)]
     move_ms: f64,
@@ -84,7 +84,7 @@
     };
     let tuning = Tuning {
         start_per_cost: options.start_per_cost,
-        hot_share: options.hot_share,
+        hot_factor: options.hot_factor,
     };
     let mut table = Table::new();
     table.load_preset(ASCII_MARKDOWN).set_header([
--- a/standins/src/load/slopes.rs
+++ b/standins/src/load/slopes.rs
@@ -23,7 +23,7 @@
     target_api::GrantRequest,
     world::Incarnation,
 };
-use input::{config, group, link, name, reply, report, routing_table, vms};
+use input::{config, group, link, name, reply, reply_with_versions, report, routing_table, vms};
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
@@ -75,6 +75,14 @@
         let size = bytes(&reply(members, Vec::new()));
         table.add_row(["SyncReply with members".into(), members.to_string(), size]);
     }
+    for groups in [1, 10, 100, 1_000] {
+        let size = bytes(&reply_with_versions(groups));
+        table.add_row([
+            "SyncReply with versions of tables".into(),
+            groups.to_string(),
+            size,
+        ]);
+    }
     for partitions in [256, 1_024, 4_096, 16_384] {
         let item = Item::Table(routing_table(partitions, 64, 1));
         let size = bytes(&reply(0, vec![item]));
--- a/standins/src/load/slopes/input.rs
+++ b/standins/src/load/slopes/input.rs
@@ -69,6 +69,23 @@
     })
 }
 
+/// A reply without news to a daemon that knows the tables of `groups` groups.
+pub(super) fn reply_with_versions(groups: u16) -> PeerReply {
+    let version = |index| {
+        let group = GroupId { index, ..group() };
+        let version = TableVersion {
+            controller_epoch: 300,
+            revision: 100_000,
+        };
+        (group, version)
+    };
+    let PeerReply::Sync(mut reply) = reply(0, Vec::new()) else {
+        unreachable!("the reply is a sync reply");
+    };
+    reply.tables = (0..groups).map(version).collect();
+    PeerReply::Sync(reply)
+}
+
 pub(super) fn config() -> ConfigSnapshot {
     ConfigSnapshot {
         head: ConfigHead {
