--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,3 +7,4 @@
 pub mod runtime;
 pub mod settings;
 pub mod snapshot;
+mod wiring;
