--- a/tests/routing/front.rs
+++ b/tests/routing/front.rs
@@ -5,7 +5,7 @@
     fake_target::{FakeTarget, Reply},
 };
 use fireflygauge::{
-    clock::Clock,
+    clock::{Clock, Millis},
     partition::Partition,
     peer::message::PeerReply,
     routing::{
@@ -19,6 +19,7 @@
 use test_case::test_case;
 
 const LEASE_MS: u64 = 1_200;
+const HOLD_MS: u64 = 900_000;
 
 /// Grants `partitions` of the fronted target, counted from now.
 fn grant(fronts: &Fronts, sequence: u64, partitions: &[u32], lease_ms: u64) -> GrantReply {
@@ -64,29 +65,28 @@
     }
 }
 
-/// Guards against a move while the target may still run a request whose connection was lost.
+/// Guards against a move while the target may still run a request whose connection was lost, and
+/// against a partition that stays blocked until the end of a long lease.
 #[tokio::test]
 async fn lost_request_keeps_its_partition_until_its_deadline() {
     let clock = Clock::start();
     let fronts = Fronts::new(link(), clock);
-    grant(&fronts, 1, &[1], LEASE_MS);
+    grant(&fronts, 1, &[1], HOLD_MS);
     fronts.begin(claim(1, 1)).expect("a lease").settle();
-    assert!(grant(&fronts, 3, &[], LEASE_MS).draining.is_empty());
-    grant(&fronts, 5, &[1], LEASE_MS);
+    assert!(grant(&fronts, 3, &[], HOLD_MS).draining.is_empty());
+    grant(&fronts, 5, &[1], HOLD_MS);
     let mut lost = fronts.begin(claim(1, 1)).expect("a lease");
-    let deadline = lost.limit(clock.now() + fireflygauge::clock::Millis(200));
+    let deadline = clock.now() + Millis(200);
+    lost.limit(deadline);
     drop(lost);
     let mut sequence = 7;
     loop {
-        let draining = grant(&fronts, sequence, &[], LEASE_MS).draining;
+        let draining = grant(&fronts, sequence, &[], HOLD_MS).draining;
         sequence += 2;
         if draining.is_empty() {
             break;
         }
-        assert!(
-            clock.now() < deadline + fireflygauge::clock::Millis(5_000),
-            "it never ends"
-        );
+        assert!(clock.now() < deadline + Millis(5_000), "it never ends");
         tokio::time::sleep(Duration::from_millis(2)).await;
     }
     assert!(
