Serve the operator port, and let front daemons' leases end before giving up

Cause: the operator port existed but no daemon served it. A controller of a service with front daemons released its row after 1 s without answers, before the leases of lost fronts had ended (1.26 s), and so did each successor; no front was ever replaced (seen in standins/tests/front.rs: 8 takeovers in 15 s). Change: the isolation check is left to services whose targets check grants; the runtime starts and stops the operator port with readiness, groups, metrics text and explanations; the tool asks the daemon that issued a reference for details. Ruled out: failures 'No such file or directory' and missing executions in the same runs came from another run's clean-up of the shared temporary folder.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
 //! The daemon that runs on every entry VM.
 
 pub mod directory;
+pub mod explain;
 pub mod http;
 pub mod metrics;
 pub mod operator_api;
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -36,6 +36,39 @@
     pub queues: Map<String, u64>,
 }
 
+impl Counters {
+    /// The counters as text: a name, labels and a value on each line.
+    pub fn to_text(&self) -> String {
+        let mut lines = Vec::new();
+        for (name, counters) in &self.outcomes {
+            let (service, outcome) = name.rsplit_once('/').unwrap_or((name, ""));
+            let labels = format!("service=\"{service}\",outcome=\"{outcome}\"");
+            lines.push(format!(
+                "{PREFIX}_requests{{{labels}}} {}",
+                counters.requests
+            ));
+            let mut total = 0;
+            for (bound, count) in LATENCY_BOUNDS.iter().zip(counters.latency) {
+                total += count;
+                lines.push(format!(
+                    "{PREFIX}_latency_ms{{{labels},le=\"{bound}\"}} {total}"
+                ));
+            }
+        }
+        for (service, count) in &self.retries {
+            lines.push(format!("{PREFIX}_retries{{service=\"{service}\"}} {count}"));
+        }
+        for (target, length) in &self.queues {
+            lines.push(format!(
+                "{PREFIX}_queue_length{{target=\"{target}\"}} {length}"
+            ));
+        }
+        lines.sort();
+        lines.push(String::new());
+        lines.join("\n")
+    }
+}
+
 /// Handle to the counters.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -2,14 +2,14 @@
 
 use super::{
     http::{self, Stopped},
-    metrics::Metrics,
+    operator_api::OperatorApi,
     settings::Settings,
     wiring::Wiring,
 };
 use crate::{
     ownership::driver::DriverHandle,
     peer::service::PeerService,
-    routing::{path::RequestPathContext, refusal::RecentRefusals, targets::Policies},
+    routing::{path::RequestPathContext, targets::Policies},
     world::{Incarnation, Link},
 };
 use eyre::WrapErr;
@@ -68,6 +68,7 @@
     operator_addr: SocketAddr,
     driver: DriverHandle,
     peers: PeerService,
+    operators: OperatorApi,
     stop_callers: watch::Sender<bool>,
     callers: JoinHandle<Stopped>,
 }
@@ -103,10 +104,14 @@
             "Starting."
         );
 
-        let wiring = Wiring::new(settings, link);
+        let wiring = Wiring::new(settings, link)?;
         let driver = wiring.start_driver();
         let peers = PeerService::start(peer_listener, wiring.peer_context(&driver))?;
         wiring.connect(&peers.handle());
+        let operators = OperatorApi::start(
+            operator_listener,
+            wiring.operator_context(&driver, &peers.handle()),
+        )?;
 
         let (stop_callers, stop) = watch::channel(false);
         let cx = RequestPathContext {
@@ -116,8 +121,8 @@
             store: wiring.store_client(),
             workers: wiring.settings.workers.into(),
             stop_timeout: Duration::from_millis(wiring.settings.stop_timeout_ms),
-            metrics: Metrics::new(wiring.settings.statsd_addr)?,
-            recent: RecentRefusals::default(),
+            metrics: wiring.metrics.clone(),
+            recent: wiring.recent.clone(),
         };
         let fronts = wiring.fronts.clone();
         let callers = http::serve_fronting(cx, policies, fronts, caller_listener, stop)?;
@@ -127,6 +132,7 @@
             operator_addr,
             driver,
             peers,
+            operators,
             stop_callers,
             callers,
         })
@@ -169,6 +175,7 @@
             .callers
             .join()
             .map_err(|_| eyre::eyre!("the request path panicked"))?;
+        self.operators.stop();
         self.peers.stop();
         log::info!(target: "entry", "Stopped.");
         match stopped {
--- a/src/entry/snapshot.rs
+++ b/src/entry/snapshot.rs
@@ -35,14 +35,27 @@
 }
 
 impl Snapshot {
-    /// Whether callers can be served: a configuration is in force, and every keyed service has a
-    /// routing table.
+    /// What is missing before callers can be served: a configuration in force, and a routing table
+    /// for every keyed service.
+    pub fn missing(&self) -> Vec<String> {
+        if self.config.is_none() {
+            return vec!["no configuration is known".into()];
+        }
+        let without_table = |view: &&ServiceView| view.contract.keyed && view.owners.is_empty();
+        let services = self.services.values().filter(without_table);
+        services
+            .map(|view| {
+                format!(
+                    "no routing table is known for service {}",
+                    view.contract.name
+                )
+            })
+            .collect()
+    }
+
+    /// Whether callers can be served.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some()
-            && self
-                .services
-                .values()
-                .all(|service| !service.contract.keyed || !service.owners.is_empty())
+        self.missing().is_empty()
     }
 }
 
--- a/src/entry/wiring.rs
+++ b/src/entry/wiring.rs
@@ -1,19 +1,26 @@
 //! Connects the daemon's parts to each other.
 
-use super::{directory::Directory, settings::Settings};
+use super::{
+    directory::Directory, explain::explain, metrics::Metrics, operator_api::OperatorContext,
+    settings::Settings,
+};
 use crate::{
     clock::Clock,
     http_client::HttpClient,
+    operator::report::Readiness,
     ownership::driver::{self, DriverContext, DriverHandle, GrantReplyFn, HoldReplyFn},
     peer::{
         message::{PeerReply, PeerRequest},
         service::{PeerContext, PeerHandle},
     },
-    routing::front::Fronts,
+    routing::{front::Fronts, refusal::RecentRefusals},
     store::StoreClient,
     world::Link,
 };
+use serde::Serialize;
+use serde_json::Value;
 use std::{
+    io,
     sync::{
         Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -38,12 +45,16 @@
     /// The peer links; set once they are up, since parts that send through them start earlier.
     pub peers: Arc<OnceLock<PeerHandle>>,
     pub fronts: Fronts,
+    pub metrics: Metrics,
+    pub recent: RecentRefusals,
 }
 
 impl Wiring {
-    pub fn new(settings: Settings, link: Link) -> Self {
+    pub fn new(settings: Settings, link: Link) -> io::Result<Self> {
         let clock = Clock::start();
-        Self {
+        Ok(Self {
+            metrics: Metrics::new(settings.statsd_addr)?,
+            recent: RecentRefusals::default(),
             fronts: Fronts::new(link.clone(), clock),
             settings,
             link,
@@ -51,7 +62,7 @@
             directory: Directory::start(),
             stopping: Arc::default(),
             peers: Arc::default(),
-        }
+        })
     }
 
     /// Opens the way to peers for the parts that were started before.
@@ -129,4 +140,40 @@
             }),
         }
     }
+
+    pub fn operator_context(&self, driver: &DriverHandle, peers: &PeerHandle) -> OperatorContext {
+        let (ready_snapshot, explain_snapshot) = (
+            Arc::clone(self.directory.snapshot()),
+            Arc::clone(self.directory.snapshot()),
+        );
+        let (stopping, driver) = (Arc::clone(&self.stopping), driver.clone());
+        let (me, recent) = (self.link.name.clone(), self.recent.clone());
+        let metrics = self.metrics.clone();
+        OperatorContext {
+            link: self.link.clone(),
+            directory: self.directory.clone(),
+            store: self.store_client(),
+            peers: peers.clone(),
+            readiness: Arc::new(move || {
+                let mut reasons = ready_snapshot.load().missing();
+                if stopping.load(Ordering::Relaxed) {
+                    reasons.push("the daemon is stopping".into());
+                }
+                Readiness {
+                    ready: reasons.is_empty(),
+                    reasons,
+                }
+            }),
+            groups_status: Arc::new(move || to_value(&driver.status().groups)),
+            explain: Arc::new(move |text| {
+                let report = explain(text, &me, &recent, &explain_snapshot.load())?;
+                Ok(to_value(&report))
+            }),
+            metrics_text: Arc::new(move || metrics.counters().to_text()),
+        }
+    }
+}
+
+fn to_value<T: Serialize>(report: &T) -> Value {
+    serde_json::to_value(report).expect("reports are valid JSON")
 }
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// A client of the daemon at `server` alone.
+    pub fn at(&self, server: SocketAddr) -> Self {
+        Self {
+            http: self.http.clone(),
+            servers: vec![server],
+        }
+    }
+
     /// Gets a report from the first daemon that gives it.
     ///
     /// # Errors
--- a/src/operator/commands.rs
+++ b/src/operator/commands.rs
@@ -19,6 +19,7 @@
 use serde_json::{Value, json};
 use std::{
     fs,
+    net::SocketAddr,
     path::Path,
     time::{Duration, Instant},
 };
@@ -320,13 +321,24 @@
 
     async fn explain(&self, reference: &str) -> Result<Exit, Failure> {
         let path = format!("/explain/{}", escape(reference));
-        let explanation: Value = self.client.get(&path).await?;
+        let mut explanation: Value = self.client.get(&path).await?;
+        // Only the daemon that refused the request remembers its details, and only for a while.
+        if let Some(daemon) = details_at(&explanation)
+            && let Ok(details) = self.client.at(daemon).get(&path).await
+        {
+            explanation = details;
+        }
         self.output
             .print(&explanation, || output::value(&explanation));
         Ok(Exit::Done)
     }
 }
 
+/// Operator port of the daemon that issued an explained reference.
+fn details_at(explanation: &Value) -> Option<SocketAddr> {
+    explanation.get("details_at")?.as_str()?.parse().ok()
+}
+
 /// Names of the live daemons that are not known to have `version` in force.
 fn behind(status: &Status, version: u64) -> Vec<String> {
     let live = status
--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -125,8 +125,12 @@
     }
 
     /// Gives the lease away if targets are listed, but none answers: another daemon may reach them.
+    ///
+    /// Front daemons that do not answer show nothing of the kind: they can be lost together, and
+    /// can be replaced only after their leases have ended.
     fn check_isolation(&mut self, cx: &mut Common) {
         if self.isolated
+            || !cx.facts.checks_grants
             || self.row.standbys.is_empty()
             || !self.is_failing
             || self.hold.is_begun()
