Stop controllers from handing the lease on while all targets are lost

Cause 1: a successor that reached no target either gave the lease up after 1 s, and each takeover starts the waits for unreachable targets anew, so they never ended (standins/tests/front.rs, front and controller lost together: epochs 2 to 7 within 11 s and no new front). Change 1: only a controller that has reached a target in its term gives up after 1 s; others after 10 s, and not while a long lease may be outstanding. Cause 2: members without a known configuration version were no standbys, but reports do not relay that version, so distant members never were.

--- a/src/ownership/controller/granting.rs
+++ b/src/ownership/controller/granting.rs
@@ -137,6 +137,7 @@
             self.is_failing = reply.is_none();
             if reply.is_some() {
                 self.last_contact = cx.now;
+                self.had_contact = true;
             }
         }
         let checks_grants = cx.facts.checks_grants;
--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -13,8 +13,8 @@
         row::GroupRow,
         term::{Attempt, Settled, Writes},
         timing::{
-            CONTROLLER_LEASE, ISOLATED_AFTER, ISOLATION_PENALTY, TARGET_LEASE, WRITE_RETRY,
-            latest_end,
+            CONTROLLER_LEASE, ISOLATED_AFTER, ISOLATION_PENALTY, NEVER_REACHED_AFTER, TARGET_LEASE,
+            WRITE_RETRY, latest_end,
         },
     },
     partition::Partition,
@@ -53,6 +53,8 @@
     pub next_front_move: Millis,
     /// When a target or front last answered, this daemon excepted.
     pub last_contact: Millis,
+    /// Whether any has answered in this term.
+    pub had_contact: bool,
     /// Whether an exchange has failed since.
     pub is_failing: bool,
     /// Gives the lease away because no target can be reached.
@@ -99,6 +101,7 @@
             moves: BTreeMap::new(),
             fronts: attempt.row.fronts.iter().cloned().collect(),
             last_contact: cx.now,
+            had_contact: false,
             is_failing: false,
             misplaced: None,
             next_front_move: Millis::ZERO,
@@ -126,12 +129,19 @@
 
     /// Gives the lease away if targets are listed, but none answers: another daemon may reach them.
     fn check_isolation(&mut self, cx: &mut Common) {
+        // A successor starts all waits for unreachable targets anew. So this must not go on from
+        // one daemon to the next when it is the targets that are lost, nor cut short a long wait.
+        let patience = match self.had_contact {
+            true => ISOLATED_AFTER,
+            false if self.targets.values().any(TargetLease::is_held) => return,
+            false => NEVER_REACHED_AFTER,
+        };
         if self.isolated
             || self.row.standbys.is_empty()
             || !self.is_failing
             || self.hold.is_begun()
             || !self.is_valid(cx.now)
-            || cx.now < self.last_contact + ISOLATED_AFTER
+            || cx.now < self.last_contact + patience
         {
             return;
         }
--- a/src/ownership/facts.rs
+++ b/src/ownership/facts.rs
@@ -31,7 +31,7 @@
     pub targets: Map<VmName, TargetFacts>,
     /// Whether the targets check grants themselves.
     pub checks_grants: bool,
-    /// Other daemons that are alive, have a configuration and are not stopping.
+    /// Other daemons that are alive and not stopping.
     pub members: Vec<Link>,
     /// Length of leases granted in hold mode, in milliseconds.
     pub hold_ms: u64,
@@ -66,7 +66,7 @@
         let members = snapshot
             .members
             .iter()
-            .filter(|member| !member.stopping && member.config_version > 0)
+            .filter(|member| !member.stopping)
             .map(|member| member.link.clone())
             .collect();
         Some(Self {
--- a/src/ownership/timing.rs
+++ b/src/ownership/timing.rs
@@ -59,6 +59,9 @@
 /// Time without an answer of any target after which a controller gives its lease to another
 /// daemon. Shorter than a target's lease, so that the other daemon can renew it in time.
 pub const ISOLATED_AFTER: Millis = Millis(1_000);
+/// The same for a controller that has reached no target in its term. It has to be long enough for
+/// the waits of a takeover: with each takeover they start anew.
+pub const NEVER_REACHED_AFTER: Millis = Millis(10_000);
 /// Time for which such a daemon takes over no group.
 pub const ISOLATION_PENALTY: Millis = Millis(3_000);
 
--- a/tests/controller.rs
+++ b/tests/controller.rs
@@ -178,6 +178,22 @@
     assert_sound(&world);
 }
 
+/// Guards against controllers that hand the lease to each other while targets are lost, so that
+/// the wait for the targets' leases starts anew and never ends.
+#[test]
+fn loss_of_all_targets_but_a_new_one_is_survived() {
+    let mut world = started();
+    for t in 0..TARGETS {
+        world.plan(Fault::CrashTarget(t), 0, 60_000);
+    }
+    world.run(5_000);
+    assert!(world.takeovers <= 2, "{} takeovers", world.takeovers);
+    world.plan(Fault::CrashTarget(1), 0, 0);
+    let took = world.run_until(3_000, World::is_served);
+    assert!(took.is_some(), "served {} of {PARTITIONS}", world.served());
+    assert_sound(&world);
+}
+
 /// Guards against a grant that was delayed on its way and starts a lease when it arrives.
 #[test_case(1_400)]
 #[test_case(3_000)]
