--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -106,7 +106,7 @@
         let wiring = Wiring::new(settings, link);
         let driver = wiring.start_driver();
         let peers = PeerService::start(peer_listener, wiring.peer_context(&driver))?;
-        wiring.peers.get_or_init(|| peers.handle());
+        wiring.connect(&peers.handle());
 
         let (stop_callers, stop) = watch::channel(false);
         let cx = RequestPathContext {
@@ -118,9 +118,9 @@
             stop_timeout: Duration::from_millis(wiring.settings.stop_timeout_ms),
             metrics: Metrics::new(wiring.settings.statsd_addr)?,
             recent: RecentRefusals::default(),
-            fronts: wiring.fronts.clone(),
         };
-        let callers = http::serve_with(cx, policies, caller_listener, stop)?;
+        let fronts = wiring.fronts.clone();
+        let callers = http::serve_fronting(cx, policies, fronts, caller_listener, stop)?;
         Ok(Self {
             wiring,
             caller_addr,
@@ -161,14 +161,14 @@
         if !self.driver.release(RELEASE_TIMEOUT) {
             log::warn!(target: "entry", "Not all groups were handed over; their leases will end.");
         }
+        if !self.wiring.fronts.wait_returned(RELEASE_TIMEOUT) {
+            log::warn!(target: "entry", "Not all targets got another front daemon.");
+        }
         self.stop_callers.send_replace(true);
         let stopped = self
             .callers
             .join()
             .map_err(|_| eyre::eyre!("the request path panicked"))?;
-        if !self.wiring.fronts.wait_returned(RELEASE_TIMEOUT) {
-            log::warn!(target: "entry", "Not all targets got another front daemon.");
-        }
         self.peers.stop();
         log::info!(target: "entry", "Stopped.");
         match stopped {
