--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -48,8 +48,12 @@
     /// Resets a connection once this many bytes of the upstream would have been passed on it
     /// since the fault was set.
     pub cut_after_received: Option<u64>,
-    /// Sends a copy of each run of client bytes on a new connection after this many milliseconds.
+    /// Sends a copy of each run of client bytes on a new connection after this many milliseconds;
+    /// only of grants, unless `replay_all` is set.
     pub replay_after_ms: Option<u64>,
+    /// Replays caller's requests too. Nothing in front of a target can tell such a copy from a
+    /// second request, so it runs twice unless the target recognises it.
+    pub replay_all: bool,
 }
 
 impl LinkFaults {
--- a/standins/src/proxy/pipe.rs
+++ b/standins/src/proxy/pipe.rs
@@ -23,6 +23,9 @@
 /// Chunks that may be under way in one direction.
 const CHUNKS_UNDER_WAY: usize = 256;
 
+/// Start of a grant's bytes.
+const GRANT: &str = "POST /fireflygauge/grants";
+
 type Faults = watch::Receiver<LinkFaults>;
 
 /// Which way bytes go.
@@ -189,7 +192,9 @@
         Way::ToClient if run.is_empty() => {}
         Way::ToClient => {
             let copy = std::mem::take(&mut *run);
-            tokio::spawn(replay(copy, upstream, Duration::from_millis(after)));
+            if faults.replay_all || copy.starts_with(GRANT.as_bytes()) {
+                tokio::spawn(replay(copy, upstream, Duration::from_millis(after)));
+            }
         }
     }
 }
