--- a/src/ownership/controller/granting.rs
+++ b/src/ownership/controller/granting.rs
@@ -4,14 +4,16 @@
 use crate::{
     clock::Millis,
     ownership::{
+        facts::Facts,
         granter::{GrantSet, Learnt, TargetLease},
-        timing::HOLD_AFTER,
+        row::GroupRow,
+        timing::{COMMIT_PATIENCE, HOLD_AFTER, SETTLE},
     },
     partition::Partition,
     target_api::GrantReply,
     world::{Link, VmName},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 impl Holding {
     /// Keeps an entry for every listed target.
@@ -19,8 +21,13 @@
         for (name, facts) in &cx.facts.targets {
             if !self.targets.contains_key(name) {
                 self.targets.insert(name.clone(), TargetLease::default());
+                self.settled_at = cx.now + SETTLE;
             }
-            if let Some(lease) = self.targets.get_mut(name) {
+            if let Some(lease) = self
+                .targets
+                .get_mut(name)
+                .filter(|_| cx.facts.checks_grants)
+            {
                 lease.at_address(facts.addr);
             }
         }
@@ -28,7 +35,9 @@
 
     /// Asks for hold mode when the renewal of the own lease is overdue, and enters it.
     pub(super) fn advance_hold(&mut self, cx: &mut Common) {
-        if cx.now < self.confirmed + HOLD_AFTER || self.hold.is_active() {
+        let overdue = cx.now >= self.confirmed + HOLD_AFTER
+            && self.writes.is_overdue(cx.now - COMMIT_PATIENCE);
+        if self.hold.is_active() || !(overdue || self.hold.is_begun()) {
             return;
         }
         let standbys = self.possible_standbys();
@@ -71,12 +80,22 @@
         self.refresh_sets();
         let hold_length = self.hold_length();
         let hold = self.hold.is_active().then_some(Millis(hold_length));
-        let empty = GrantSet::default();
+        let empty = GrantSet::new(Vec::new());
+        let returning: Vec<VmName> = self
+            .fronts
+            .iter()
+            .filter(|(name, front)| self.must_return(name, front, cx))
+            .map(|(name, _)| name.clone())
+            .collect();
         for (name, lease) in &mut self.targets {
-            let Some(facts) = cx.facts.targets.get(name) else {
+            let Some(receiver) = receiver(name, &self.row, &self.fronts, &cx.facts) else {
                 continue;
             };
-            let set = self.sets.get(name).unwrap_or(&empty);
+            let set = match receiver {
+                // A front that is to be replaced has to return the lease first.
+                Receiver::Front(_) if returning.contains(name) && hold.is_none() => &empty,
+                _ => self.sets.get(name).unwrap_or(&empty),
+            };
             let due = match hold {
                 Some(_) => !set.is_empty() && lease.is_hold_due(cx.now),
                 None => lease.is_due(set, cx.now),
@@ -88,10 +107,18 @@
             if hold.is_some() {
                 self.hold_lengths.insert(name.clone(), hold_length);
             }
-            cx.out.push(Action::Grant {
-                target: name.clone(),
-                addr: facts.addr,
-                request,
+            let target = name.clone();
+            cx.out.push(match receiver {
+                Receiver::Target(addr) => Action::Grant {
+                    target,
+                    addr,
+                    request,
+                },
+                Receiver::Front(front) => Action::GrantFront {
+                    front: front.clone(),
+                    target,
+                    request,
+                },
             });
         }
     }
@@ -106,7 +133,20 @@
         let Some(lease) = self.targets.get_mut(target) else {
             return;
         };
-        let learnt = lease.answer(sequence, self.row.epoch, reply.as_ref(), cx.now);
+        if self.fronts.get(target) != Some(&cx.me) {
+            self.is_failing = reply.is_none();
+            if reply.is_some() {
+                self.last_contact = cx.now;
+            }
+        }
+        let checks_grants = cx.facts.checks_grants;
+        let learnt = lease.answer(
+            sequence,
+            self.row.epoch,
+            reply.as_ref(),
+            checks_grants,
+            cx.now,
+        );
         if !lease.is_held() {
             self.hold_lengths.remove(target);
         }
@@ -151,3 +191,25 @@
             .collect();
     }
 }
+
+/// Who is granted the lease of a target.
+#[derive(Clone, Copy)]
+enum Receiver<'a> {
+    Target(SocketAddr),
+    Front(&'a Link),
+}
+
+/// The receiver of the lease of `target`; `None` if it is not listed or its front is not settled.
+fn receiver<'a>(
+    target: &VmName,
+    row: &'a GroupRow,
+    fronts: &BTreeMap<VmName, Link>,
+    facts: &Facts,
+) -> Option<Receiver<'a>> {
+    let listed = facts.targets.get(target);
+    if facts.checks_grants {
+        return listed.map(|facts| Receiver::Target(facts.addr));
+    }
+    let (_, front) = row.fronts.iter().find(|(name, _)| name == target)?;
+    (fronts.get(target) == Some(front)).then_some(Receiver::Front(front))
+}
--- a/src/ownership/term.rs
+++ b/src/ownership/term.rs
@@ -88,6 +88,11 @@
         self.attempts.iter().any(|a| !a.answered && a.sent > since)
     }
 
+    /// Whether a write has failed, or was sent at `before` or earlier, and is unsettled.
+    pub fn is_overdue(&self, before: Millis) -> bool {
+        self.attempts.iter().any(|a| a.answered || a.sent <= before)
+    }
+
     /// Adds a write that is about to be sent.
     pub fn begin(&mut self, attempt: Attempt) {
         if self.attempts.len() >= MAX_ATTEMPTS
@@ -162,10 +167,12 @@
     }
 
     fn conflict(&mut self, me: &Link, row_name: &str, operation: &str, rows: Vec<Row>) -> Settled {
-        self.attempts.retain(|a| *a.operation != *operation);
         let Some(row) = rows.iter().find(|row| *row.name == *row_name) else {
+            self.attempts.retain(|a| *a.operation != *operation);
             return Settled::Mismatch(rows);
         };
+        // The row goes first: a second copy of a write conflicts with the first one, and then the
+        // row shows that the write took effect.
         match serde_json::from_str(&row.value) {
             Ok(content) => self.observe(me, row.version, content),
             Err(_) => Settled::Nothing,
--- a/src/routing/shared.rs
+++ b/src/routing/shared.rs
@@ -1,6 +1,8 @@
 //! State that all requests share.
 
 use super::{
+    exchange::Exchange,
+    front::Fronts,
     journal::Journal,
     path::RequestPathContext,
     refusal::{Code, RecentRefusals},
@@ -11,7 +13,7 @@
 use crate::{
     clock::Clock,
     collections::Map,
-    entry::{directory::Directory, metrics::Metrics},
+    entry::{directory::Directory, metrics::Metrics, snapshot::Snapshot},
     world::{Link, ServiceName},
 };
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,6 +35,8 @@
     pub metrics: Metrics,
     /// State of targets.
     pub targets: Arc<Targets>,
+    /// Targets that do not check grants.
+    pub fronts: Fronts,
     /// The journal.
     pub journal: Journal,
     /// Refusals for the operator's tool.
@@ -45,13 +49,14 @@
 
 impl Shared {
     /// Creates the state. It needs the runtime that it will be used on.
-    pub fn new(cx: &RequestPathContext, policies: Policies) -> Self {
+    pub fn new(cx: &RequestPathContext, policies: Policies, fronts: Fronts) -> Self {
         Self {
             link: cx.link.clone(),
             clock: cx.clock,
             directory: cx.directory.clone(),
             metrics: cx.metrics.clone(),
             targets: Arc::new(Targets::new(policies, cx.clock)),
+            fronts,
             journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
             recent: cx.recent.clone(),
             body_bytes: Arc::new(Semaphore::new(BODY_BYTES)),
@@ -99,10 +104,17 @@
         }
     }
 
-    /// Spends a retry if one is left.
-    pub fn spend_retry(&self, service: &ServiceName) -> bool {
+    /// Spends a retry after `result` if one is left.
+    pub fn spend_retry(&self, service: &ServiceName, result: &Exchange) -> bool {
         let mut budgets = self.budgets();
-        budgets.get_mut(service).is_some_and(RetryBudget::spend)
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.spend(result))
+    }
+
+    /// Requests that may wait for one target.
+    pub fn queue_length(&self, snapshot: &Snapshot) -> usize {
+        let config = snapshot.config.as_ref();
+        config.map_or(0, |config| config.preset.queue_length as usize)
     }
 
     fn budgets(&self) -> MutexGuard<'_, Map<ServiceName, RetryBudget>> {
