--- a/standins/src/load/measure/faults.rs
+++ b/standins/src/load/measure/faults.rs
@@ -48,7 +48,7 @@
         "answered",
         "not-run",
         "unknown",
-        "lost",
+        "lost or unsent",
         "gaps",
         "partition-seconds unserved",
         "longest s",
--- a/standins/src/load/measure/load.rs
+++ b/standins/src/load/measure/load.rs
@@ -178,7 +178,7 @@
         "of peak",
         "not-run",
         "unknown",
-        "lost",
+        "lost or unsent",
         "p50 ms",
         "p99 ms",
         "refused p99 ms",
