Apply a declaration and switch a preset in the local demonstration

Cause: the demonstration seeded its declaration past the product and switched no preset; 'fireflygauge config show | head' ended with a panic (exit status 101), because the reader had closed the pipe. Change: the declaration is applied and the preset switched through the operator port; the tool ignores a reader that has gone.

--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -15,7 +15,7 @@
 use eyre::WrapErr;
 use std::{
     net::{SocketAddr, TcpListener},
-    sync::atomic::Ordering,
+    sync::{Arc, atomic::Ordering},
     thread::JoinHandle,
     time::Duration,
 };
@@ -158,6 +158,15 @@
         self.wiring.directory.snapshot().load().is_ready()
     }
 
+    /// Name of the preset in force here.
+    pub fn preset(&self) -> Option<Arc<str>> {
+        let snapshot = self.wiring.directory.snapshot().load();
+        snapshot
+            .config
+            .as_ref()
+            .map(|config| Arc::clone(&config.preset.name))
+    }
+
     /// Hands over controlled groups, finishes the requests in flight and ends all threads.
     ///
     /// # Errors
--- a/src/operator/output.rs
+++ b/src/operator/output.rs
@@ -8,6 +8,7 @@
 use comfy_table::{Table, presets::NOTHING};
 use serde::Serialize;
 use serde_json::{Value, json};
+use std::io::{self, Write};
 
 /// Where results go: standard output, with failures on standard error.
 #[derive(Clone, Copy, Debug)]
@@ -25,16 +26,16 @@
     pub fn print(&self, value: &impl Serialize, text: impl FnOnce() -> String) {
         if self.json {
             let value = serde_json::to_string_pretty(value).expect("results are valid JSON");
-            println!("{value}");
+            print_line(&value);
         } else {
-            println!("{}", text().trim_end());
+            print_line(text().trim_end());
         }
     }
 
     /// Prints a remark for people.
     pub fn note(&self, text: &str) {
         if !self.json {
-            println!("{text}");
+            print_line(text);
         }
     }
 
@@ -48,6 +49,11 @@
     }
 }
 
+/// Prints to standard output. A reader that has gone, such as `head`, is no failure.
+fn print_line(text: &str) {
+    let _ = writeln!(io::stdout().lock(), "{text}");
+}
+
 fn table<const N: usize>(header: [&str; N], rows: impl Iterator<Item = [String; N]>) -> String {
     let mut table = Table::new();
     table.load_preset(NOTHING).set_header(header);
--- a/standins/src/local.rs
+++ b/standins/src/local.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     caller::Caller,
-    cluster::{Declared, wait_for},
+    cluster::wait_for,
     platform::{Faults, Platform},
     target::{Execution, StandinTarget, TargetOptions},
 };
@@ -12,8 +12,10 @@
 use comfy_table::{Table, presets::ASCII_MARKDOWN};
 use eyre::WrapErr;
 use fireflygauge::{
+    config::{Change, ChangeOutcome, ChangeRequest},
     declaration::Declaration,
     entry::{runtime::Daemon, settings::Settings},
+    operator::client::OperatorClient,
     world::{Contract, Vm, VmRole, VmState},
 };
 use std::{
@@ -100,10 +102,6 @@
     async fn start(deployment: Deployment) -> eyre::Result<Self> {
         let declaration = Declaration::parse(deployment.text())?;
         let platform = Platform::start(ANY, Faults::default()).await?;
-        platform.seed(&Declared {
-            text: deployment.text().into(),
-            preset: declaration.initial_preset.to_string(),
-        });
         let mut local = Self {
             platform,
             daemons: Vec::new(),
@@ -120,6 +118,7 @@
         for zone in &deployment.zones()[..3] {
             local.start_daemon(zone)?;
         }
+        local.apply(deployment.text()).await?;
         local.ready().await;
         Ok(local)
     }
@@ -160,6 +159,27 @@
         Ok(())
     }
 
+    /// Puts the declaration in force, as an operator does.
+    async fn apply(&self, text: &str) -> eyre::Result<()> {
+        let change = Change::Apply { body: text.into() };
+        match self.change(0, change).await? {
+            ChangeOutcome::Committed { .. } => Ok(()),
+            other => Err(eyre::eyre!("the declaration was not applied: {other:?}")),
+        }
+    }
+
+    /// Asks the first daemon for a change of the configuration.
+    async fn change(&self, seen_version: u64, change: Change) -> eyre::Result<ChangeOutcome> {
+        let request = ChangeRequest {
+            seen_version,
+            by: "demonstration".into(),
+            reason: None,
+            change,
+        };
+        let server = self.daemons[0].operator_addr();
+        Ok(OperatorClient::new(vec![server]).change(&request).await?)
+    }
+
     async fn ready(&self) {
         let all = || std::future::ready(self.daemons.iter().all(Daemon::is_ready).then_some(()));
         wait_for("all daemons are ready", READY_TIME, all).await;
@@ -182,10 +202,7 @@
                 "  curl -i http://{}/{service}/k1/item",
                 daemon.caller_addr()
             );
-            println!(
-                "  fireflygauge --help   # operator address {}",
-                daemon.operator_addr()
-            );
+            println!("  fireflygauge --server {} status", daemon.operator_addr());
         }
     }
 }
--- a/standins/src/local/steps.rs
+++ b/standins/src/local/steps.rs
@@ -6,10 +6,14 @@
     cluster::wait_for,
     judge::Histories,
 };
-use fireflygauge::world::{Contract, VmRole};
+use fireflygauge::{
+    config::{Change, ChangeOutcome},
+    world::{Contract, VmRole},
+};
 use http::Method;
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -17,7 +21,9 @@
 const KEYS: usize = 30;
 /// Time within which keys must be served again after a target was lost.
 const RECOVERY: Duration = Duration::from_secs(2);
-/// Time to wait for that before giving up.
+/// Time within which a change of the configuration must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(11);
+/// Time to wait for such things before giving up.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 impl Local {
@@ -31,6 +37,7 @@
             return steps;
         };
         steps.push(self.repetition(&keyed).await);
+        steps.push(self.preset_switch().await);
         steps.push(self.lost_target(&keyed).await);
         steps.push(self.histories());
         steps
@@ -82,6 +89,43 @@
         }
     }
 
+    /// Puts another preset in force through one daemon and waits until all of them have it.
+    async fn preset_switch(&self) -> Step {
+        let presets = &self.declaration.presets;
+        let initial = &self.declaration.initial_preset;
+        let other = presets.iter().find(|preset| preset.name != *initial);
+        let preset = Arc::clone(&other.expect("the example has several presets").name);
+        let what = format!("the preset {preset} is put in force");
+        let change = Change::UsePreset {
+            preset: Arc::clone(&preset),
+        };
+        let start = Instant::now();
+        if !matches!(
+            self.change(1, change).await,
+            Ok(ChangeOutcome::Committed { .. })
+        ) {
+            return Step {
+                what,
+                seen: "the change was refused".into(),
+                right: false,
+            };
+        }
+        let in_force = || {
+            let everywhere = self
+                .daemons
+                .iter()
+                .all(|d| d.preset().as_ref() == Some(&preset));
+            std::future::ready(everywhere.then_some(()))
+        };
+        wait_for("the preset is in force everywhere", PATIENCE, in_force).await;
+        let took = start.elapsed();
+        Step {
+            what,
+            seen: format!("everywhere after {} ms", took.as_millis()),
+            right: took <= IN_FORCE,
+        }
+    }
+
     /// Stops a target without notice and waits until its keys are served by others.
     async fn lost_target(&mut self, contract: &Contract) -> Step {
         let owner = self.targets.iter().position(|t| match &t.vm().role {
