--- a/standins/src/cluster/target.rs
+++ b/standins/src/cluster/target.rs
@@ -5,8 +5,10 @@
     proxy::ProxyLink,
     target::{CONTROL_PATH, Control, TargetOptions},
 };
+use bytes::Bytes;
 use fireflygauge::{
     http_client::HttpClient,
+    target_api::{HEALTH_PATH, HealthReport},
     world::{ServiceName, Vm, VmName, VmState},
 };
 use http::Method;
@@ -105,6 +107,18 @@
         assert!(status.is_success(), "the target refused its controls");
     }
 
+    /// Its view of itself, past its link.
+    ///
+    /// # Panics
+    /// If it does not give it.
+    pub async fn health(&self) -> HealthReport {
+        let client = HttpClient::new();
+        let addr = self.options.addr;
+        let sent = client.send(Method::GET, addr, HEALTH_PATH, Bytes::new(), CONTROL_TIME);
+        let (_, body) = sent.await.expect("the target answers");
+        serde_json::from_slice(&body).expect("the answer is a health report")
+    }
+
     pub(super) fn history(&self) -> &Path {
         &self.history
     }
--- a/standins/src/local/steps.rs
+++ b/standins/src/local/steps.rs
@@ -6,10 +6,15 @@
     cluster::wait_for,
     judge::Histories,
 };
-use fireflygauge::world::{Contract, VmRole};
+use fireflygauge::{
+    config::{Change, ChangeOutcome, ChangeRequest},
+    operator::{client::OperatorClient, report::PresetReport},
+    world::{Contract, VmRole},
+};
 use http::Method;
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -31,6 +36,7 @@
             return steps;
         };
         steps.push(self.repetition(&keyed).await);
+        steps.push(self.preset_switch().await);
         steps.push(self.lost_target(&keyed).await);
         steps.push(self.histories());
         steps
@@ -82,6 +88,42 @@
         }
     }
 
+    /// Puts the last preset in force through one daemon and reads it from all of them.
+    async fn preset_switch(&self) -> Step {
+        let preset = &self.declaration.presets[self.declaration.presets.len() - 1].name;
+        let request = ChangeRequest {
+            seen_version: 1,
+            by: "local demonstration".into(),
+            reason: None,
+            change: Change::UsePreset {
+                preset: Arc::clone(preset),
+            },
+        };
+        let start = Instant::now();
+        let outcome = self.operator(0).change(&request).await;
+        let committed = matches!(outcome, Ok(ChangeOutcome::Committed { .. }));
+        for daemon in (0..self.daemons.len()).filter(|_| committed) {
+            wait_for("the preset is in force", PATIENCE, || async {
+                let report: PresetReport = self.operator(daemon).get("/presets").await.ok()?;
+                (report.in_force == *preset).then_some(())
+            })
+            .await;
+        }
+        let took = start.elapsed().as_millis();
+        Step {
+            what: format!("an operator puts preset {preset} in force"),
+            seen: match committed {
+                true => format!("in force in all daemons after {took} ms"),
+                false => format!("{outcome:?}"),
+            },
+            right: committed,
+        }
+    }
+
+    fn operator(&self, daemon: usize) -> OperatorClient {
+        OperatorClient::new(vec![self.daemons[daemon].operator_addr()])
+    }
+
     /// Stops a target without notice and waits until its keys are served by others.
     async fn lost_target(&mut self, contract: &Contract) -> Step {
         let owner = self.targets.iter().position(|t| match &t.vm().role {
--- a/standins/tests/one_owner.rs
+++ b/standins/tests/one_owner.rs
@@ -1,7 +1,9 @@
 //! A key has at most one owner, whatever is frozen, cut or delayed.
 
+use http::Method;
 use standins::{
-    cluster::{KEYED, Layout, wait_until},
+    caller::Ask,
+    cluster::{KEYED, Layout, wait_for, wait_until},
     proxy::{Flow, LinkFaults},
     scenario::{Scenario, seed},
     workload::Mix,
@@ -44,6 +46,30 @@
     assert!(histories.moves() > 0, "the frozen target's keys moved");
 }
 
+/// Guards against a successor of a target before its lease has ended: nobody reaches the target,
+/// which is working on requests and finishes them within its lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn target_cut_off_finishes_its_work_before_others_begin() {
+    let scenario = start(20).await;
+    let cut = &scenario.cluster.targets[scenario.cluster.targets_of(KEYED)[0]];
+    for key in 0..24 {
+        let ask = Ask::new(Method::POST, KEYED, &format!("k{key}"));
+        // Some end shortly before the lease does.
+        let ask = ask.working(800 + 80 * (key % 5)).within(2_000);
+        let caller = scenario.caller.clone();
+        let daemon = scenario.cluster.daemons[0].caller_addr();
+        tokio::spawn(async move { caller.ask(daemon, &ask).await });
+    }
+    let busy = || async { (cut.health().await.in_flight >= 4).then_some(()) };
+    wait_for("the target is busy", REACTION, busy).await;
+    cut.link.set_flow(Flow::Freeze);
+    scenario.served(REACTION).await;
+    cut.link.set_flow(Flow::Pass);
+    scenario.served(REACTION).await;
+    let histories = scenario.finish().await;
+    assert!(histories.moves() > 0, "the target's keys moved");
+}
+
 /// Guards against a controller that grants or writes after its lease ended.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn controller_frozen_past_its_lease_changes_nothing_when_it_returns() {
--- a/standins/tests/stops.rs
+++ b/standins/tests/stops.rs
@@ -1,6 +1,10 @@
 //! Planned stops: targets are emptied within seconds, and daemons stop without cutting off a
 //! request.
 
+use fireflygauge::{
+    config::{Change, ChangeOutcome, ChangeRequest},
+    operator::client::OperatorClient,
+};
 use standins::{
     cluster::{KEYED, Layout, UNKEYED},
     scenario::{Scenario, seed},
@@ -22,6 +26,7 @@
 enum Drain {
     Platform,
     Target,
+    Tool,
 }
 
 async fn drain(scenario: &Scenario, target: usize, by: Drain) {
@@ -35,6 +40,22 @@
             };
             target.control(&control).await;
         }
+        Drain::Tool => {
+            let request = ChangeRequest {
+                seen_version: 1,
+                by: "Anna".into(),
+                reason: None,
+                change: Change::Drain {
+                    target: target.name().clone(),
+                },
+            };
+            let server = scenario.cluster.daemons[1].operator_addr();
+            let outcome = OperatorClient::new(vec![server]).change(&request).await;
+            assert!(
+                matches!(outcome, Ok(ChangeOutcome::Committed { .. })),
+                "{outcome:?}"
+            );
+        }
     }
 }
 
@@ -44,6 +65,8 @@
 #[test_case(KEYED, Drain::Target, 42; "keyed, by the target")]
 #[test_case(UNKEYED, Drain::Platform, 43; "any, by the platform's list")]
 #[test_case(UNKEYED, Drain::Target, 44; "any, by the target")]
+#[test_case(KEYED, Drain::Tool, 47; "keyed, by the tool")]
+#[test_case(UNKEYED, Drain::Tool, 48; "any, by the tool")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn leaving_target_is_emptied(service: &'static str, by: Drain, default_seed: u64) {
     let mix = Mix {
