--- a/standins/src/load/measure/deployment.rs
+++ b/standins/src/load/measure/deployment.rs
@@ -189,9 +189,12 @@
     /// Runs a load against `entries`.
     ///
     /// # Errors
-    /// If the options are wrong or a thread cannot be started.
+    /// If the options are wrong, a thread cannot be started, or an answer was wrong.
     pub fn load(&self, entries: &[SocketAddr], args: &[&str]) -> Result<Vec<Step>> {
-        Ok(run(&load_options(entries, args)?)?)
+        let steps = run(&load_options(entries, args)?)?;
+        let wrong: u64 = steps.iter().map(Step::wrong).sum();
+        ensure!(wrong == 0, "{wrong} answers were wrong");
+        Ok(steps)
     }
 
     /// Owner of each partition of the keyed service, as the table service has it.
