--- a/standins/src/local/steps.rs
+++ b/standins/src/local/steps.rs
@@ -6,10 +6,15 @@
     cluster::wait_for,
     judge::Histories,
 };
-use fireflygauge::world::{Contract, VmRole};
+use fireflygauge::{
+    config::{Change, ChangeOutcome},
+    operator::{client::OperatorClient, report::PresetReport},
+    world::{Contract, VmRole},
+};
 use http::Method;
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -17,7 +22,9 @@
 const KEYS: usize = 30;
 /// Time within which keys must be served again after a target was lost.
 const RECOVERY: Duration = Duration::from_secs(2);
-/// Time to wait for that before giving up.
+/// Time within which a change of the configuration must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(11);
+/// Time to wait for such things before giving up.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 impl Local {
@@ -31,6 +38,7 @@
             return steps;
         };
         steps.push(self.repetition(&keyed).await);
+        steps.push(self.preset_switch().await);
         steps.push(self.lost_target(&keyed).await);
         steps.push(self.histories());
         steps
@@ -82,6 +90,37 @@
         }
     }
 
+    /// Puts the last preset in force through one daemon and reads it from all of them.
+    async fn preset_switch(&self) -> Step {
+        let preset = &self.declaration.presets[self.declaration.presets.len() - 1].name;
+        let change = Change::UsePreset {
+            preset: Arc::clone(preset),
+        };
+        let start = Instant::now();
+        let outcome = self.change(1, change).await;
+        let committed = matches!(outcome, Ok(ChangeOutcome::Committed { .. }));
+        for daemon in (0..self.daemons.len()).filter(|_| committed) {
+            wait_for("the preset is in force", PATIENCE, || async {
+                let report: PresetReport = self.operator(daemon).get("/presets").await.ok()?;
+                (report.in_force == *preset).then_some(())
+            })
+            .await;
+        }
+        let took = start.elapsed().as_millis();
+        Step {
+            what: format!("an operator puts preset {preset} in force"),
+            seen: match committed {
+                true => format!("in force in all daemons after {took} ms"),
+                false => format!("{outcome:?}"),
+            },
+            right: committed && start.elapsed() <= IN_FORCE,
+        }
+    }
+
+    fn operator(&self, daemon: usize) -> OperatorClient {
+        OperatorClient::new(vec![self.daemons[daemon].operator_addr()])
+    }
+
     /// Stops a target without notice and waits until its keys are served by others.
     async fn lost_target(&mut self, contract: &Contract) -> Step {
         let owner = self.targets.iter().position(|t| match &t.vm().role {
