Grant no front while an unsettled write names another one

Cause: after an unsettled write that moves a target to a second front, the controller chose the first one again and granted it, and the write took effect later; a successor then knew only the second (ownership_is_exclusive, found in one of 4,000 cases). The 4,000-case run was not repeated.

--- a/src/ownership/controller/granting.rs
+++ b/src/ownership/controller/granting.rs
@@ -7,6 +7,7 @@
         facts::Facts,
         granter::{GrantSet, Learnt, TargetLease},
         row::GroupRow,
+        term::Writes,
         timing::{COMMIT_PATIENCE, HOLD_AFTER, SETTLE},
     },
     partition::Partition,
@@ -88,7 +89,8 @@
             .map(|(name, _)| name.clone())
             .collect();
         for (name, lease) in &mut self.targets {
-            let Some(receiver) = receiver(name, &self.row, &self.fronts, &cx.facts) else {
+            let Some(receiver) = receiver(name, &self.row, &self.fronts, &self.writes, &cx.facts)
+            else {
                 continue;
             };
             let set = match receiver {
@@ -205,6 +207,7 @@
     target: &VmName,
     row: &'a GroupRow,
     fronts: &BTreeMap<VmName, Link>,
+    writes: &Writes,
     facts: &Facts,
 ) -> Option<Receiver<'a>> {
     let listed = facts.targets.get(target);
@@ -212,5 +215,9 @@
         return listed.map(|facts| Receiver::Target(facts.addr));
     }
     let (_, front) = row.fronts.iter().find(|(name, _)| name == target)?;
-    (fronts.get(target) == Some(front)).then_some(Receiver::Front(front))
+    // An unsettled write that names another front may take effect yet.
+    let unsettled = writes.attempts().iter();
+    let mut others = unsettled.flat_map(|a| a.row.fronts.iter().filter(|(name, _)| name == target));
+    let settled = fronts.get(target) == Some(front) && others.all(|(_, other)| other == front);
+    settled.then_some(Receiver::Front(front))
 }
--- a/src/ownership/term.rs
+++ b/src/ownership/term.rs
@@ -96,7 +96,10 @@
     /// Adds a write that is about to be sent.
     pub fn begin(&mut self, attempt: Attempt) {
         if self.attempts.len() >= MAX_ATTEMPTS
-            && let Some(i) = self.attempts.iter().position(|a| a.changes.is_empty())
+            && let Some(i) = self
+                .attempts
+                .iter()
+                .position(|a| a.changes.is_empty() && a.row.fronts == attempt.row.fronts)
         {
             self.attempts.remove(i);
         }
