Bound the log lines about refusals; name things by their usual terms

Cause: one line was logged for each refusal, thousands a second under overload; some names were figurative (roll call, voucher).

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform's lagging VM list gives addresses to try; only a daemon's own reports make it a
 //! member. A report arrives directly or through a peer. Relayed reports carry their age. Between
-//! changes a relay sends nothing and vouches for its members by being heard itself. Vouching
+//! changes a relay sends nothing, and hearing from the relay confirms its members. Relaying
 //! follows a fixed order (within a zone from the delegate upwards by name, and out of a member's
 //! zone), so that two daemons cannot keep a lost member alive for each other.
 
@@ -24,9 +24,9 @@
 pub const GONE_AFTER: Millis = Millis(5_000);
 /// Members that are gone are kept for this time, so that peers learn of it.
 const FORGET_AFTER: Millis = Millis(60_000);
-/// The silence of a voucher says nothing of its members. Their age stands still for this time,
-/// until another peer vouches for them.
-const VOUCHER_GRACE: Millis = SUSPECT_AFTER;
+/// The silence of a relay says nothing of its members. Their age stands still for this time,
+/// until another peer relays them.
+const RELAY_GRACE: Millis = SUSPECT_AFTER;
 /// Added to the daemon's clock, which starts at zero, so that ages of relayed reports fit.
 const CLOCK_OFFSET: Millis = FORGET_AFTER;
 
@@ -46,19 +46,19 @@
 #[derive(Clone, Debug)]
 struct Member {
     report: MemberReport,
-    /// Latest time at which the member is known to have spoken.
-    spoken: Millis,
+    /// Latest time at which the member is known to have sent a report.
+    reported: Millis,
     state: MemberState,
-    voucher: Option<Voucher>,
+    relay: Option<Relay>,
     /// Revision of the list at its last change.
     revision: u64,
     /// The run before this one, whose late reports are ignored.
     replaced: Option<Incarnation>,
 }
 
-/// A peer that vouches for a member between changes.
+/// A peer whose heartbeats stand for those of a member between changes.
 #[derive(Clone, Debug)]
-struct Voucher {
+struct Relay {
     name: VmName,
     /// Whether it stated last that the member is live.
     live: bool,
@@ -69,16 +69,14 @@
 }
 
 impl Member {
-    /// The latest time at which the member was alive, by its own reports or its voucher.
+    /// The latest time at which the member was alive, by its own reports or its relay.
     fn heard(&self, now: Millis) -> Millis {
-        let vouched = match &self.voucher {
-            Some(voucher) if voucher.live => {
-                voucher.heard + now.since(voucher.at).min(VOUCHER_GRACE)
-            }
-            Some(voucher) => voucher.heard,
+        let relayed = match &self.relay {
+            Some(relay) if relay.live => relay.heard + now.since(relay.at).min(RELAY_GRACE),
+            Some(relay) => relay.heard,
             None => Millis::ZERO,
         };
-        self.spoken.max(vouched)
+        self.reported.max(relayed)
     }
 }
 
@@ -147,14 +145,14 @@
         }
     }
 
-    /// Takes the changes that the partner `from` relays; by being heard it vouches for the others.
+    /// Takes the changes that the partner `from` relays; hearing from it confirms the others.
     pub fn hear_partner(&mut self, from: &Link, reports: Vec<MemberReport>, now: Millis) {
         let at = now + CLOCK_OFFSET;
         for member in self.members.values_mut() {
-            match &mut member.voucher {
-                Some(voucher) if voucher.name == from.name && voucher.live => {
-                    voucher.heard = at;
-                    voucher.at = at;
+            match &mut member.relay {
+                Some(relay) if relay.name == from.name && relay.live => {
+                    relay.heard = at;
+                    relay.at = at;
                 }
                 _ => {}
             }
@@ -162,7 +160,7 @@
         self.hear_relayed(from, reports, true, now);
     }
 
-    /// Takes the members that `from` has told once. It vouches for none later on.
+    /// Takes the members that `from` has told once. It is not their relay later on.
     pub fn hear_once(&mut self, from: &Link, reports: Vec<MemberReport>, now: Millis) {
         self.hear_relayed(from, reports, false, now);
     }
@@ -183,13 +181,13 @@
         self.update_states(now);
     }
 
-    /// Ends what the peer named `voucher` vouches for: it has restarted, or is no partner now.
-    pub fn drop_voucher(&mut self, voucher: &VmName, now: Millis) {
+    /// Ends relaying by the peer named `relay`: it has restarted, or is no partner now.
+    pub fn drop_relay(&mut self, relay: &VmName, now: Millis) {
         let now = now + CLOCK_OFFSET;
         for member in self.members.values_mut() {
-            if member.voucher.as_ref().is_some_and(|v| v.name == *voucher) {
-                member.spoken = member.heard(now);
-                member.voucher = None;
+            if member.relay.as_ref().is_some_and(|v| v.name == *relay) {
+                member.reported = member.heard(now);
+                member.relay = None;
             }
         }
     }
@@ -200,7 +198,7 @@
         let link = report.link.clone();
         if self.is_news(&report, stated, now) {
             // A peer that does not take its word back later must not extend a member's life: its
-            // word may rest on a voucher that fell silent.
+            // report may rest on a relay that fell silent.
             let known = self.members.get(&link.name).map(|member| member.heard(now));
             let heard = known
                 .filter(|_| !lasting)
@@ -208,12 +206,12 @@
             self.take(report, heard, now);
         }
         if lasting
-            && self.may_vouch(from, &link)
+            && self.may_relay(from, &link)
             && let Some(member) = self.members.get_mut(&link.name)
             && member.report.link == link
         {
             // The new word replaces the former one, which may have named a later time.
-            member.voucher = Some(Voucher {
+            member.relay = Some(Relay {
                 name: from.name.clone(),
                 live,
                 heard: stated,
@@ -233,7 +231,7 @@
         })
     }
 
-    fn may_vouch(&self, from: &Link, member: &Link) -> bool {
+    fn may_relay(&self, from: &Link, member: &Link) -> bool {
         let stopping = |name: &VmName| self.members.get(name).is_some_and(|m| m.report.stopping);
         let before_own = from.zone == self.own.zone
             && (stopping(&from.name), &from.name) < (self.stopping, &self.own.name);
@@ -255,7 +253,7 @@
             }
             return;
         }
-        known.spoken = known.spoken.max(heard);
+        known.reported = known.reported.max(heard);
         if report.sequence > known.report.sequence {
             let relay = !same_content(&known.report, &report);
             self.changed |= relay || known.report.config_version != report.config_version;
@@ -279,8 +277,8 @@
         let member = Member {
             state: state_at(heard, now),
             report: report.clone(),
-            spoken: heard,
-            voucher: None,
+            reported: heard,
+            relay: None,
             revision: self.revision,
             replaced,
         };
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -3,12 +3,12 @@
 pub mod client;
 pub mod codec;
 mod loops;
+pub mod member_query;
 pub mod message;
-pub mod roll_call;
 pub mod server;
 pub mod service;
 pub mod sync;
 
 pub use client::{PeerClient, PeerError};
-pub use roll_call::MemberStatus;
+pub use member_query::MemberStatus;
 pub use service::{PeerContext, PeerHandle, PeerService};
--- a/src/peer/roll_call.rs
+++ b/src/peer/member_query.rs
@@ -20,7 +20,7 @@
     pub report: MemberReport,
     /// How recently it was heard.
     pub state: MemberState,
-    /// Whether this is the present word of the daemon or its zone's delegate. Otherwise the
+    /// Whether this is the present report of the daemon or its zone's delegate. Otherwise the
     /// delegate did not answer, and the report may be out of date.
     pub confirmed: bool,
 }
@@ -36,11 +36,11 @@
     let mut members: Map<VmName, MemberStatus> = Map::default();
     for report in known {
         let confirmed = own_zone_known && report.link.zone == own.zone;
-        note(&mut members, report, confirmed);
+        insert_status(&mut members, report, confirmed);
     }
-    note(&mut members, report, true);
+    insert_status(&mut members, report, true);
     for report in ask(shared, delegates).await {
-        note(&mut members, report, true);
+        insert_status(&mut members, report, true);
     }
     let mut members: Vec<MemberStatus> = members
         .into_values()
@@ -50,7 +50,7 @@
     members
 }
 
-fn note(members: &mut Map<VmName, MemberStatus>, report: MemberReport, confirmed: bool) {
+fn insert_status(members: &mut Map<VmName, MemberStatus>, report: MemberReport, confirmed: bool) {
     let state = if report.age_ms < SUSPECT_AFTER.0 {
         MemberState::Live
     } else if report.age_ms < crate::membership::GONE_AFTER.0 {
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -3,8 +3,8 @@
 use super::{
     client::PeerError,
     loops::{self, Shared},
+    member_query::{self, MemberStatus},
     message::{ForwardReply, ForwardRequest, HoldReply, HoldRequest, PeerReply, PeerRequest},
-    roll_call::{self, MemberStatus},
     server::{self, Handler, Pending},
 };
 use crate::{
@@ -236,7 +236,7 @@
         }
         Command::RollCall(reply) => {
             // The asking side may have given up.
-            let _ = reply.send(roll_call::run(&shared).await);
+            let _ = reply.send(member_query::run(&shared).await);
         }
     }
 }
--- a/src/peer/sync.rs
+++ b/src/peer/sync.rs
@@ -136,7 +136,7 @@
         partner.versions = Some(versions);
         self.membership.hear(reply.sender, now);
         if restarted {
-            self.membership.drop_voucher(&link.name, now);
+            self.membership.drop_relay(&link.name, now);
         }
         self.membership.hear_partner(&link, reply.members, now);
         self.known.vms.confirm(reply.vms, now);
@@ -210,7 +210,7 @@
     /// Forgets the peer named `name`, which is no longer followed.
     pub fn forget_partner(&mut self, name: &VmName, now: Millis) {
         self.partners.remove(name);
-        self.membership.drop_voucher(name, now);
+        self.membership.drop_relay(name, now);
     }
 
     /// This daemon's report of itself.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod journal;
 pub mod limit;
+pub mod log_limit;
 pub mod observed;
 pub mod outcome;
 pub mod path;
--- a/src/routing/answer.rs
+++ b/src/routing/answer.rs
@@ -98,15 +98,14 @@
         attempts: progress.attempts,
         elapsed_ms: elapsed.0,
     };
-    log::info!(
-        target: "request",
-        "Request refused. reference={reference} outcome={} code={code} attempts={} \
-         target={} elapsed_ms={}",
-        record.outcome,
-        record.attempts,
-        record.target.as_deref().unwrap_or("none"),
-        record.elapsed_ms,
-    );
+    if let Some(suppressed) = shared.log_limit.allow(shared.clock.now()) {
+        log::info!(
+            target: "request", reference:% = reference, outcome:% = record.outcome, code:% = code,
+            attempts = record.attempts, target_name = record.target.as_deref().unwrap_or("none"),
+            elapsed_ms = record.elapsed_ms, suppressed;
+            "Request refused."
+        );
+    }
     shared.recent.push(record);
     let body = RefusalBody {
         outcome: code.kind(),
--- a/src/routing/shared.rs
+++ b/src/routing/shared.rs
@@ -4,6 +4,7 @@
     exchange::Exchange,
     front::Fronts,
     journal::Journal,
+    log_limit::LogLimit,
     path::RequestPathContext,
     refusal::{Code, RecentRefusals},
     request::MAX_BODY_BYTES,
@@ -41,6 +42,8 @@
     pub journal: Journal,
     /// Refusals for the operator's tool.
     pub recent: RecentRefusals,
+    /// Bound on log lines about refusals.
+    pub log_limit: LogLimit,
     body_bytes: Arc<Semaphore>,
     budgets: Mutex<Map<ServiceName, RetryBudget>>,
     /// Journaled requests that run apart from their connections.
@@ -59,6 +62,7 @@
             fronts,
             journal: Journal::start(cx.store.clone(), cx.link.clone(), cx.clock),
             recent: cx.recent.clone(),
+            log_limit: LogLimit::default(),
             body_bytes: Arc::new(Semaphore::new(BODY_BYTES)),
             budgets: Mutex::default(),
             detached: watch::Sender::new(0),
--- a/standins/src/load/slopes.rs
+++ b/standins/src/load/slopes.rs
@@ -277,7 +277,7 @@
     table
 }
 
-/// One delegate's exchange with a partner that vouches for `daemons` members.
+/// One delegate's exchange with a partner that relays `daemons` members.
 fn membership() -> Table {
     let mut table = table(&[
         "daemons",
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -78,9 +78,9 @@
     assert!(members.is_alone());
 }
 
-/// A voucher keeps its members alive without naming them, and must be able to take that back.
+/// A relay keeps its members alive without naming them, and must be able to take that back.
 #[test]
-fn voucher_takes_its_word_back() {
+fn relay_withdraws_a_member() {
     let mut members = Membership::new(link("b1", 1));
     let delegate = link("a1", 1);
     members.hear_partner(&delegate, vec![report("a2", 1, 1, 0)], Millis(0));
@@ -98,9 +98,9 @@
     assert_eq!(members.state(&"a2".into()), Some(MemberState::Suspect));
 }
 
-/// The loss of a delegate must not make its members suspect before another one vouches for them.
+/// The loss of a delegate must not make its members suspect before another one relays them.
 #[test]
-fn silent_voucher_is_no_evidence() {
+fn silent_relay_is_no_evidence() {
     let mut members = Membership::new(link("b1", 1));
     members.hear_partner(&link("a1", 1), vec![report("a2", 1, 1, 0)], Millis(0));
     members.hear_partner(&link("a1", 1), Vec::new(), Millis(500));
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -303,7 +303,7 @@
 
 /// An operator must see which version each daemon has, and which word is not confirmed.
 #[tokio::test]
-async fn roll_call_names_every_daemon() {
+async fn member_query_names_every_daemon() {
     let store = FakeStore::start();
     let mut daemons = start(&store, THREE_ZONES);
     wait_for_members(&daemons);
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -9,5 +9,6 @@
 mod front;
 mod http;
 mod journal;
+mod log_limit;
 mod reference;
 mod retry;
