Name the standbys in the routing table

Cause: a daemon learnt that it was a standby only by reading the controller row, as a delegate once a second. If the store hung before that, no read of its own had failed when hold mode was asked for, and it refused until the controller's lease had ended. The outage tests avoided this by waiting 1.2 s at their start. Change: routing tables and their changes carry the standbys; a daemon named there reads the row every 100 ms. The tests no longer wait, which is stricter. Ruled out: reading the row when hold is asked for is not enough by itself (150 ms for the read and 100 ms until the next request leave nothing of the 800 ms lease).

--- a/src/ownership/controller/holding.rs
+++ b/src/ownership/controller/holding.rs
@@ -280,7 +280,7 @@
             None => self.assignments.forget_versions(changes),
         }
         let ended_hold = row.epoch > self.row.epoch;
-        let new_fronts = row.fronts != self.row.fronts;
+        let new_daemons = row.fronts != self.row.fronts || row.standbys != self.row.standbys;
         self.row = row;
         if ended_hold {
             self.hold = HoldMode::default();
@@ -290,7 +290,7 @@
         if !changes.is_empty() {
             self.moved(changes, cx);
         }
-        if ended_hold || new_fronts || !changes.is_empty() {
+        if ended_hold || new_daemons || !changes.is_empty() {
             self.publish(cx);
         }
         if !self.row.released {
@@ -313,6 +313,7 @@
             },
             owners: self.assignments.owners().to_vec(),
             fronts: self.row.fronts.clone(),
+            standbys: self.row.standbys.clone(),
         }));
     }
 }
--- a/src/ownership/controller/observing.rs
+++ b/src/ownership/controller/observing.rs
@@ -108,7 +108,11 @@
 
     pub fn advance(&mut self, cx: &mut Common) {
         let watch = cx.watch(self.observer.row());
-        if self.observer.start_read(watch, cx.now) {
+        // The row that names this daemon may not have been read yet. The table only decides how
+        // often it is read; a takeover rests on the row.
+        let named = cx.facts.standbys.contains(&cx.me);
+        let read_as = if named { Watch::Standby(0) } else { watch };
+        if self.observer.start_read(read_as, cx.now) {
             cx.out.push(Action::ReadRow);
         }
         if cx.stopping || cx.now < self.retry_at {
--- a/src/ownership/facts.rs
+++ b/src/ownership/facts.rs
@@ -5,7 +5,7 @@
     collections::Map,
     declaration::{QuietHours, Weights},
     entry::snapshot::Snapshot,
-    world::{Link, ServiceName, VmName, ZoneName},
+    world::{GroupId, Link, ServiceName, VmName, ZoneName},
 };
 use std::net::SocketAddr;
 
@@ -33,6 +33,8 @@
     pub checks_grants: bool,
     /// Other daemons that are alive and not stopping.
     pub members: Vec<Link>,
+    /// The controller's standbys as its latest routing table names them.
+    pub standbys: Vec<Link>,
     /// Length of leases granted in hold mode, in milliseconds.
     pub hold_ms: u64,
     /// Weights of placement.
@@ -63,6 +65,12 @@
                 (target.name.clone(), facts)
             })
             .collect();
+        let group = GroupId {
+            service: service.clone(),
+            index: 0,
+        };
+        let table = snapshot.tables.get(&group);
+        let standbys = table.map_or(Vec::new(), |table| table.standbys.clone());
         let members = snapshot
             .members
             .iter()
@@ -73,6 +81,7 @@
             targets,
             checks_grants: contract.checks_grants,
             members,
+            standbys,
             hold_ms: preset.hold_ms,
             weights: preset.weights,
             moves_per_minute: preset.moves_per_minute,
--- a/src/table.rs
+++ b/src/table.rs
@@ -39,6 +39,9 @@
     /// place of each; empty for a service whose targets check grants.
     #[serde(default)]
     pub fronts: Vec<(VmName, Link)>,
+    /// The controller's standbys, so that a daemon learns at once that it is one.
+    #[serde(default)]
+    pub standbys: Vec<Link>,
 }
 
 impl RoutingTable {
@@ -49,6 +52,7 @@
             version: TableVersion::default(),
             owners: vec![None; partitions as usize],
             fronts: Vec::new(),
+            standbys: Vec::new(),
         }
     }
 
@@ -78,6 +82,7 @@
             to: self.version,
             changes,
             fronts: (self.fronts != older.fronts).then(|| self.fronts.clone()),
+            standbys: (self.standbys != older.standbys).then(|| self.standbys.clone()),
         }
     }
 
@@ -94,6 +99,9 @@
         if let Some(fronts) = &delta.fronts {
             self.fronts.clone_from(fronts);
         }
+        if let Some(standbys) = &delta.standbys {
+            self.standbys.clone_from(standbys);
+        }
         self.version = delta.to;
         true
     }
@@ -113,4 +121,7 @@
     /// All fronts, if they changed.
     #[serde(default)]
     pub fronts: Option<Vec<(VmName, Link)>>,
+    /// All standbys, if they changed.
+    #[serde(default)]
+    pub standbys: Option<Vec<Link>>,
 }
--- a/standins/src/load/slopes/input.rs
+++ b/standins/src/load/slopes/input.rs
@@ -55,6 +55,7 @@
         },
         owners: (0..partitions).map(owner).collect(),
         fronts: Vec::new(),
+        standbys: Vec::new(),
     }
 }
 
--- a/standins/tests/outage.rs
+++ b/standins/tests/outage.rs
@@ -1,6 +1,5 @@
 //! A long outage of the store: keys are served, nothing moves, and nothing is broken afterwards.
 
-use fireflygauge::{clock::Millis, ownership::timing::DELEGATE_READ};
 use http::Method;
 use standins::{
     caller::{Ask, CallResult},
@@ -26,12 +25,9 @@
     }
 }
 
-/// Starts a deployment whose standbys have read that they are standbys; delegates read the
-/// controller row every second, and before that they refuse hold mode.
+/// Starts a deployment. Its standbys may have been named a moment ago and not know it yet.
 async fn start(default_seed: u64) -> Scenario {
-    let scenario = Scenario::start(Layout::default(), mix(default_seed)).await;
-    scenario.hold((DELEGATE_READ + Millis(200)).into()).await;
-    scenario
+    Scenario::start(Layout::default(), mix(default_seed)).await
 }
 
 fn outage(availability: Availability) -> Faults {
--- a/tests/support/ownership_world.rs
+++ b/tests/support/ownership_world.rs
@@ -753,6 +753,7 @@
             targets,
             checks_grants: !self.fronted,
             members,
+            standbys: Vec::new(),
             hold_ms: HOLD_MS,
             weights: Weights::default(),
             moves_per_minute: 600,
--- a/tests/term.rs
+++ b/tests/term.rs
@@ -1,10 +1,10 @@
-//! Settling writes to the controller row.
+//! Settling writes to the controller row, and observing it.
 
 use fireflygauge::{
     clock::Millis,
     ownership::{
         row::{GroupRow, to_json},
-        term::{Attempt, Settled, Writes},
+        term::{Attempt, Observer, Settled, Watch, Writes},
     },
     store::{CommitOutcome, Row},
     world::{Incarnation, Link},
@@ -80,3 +80,22 @@
     let left = if expected == "mismatch" { 1 } else { left };
     assert_eq!(writes.attempts().len(), left);
 }
+
+/// Guards against a standby that refuses hold mode because it was named so lately that it reads the
+/// row rarely, or not at all, and has seen no read fail.
+#[test_case(Watch::Delegate; "delegate")]
+#[test_case(Watch::Bystander; "bystander")]
+fn hold_request_makes_a_read_due(watch: Watch) {
+    let mut observer = Observer::default();
+    observer.start_read(Watch::Delegate, Millis(1_000));
+    observer.read_done(0, None, Millis(1_003));
+    assert!(!observer.start_read(watch, Millis(1_100)));
+    observer.read_at_once();
+    assert!(observer.start_read(watch, Millis(1_101)));
+    observer.read_failed();
+    assert!(observer.is_failing());
+    assert!(
+        !observer.start_read(watch, Millis(1_102)),
+        "one request causes one read"
+    );
+}
