Share the tests' configuration; divide the simulated ownership world

Change: tests/support/example_config.rs; the world's store and grants in files of their own. No check and no bound changed.

--- a/standins/tests/peer_faults.rs
+++ b/standins/tests/peer_faults.rs
@@ -1,8 +1,11 @@
 //! Links between daemons that freeze, break off, delay or repeat what they carry.
 
+#[path = "../../tests/support/example_config.rs"]
+mod example_config;
+
 use fireflygauge::{
     clock::Clock,
-    config::{ConfigHead, ConfigSnapshot, reader},
+    config::ConfigSnapshot,
     entry::directory::{Directory, News},
     peer::{
         PeerContext, PeerService,
@@ -108,18 +111,7 @@
 }
 
 fn config(version: u64) -> ConfigSnapshot {
-    ConfigSnapshot {
-        head: ConfigHead {
-            version,
-            body_hash: reader::hash_of(EXAMPLE),
-            preset: "ordinary".into(),
-            drained: Vec::new(),
-            by: "test".into(),
-            at: "2026-01-01T00:00:00Z".into(),
-            operation: "test".into(),
-        },
-        body: EXAMPLE.into(),
-    }
+    example_config::snapshot(EXAMPLE, version)
 }
 
 fn group() -> GroupId {
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -1,5 +1,8 @@
 //! Daemons that keep each other in step, in one process over loopback.
 
+#[path = "support/example_config.rs"]
+mod example_config;
+
 #[allow(dead_code)]
 #[path = "support/fake_store.rs"]
 mod fake_store;
@@ -7,7 +10,7 @@
 use fake_store::FakeStore;
 use fireflygauge::{
     clock::Clock,
-    config::{ConfigHead, ConfigSnapshot, reader},
+    config::ConfigSnapshot,
     entry::directory::{Directory, News},
     partition::Partition,
     peer::{
@@ -136,18 +139,7 @@
 }
 
 fn config(version: u64) -> ConfigSnapshot {
-    ConfigSnapshot {
-        head: ConfigHead {
-            version,
-            body_hash: reader::hash_of(EXAMPLE),
-            preset: "ordinary".into(),
-            drained: Vec::new(),
-            by: "test".into(),
-            at: "2026-01-01T00:00:00Z".into(),
-            operation: "test".into(),
-        },
-        body: EXAMPLE.into(),
-    }
+    example_config::snapshot(EXAMPLE, version)
 }
 
 fn config_version(daemon: &Daemon) -> u64 {
--- a/tests/support/ownership_world.rs
+++ b/tests/support/ownership_world.rs
@@ -4,6 +4,11 @@
 //! Every clock has its own origin and rate. After every grant that a target takes, and after every
 //! commit, the guarantees are checked.
 
+#[path = "ownership_world/grants.rs"]
+mod grants;
+#[path = "ownership_world/store.rs"]
+mod store;
+
 use fireflygauge::{
     clock::Millis,
     collections::Map,
@@ -12,14 +17,12 @@
         controller::{Action, Controller, Event},
         facts::{Facts, TargetFacts},
         lease::LeaseHolder,
-        row::AssignmentRow,
         timing::{GRANT_TIMEOUT, READ_TIMEOUT},
     },
     partition::Partition,
     peer::message::{HoldReply, HoldRequest},
-    store::{CommitOutcome, Row, StoreError, Transaction},
-    table::Owner,
-    target_api::{GrantReply, GrantRequest},
+    store::{Row, StoreError, Transaction},
+    target_api::GrantRequest,
     world::{GroupId, Incarnation, Link, VmName},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -464,239 +467,6 @@
         }
     }
 
-    fn store_cut(&mut self, i: usize) -> bool {
-        self.is(Fault::StoreDown) || self.is(Fault::CutStore(i)) || self.loses()
-    }
-
-    fn send_to_store(&mut self, i: usize, run: u64, timeout: u64, failed: Event, what: What) {
-        if self.store_cut(i) || self.store_delay >= timeout {
-            self.push(timeout, What::Deliver(i, run, failed));
-        } else {
-            let delay = self.delay() + self.store_delay;
-            self.push(delay, what);
-        }
-    }
-
-    fn send_commit(&mut self, i: usize, run: u64, operation: Arc<str>, transaction: Transaction) {
-        let outcome = CommitOutcome::Unknown;
-        let unknown = Event::Committed {
-            operation: Arc::clone(&operation),
-            outcome,
-        };
-        self.push(STORE_TIMEOUT, What::Deliver(i, run, unknown));
-        if self.store_cut(i) {
-            return;
-        }
-        for _ in 0..self.copies() {
-            let delay = self.delay();
-            let what = What::Commit(i, run, Arc::clone(&operation), transaction.clone());
-            self.push(delay, what);
-        }
-    }
-
-    fn current(&self, name: &str) -> Option<&Row> {
-        self.rows.get(name).and_then(|versions| versions.last())
-    }
-
-    fn read(&mut self, name: &str) -> Option<Row> {
-        let stale = self.rng.random_bool(self.noise.stale);
-        let versions = self.rows.get(name)?;
-        let back = if stale {
-            self.rng.random_range(1..20)
-        } else {
-            1
-        };
-        versions.get(versions.len().checked_sub(back)?).cloned()
-    }
-
-    fn commit(&mut self, i: usize, run: u64, operation: Arc<str>, transaction: &Transaction) {
-        let version = |name: &str| self.current(name).map_or(0, |row| row.version);
-        let failed: Vec<Row> = transaction
-            .conditions
-            .iter()
-            .filter(|c| version(&c.row) != c.version)
-            .map(|c| {
-                self.current(&c.row).cloned().unwrap_or(Row {
-                    name: Arc::clone(&c.row),
-                    version: 0,
-                    value: "".into(),
-                })
-            })
-            .collect();
-        let outcome = if failed.is_empty() {
-            CommitOutcome::Committed(self.write(transaction))
-        } else {
-            CommitOutcome::Conflict(failed)
-        };
-        if !self.store_cut(i) {
-            let delay = self.delay() + self.store_delay;
-            let event = Event::Committed { operation, outcome };
-            self.push(delay, What::Deliver(i, run, event));
-        }
-    }
-
-    fn write(&mut self, transaction: &Transaction) -> Vec<(Arc<str>, u64)> {
-        let mut written = Vec::new();
-        for write in &transaction.writes {
-            let version = self.current(&write.row).map_or(0, |row| row.version) + 1;
-            let row = Row {
-                name: Arc::clone(&write.row),
-                version,
-                value: write.value.clone().expect("rows are never deleted"),
-            };
-            if write.row.starts_with("assign/") {
-                self.check_assignments(&row);
-            }
-            let versions = self.rows.entry(Arc::clone(&write.row)).or_default();
-            versions.push(row);
-            written.push((Arc::clone(&write.row), version));
-        }
-        written
-    }
-
-    /// Checks that no ownership epoch goes back and none has two owners.
-    fn check_assignments(&mut self, row: &Row) {
-        let content: AssignmentRow = serde_json::from_str(&row.value).expect("a row is JSON");
-        for (p, owner) in content.owners().enumerate() {
-            let p = p as u32;
-            let epoch = owner.as_ref().map_or(0, |owner| owner.epoch);
-            let latest = self.latest.get(&p).copied().unwrap_or_default();
-            if epoch < latest {
-                self.violate(format!("partition {p} goes back from {latest} to {epoch}"));
-            }
-            let Some(owner) = owner else { continue };
-            self.moves += u64::from(epoch > latest);
-            self.latest.insert(p, epoch);
-            let first = self
-                .committed
-                .entry((p, epoch))
-                .or_insert(owner.target.clone());
-            if *first != owner.target {
-                self.violate(format!("partition {p} has two owners under epoch {epoch}"));
-            }
-        }
-    }
-
-    /// Checks that a published table says only what was committed.
-    fn check_table(&mut self, owners: &[Option<Owner>]) {
-        for (p, owner) in owners.iter().enumerate() {
-            let Some(owner) = owner else { continue };
-            if self.committed.get(&(p as u32, owner.epoch)) != Some(&owner.target) {
-                self.violate(format!("published owner of {p} was not committed"));
-            }
-        }
-    }
-
-    fn violate(&mut self, text: String) {
-        self.violations.push(format!("at {}: {text}", self.now));
-    }
-
-    fn send_grant(&mut self, i: usize, run: u64, to: Receiver, request: GrantRequest) {
-        let none = Event::Granted {
-            target: to.target.clone(),
-            epoch: request.controller_epoch,
-            sequence: request.sequence,
-            reply: None,
-        };
-        self.push(GRANT_TIMEOUT.0, What::Deliver(i, run, none));
-        if self.loses() {
-            return;
-        }
-        for _ in 0..self.copies() {
-            let delay = self.delay();
-            self.push(delay, What::Grant(i, run, to.clone(), request.clone()));
-        }
-    }
-
-    fn grant(&mut self, i: usize, run: u64, to: Receiver, request: GrantRequest) {
-        if self.is_grant_lost(i, &to, &request) {
-            return;
-        }
-        if self.is_grant_late(&to) {
-            // A frozen receiver takes what has reached it when it returns.
-            self.push(10, What::Grant(i, run, to, request));
-            return;
-        }
-        let epoch = request.controller_epoch;
-        let sequence = request.sequence;
-        let reply = self.take_grant(&to, &request);
-        self.check_exclusive(&reply);
-        if !self.loses() && !self.is_grant_lost(i, &to, &request) {
-            let delay = self.delay();
-            let event = Event::Granted {
-                target: to.target,
-                epoch,
-                sequence,
-                reply: Some(reply),
-            };
-            self.push(delay, What::Deliver(i, run, event));
-        }
-    }
-
-    fn is_grant_lost(&self, i: usize, to: &Receiver, request: &GrantRequest) -> bool {
-        if let Some(front) = to.front {
-            let cut = self.is(Fault::CutDaemons(i)) || self.is(Fault::CutDaemons(front));
-            return self.is(Fault::CrashDaemon(front)) || (cut && front != i);
-        }
-        let t = self.index_of(&to.target);
-        self.is(Fault::CrashTarget(t))
-            || self.is(Fault::CutGrants(i, t))
-            || (self.is(Fault::DelayGrants(t)) && request.incarnation.is_none())
-    }
-
-    fn is_grant_late(&self, to: &Receiver) -> bool {
-        match to.front {
-            Some(front) => self.is(Fault::PauseDaemon(front)),
-            None => {
-                let t = self.index_of(&to.target);
-                self.is(Fault::PauseTarget(t)) || self.is(Fault::DelayGrants(t))
-            }
-        }
-    }
-
-    fn take_grant(&mut self, to: &Receiver, request: &GrantRequest) -> GrantReply {
-        let reply = match to.front {
-            Some(front) => {
-                let daemon = &mut self.daemons[front];
-                let now = daemon.clock.at(self.now);
-                let new = || LeaseHolder::new(daemon.link.incarnation);
-                let holder = daemon.fronts.entry(to.target.clone()).or_insert_with(new);
-                holder.grant(request, now)
-            }
-            None => {
-                let t = self.index_of(&to.target);
-                let target = &mut self.targets[t];
-                let now = target.clock.at(self.now);
-                target.holder.grant(request, now)
-            }
-        };
-        if let Some(trace) = &mut self.trace {
-            let (name, now) = (&to.target, self.now);
-            trace.push(format!(
-                "{now} {name} {:?} {request:?} -> {reply:?}",
-                to.front
-            ));
-        }
-        reply
-    }
-
-    fn index_of(&self, target: &VmName) -> usize {
-        let found = self.targets.iter().position(|t| t.name == *target);
-        found.expect("the target exists")
-    }
-
-    fn check_exclusive(&mut self, reply: &GrantReply) {
-        if !reply.accepted {
-            return;
-        }
-        for p in 0..PARTITIONS {
-            let admitting = self.admitting(p);
-            if admitting.len() > 1 {
-                self.violate(format!("partition {p} is admitted by {admitting:?}"));
-            }
-        }
-    }
-
     fn hold(&mut self, i: usize, run: u64, to: usize, request: &HoldRequest) {
         let cut = self.is(Fault::CutDaemons(i)) || self.is(Fault::CutDaemons(to));
         if !self.is_up(to) || cut || self.loses() {
--- a/tests/sync_state.rs
+++ b/tests/sync_state.rs
@@ -1,8 +1,11 @@
 //! Anti-entropy between daemons under lost, late and repeated messages, without any I/O.
 
+#[path = "support/example_config.rs"]
+mod example_config;
+
 use fireflygauge::{
     clock::Millis,
-    config::{ActiveConfig, ConfigHead, ConfigSnapshot, reader},
+    config::ActiveConfig,
     entry::{directory::News, snapshot::Snapshot},
     partition::Partition,
     peer::{
@@ -92,18 +95,7 @@
 }
 
 fn config(version: u64) -> News {
-    News::Config(ConfigSnapshot {
-        head: ConfigHead {
-            version,
-            body_hash: reader::hash_of(EXAMPLE),
-            preset: "ordinary".into(),
-            drained: Vec::new(),
-            by: "test".into(),
-            at: "2026-01-01T00:00:00Z".into(),
-            operation: "test".into(),
-        },
-        body: EXAMPLE.into(),
-    })
+    News::Config(example_config::snapshot(EXAMPLE, version))
 }
 
 /// A table in which one more entry differs with each revision.
