Name a service's control group and the wait for a stop in one place each

Cause: five places built the one control group of a service by hand, and the operator port had its own copy of the peer server's wait for a stop. Change: GroupId::of; the operator port calls peer::server::stopped. Behaviour is as before.

--- a/src/config/former.rs
+++ b/src/config/former.rs
@@ -39,10 +39,7 @@
 
 /// The number of partitions in the assignment rows of a service; 0 if there are none.
 async fn former_partitions(store: &StoreClient, service: &Contract) -> Result<usize, StoreError> {
-    let group = GroupId {
-        service: service.name.clone(),
-        index: 0,
-    };
+    let group = GroupId::of(&service.name);
     let mut partitions = 0;
     for row in store.read_rows(&assignment_prefix(&group)).await? {
         let row: AssignmentRow = serde_json::from_str(&row.value)
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -192,10 +192,7 @@
                     .filter(|(_, target)| target.service == contract.name)
                     .map(|(key, _)| key)
                     .collect();
-                let group = GroupId {
-                    service: contract.name.clone(),
-                    index: 0,
-                };
+                let group = GroupId::of(&contract.name);
                 let view = ServiceView {
                     contract: Arc::new(contract.clone()),
                     targets,
--- a/src/entry/operator_api.rs
+++ b/src/entry/operator_api.rs
@@ -9,7 +9,10 @@
 mod views;
 
 use crate::{
-    entry::directory::Directory, operator::report::Readiness, peer::PeerHandle, store::StoreClient,
+    entry::directory::Directory,
+    operator::report::Readiness,
+    peer::{PeerHandle, server::stopped},
+    store::StoreClient,
     world::Link,
 };
 use hyper::{server::conn::http1, service::service_fn};
@@ -135,11 +138,6 @@
     }
 }
 
-async fn stopped(stop: &mut watch::Receiver<bool>) {
-    // An error means that the sender is gone, which is a stop as well.
-    let _ = stop.wait_for(|stop| *stop).await;
-}
-
 async fn serve(io: TcpStream, context: Arc<OperatorContext>, mut stop: watch::Receiver<bool>) {
     let service = service_fn(move |req| routes::answer(Arc::clone(&context), req));
     let connection = http1::Builder::new()
--- a/src/ownership/driver.rs
+++ b/src/ownership/driver.rs
@@ -208,10 +208,7 @@
         let services = config.declaration.services.iter().filter(|s| s.keyed);
         let wanted: Map<GroupId, u32> = services
             .map(|contract| {
-                let group = GroupId {
-                    service: contract.name.clone(),
-                    index: 0,
-                };
+                let group = GroupId::of(&contract.name);
                 (group, contract.partitions)
             })
             .collect();
--- a/src/ownership/facts.rs
+++ b/src/ownership/facts.rs
@@ -65,10 +65,7 @@
                 (target.name.clone(), facts)
             })
             .collect();
-        let group = GroupId {
-            service: service.clone(),
-            index: 0,
-        };
+        let group = GroupId::of(service);
         let table = snapshot.tables.get(&group);
         let standbys = table.map_or(Vec::new(), |table| table.standbys.clone());
         let members = snapshot
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -71,7 +71,7 @@
 }
 
 /// Waits until the daemon stops.
-pub(super) async fn stopped(stop: &mut watch::Receiver<bool>) {
+pub(crate) async fn stopped(stop: &mut watch::Receiver<bool>) {
     // An error means that the sender is gone, which is a stop as well.
     let _ = stop.wait_for(|stop| *stop).await;
 }
--- a/src/routing/front.rs
+++ b/src/routing/front.rs
@@ -285,10 +285,7 @@
 
 /// The control group of a keyed service.
 pub fn group_of(contract: &Contract) -> GroupId {
-    GroupId {
-        service: contract.name.clone(),
-        index: 0,
-    }
+    GroupId::of(&contract.name)
 }
 
 async fn serve(cx: &Shared, req: ForwardRequest) -> Exchange {
--- a/src/world/contract.rs
+++ b/src/world/contract.rs
@@ -33,6 +33,16 @@
     pub index: u16,
 }
 
+impl GroupId {
+    /// The one control group that `service` has today.
+    pub fn of(service: &ServiceName) -> Self {
+        Self {
+            service: service.clone(),
+            index: 0,
+        }
+    }
+}
+
 impl fmt::Display for GroupId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.service, self.index)
