Serve the users' platform through an adapter in platform/

Adds src/gateway: a router for platforms whose endpoints register themselves and own keys by range.

No tests of the new parts yet; they follow.

--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -102,8 +102,12 @@
 
     /// Counts an answered or refused request.
     pub fn answered(&self, service: Option<&str>, outcome: OutcomeKind, elapsed: Millis) {
+        self.ended(service, outcome.into(), elapsed);
+    }
+
+    /// Counts a request that ended with `outcome`, the name of a class of answers.
+    pub fn ended(&self, service: Option<&str>, outcome: &'static str, elapsed: Millis) {
         let service = service.unwrap_or("none");
-        let outcome: &'static str = outcome.into();
         let class = LATENCY_BOUNDS.partition_point(|&bound| bound < elapsed.0);
         self.change(|counters| {
             let entry = counters
--- /dev/null
+++ b/src/gateway/backend.rs
@@ -0,0 +1,235 @@
+//! What a daemon knows of one endpoint from its own requests.
+
+use super::{
+    connection::Pool,
+    gate::WaitQueue,
+    model::{EndpointEntry, KeyRange},
+};
+use crate::{
+    clock::Millis,
+    collections::Map,
+    routing::limit::{Ended, Limit, LimitPolicy},
+};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Failures in a row after which an endpoint is set aside.
+const ASIDE_AFTER: u32 = 3;
+/// Time for which an endpoint is set aside at first; it doubles while the endpoint keeps failing.
+const FIRST_ASIDE: Millis = Millis(500);
+/// Longest time for which an endpoint is set aside.
+const MAX_ASIDE: Millis = Millis(8_000);
+/// Weight of the newest outcome in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Weight of the newest work time in the average.
+const WORK_WEIGHT: f64 = 0.15;
+/// Work time that is assumed before the first answer, in milliseconds.
+const FIRST_WORK_MS: f64 = 80.0;
+/// Age at which a load report no longer tells anything.
+const REPORT_AGE: Millis = Millis(600);
+/// Requests that may wait at an endpoint, as a multiple of its slots, before senders slow down.
+const WAITING_PER_SLOT: u32 = 1;
+/// Requests of one daemon at an endpoint at most, as a multiple of its slots.
+const CAP_PER_SLOT: u32 = 2;
+/// Time for which requests for keys that the endpoint says it does not own are held back.
+const NOT_OWNER_PAUSE: Millis = Millis(150);
+
+/// Load that an endpoint reports with its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// How a request ended at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It was answered after this time.
+    Answered(Millis),
+    /// The endpoint answered with a failure of its own.
+    Failed,
+    /// The endpoint had no room.
+    Shed,
+    /// The connection was refused or lost, or the answer was not usable.
+    Lost,
+    /// Nothing can be learnt from it.
+    Neutral,
+}
+
+#[derive(Debug)]
+struct State {
+    limit: Limit,
+    work_ms: f64,
+    failures: f64,
+    in_a_row: u32,
+    aside_until: Option<Millis>,
+    times_aside: u32,
+    report: Option<(Load, Millis)>,
+    sent_since_report: u32,
+    not_owner: Map<(KeyRange, u64), Millis>,
+    work_count: u32,
+    work_total_ms: u64,
+}
+
+/// An endpoint, its connections and what was observed of it.
+#[derive(Debug)]
+pub struct Backend {
+    /// The entry under which it is used; changes of state make no new backend.
+    pub entry: EndpointEntry,
+    /// Its connections.
+    pub pool: Pool,
+    /// Requests that wait for it.
+    pub queue: Arc<WaitQueue>,
+    /// When it was first seen.
+    pub first_seen: Millis,
+    state: Mutex<State>,
+}
+
+impl Backend {
+    /// An endpoint that is first seen at `now`.
+    pub fn new(entry: EndpointEntry, queue: Arc<WaitQueue>, now: Millis) -> Self {
+        let cap = entry.slots * CAP_PER_SLOT;
+        Self {
+            pool: Pool::new(entry.addr),
+            entry,
+            queue,
+            first_seen: now,
+            state: Mutex::new(State {
+                limit: Limit::new(LimitPolicy::Adaptive, cap),
+                work_ms: FIRST_WORK_MS,
+                failures: 0.0,
+                in_a_row: 0,
+                aside_until: None,
+                times_aside: 0,
+                report: None,
+                sent_since_report: 0,
+                not_owner: Map::default(),
+                work_count: 0,
+                work_total_ms: 0,
+            }),
+        }
+    }
+
+    /// Takes room for one request if there is any at `now`.
+    pub fn try_take(&self, now: Millis) -> bool {
+        let mut state = self.state();
+        let taken = state.limit.try_take(now);
+        if taken {
+            state.sent_since_report += 1;
+        }
+        taken
+    }
+
+    /// Gives room back and learns from how the request ended.
+    pub fn give_back(&self, verdict: Verdict, load: Option<Load>, now: Millis) {
+        {
+            let mut state = self.state();
+            state.learn(verdict, now);
+            let full = load.is_some_and(|load| load.waiting > load.slots * WAITING_PER_SLOT);
+            if let Some(load) = load {
+                state.report = Some((load, now));
+                state.sent_since_report = 0;
+            }
+            let ended = match verdict {
+                _ if full => Ended::Shed,
+                Verdict::Answered(latency) => Ended::Served(latency),
+                Verdict::Shed | Verdict::Lost => Ended::Shed,
+                Verdict::Failed | Verdict::Neutral => Ended::Other,
+            };
+            state.limit.give_back(ended, now);
+            if let (Verdict::Answered(latency), Some(load)) = (verdict, load)
+                && load.waiting == 0
+            {
+                state.work_count += 1;
+                state.work_total_ms += latency.0;
+            }
+        }
+        self.queue.wake_one();
+    }
+
+    /// Expected time of a request sent at `now`, in milliseconds. Lower is better.
+    pub fn expected_ms(&self, now: Millis) -> f64 {
+        let state = self.state();
+        let in_flight = state.limit.in_flight();
+        let slots = f64::from(self.entry.slots.max(1));
+        let present = match state.report {
+            Some((load, at)) if now.since(at) < REPORT_AGE => {
+                (load.running + load.waiting + state.sent_since_report).max(in_flight)
+            }
+            _ => in_flight,
+        };
+        let queued = (f64::from(present) + 1.0 - slots).max(0.0);
+        // A failure costs about as much as several requests.
+        let failing = 1.0 + 8.0 * state.failures;
+        let busy = f64::from(present.min(self.entry.slots)) / slots;
+        state.work_ms * (1.0 + 0.25 * busy + queued / slots) * failing
+    }
+
+    /// Whether the endpoint should be left alone at `now`.
+    pub fn is_aside(&self, now: Millis) -> bool {
+        self.state().aside_until.is_some_and(|until| now < until)
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.state().limit.in_flight()
+    }
+
+    /// The endpoint has said that it does not own keys that were granted under `token`.
+    pub fn denied(&self, keys: KeyRange, token: u64, now: Millis) {
+        let mut state = self.state();
+        state.not_owner.retain(|_, until| now < *until);
+        state.not_owner.insert((keys, token), now + NOT_OWNER_PAUSE);
+    }
+
+    /// Until when requests for keys granted under `token` are held back.
+    pub fn denied_until(&self, keys: KeyRange, token: u64, now: Millis) -> Option<Millis> {
+        let until = *self.state().not_owner.get(&(keys, token))?;
+        (now < until).then_some(until)
+    }
+
+    /// Requests that found a free slot since the last call, and their time together.
+    pub fn take_work(&self) -> (u32, u64) {
+        let mut state = self.state();
+        let work = (state.work_count, state.work_total_ms);
+        state.work_count = 0;
+        state.work_total_ms = 0;
+        work
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn learn(&mut self, verdict: Verdict, now: Millis) {
+        let failed = match verdict {
+            Verdict::Answered(latency) => {
+                self.work_ms += WORK_WEIGHT * (latency.0.max(1) as f64 - self.work_ms);
+                false
+            }
+            Verdict::Failed | Verdict::Lost => true,
+            Verdict::Shed | Verdict::Neutral => return,
+        };
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failures += FAILURE_WEIGHT * (sample - self.failures);
+        if !failed {
+            self.in_a_row = 0;
+            self.times_aside = 0;
+            self.aside_until = None;
+            return;
+        }
+        self.in_a_row += 1;
+        let aside = self.aside_until.is_some_and(|until| now < until);
+        if self.in_a_row >= ASIDE_AFTER && !aside {
+            let pause = (FIRST_ASIDE.0 << self.times_aside.min(6)).min(MAX_ASIDE.0);
+            let jitter = rand::random_range(0..=pause / 4);
+            self.aside_until = Some(now + Millis(pause + jitter));
+            self.times_aside += 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/controller/managed.rs
@@ -0,0 +1,127 @@
+//! Ranges of keys as the controller tracks them.
+
+use super::RangeId;
+use crate::{
+    clock::Millis,
+    gateway::{
+        model::{EndpointRun, KeyRange},
+        owners::{OwnedRange, Owners},
+    },
+};
+use std::sync::Arc;
+
+/// Where a range stands on its way from one owner to the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The row names the owner, and the controller renews its lease.
+    Held,
+    /// The owner is asked to release the keys. `planned` if it could keep them.
+    Releasing {
+        /// Whether the owner is present and could keep its keys.
+        planned: bool,
+    },
+    /// Nobody holds the keys.
+    Free,
+    /// A new owner is chosen; the row is written next or is being written.
+    Writing,
+}
+
+/// Keys with one owner, token and lease.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Identifies the range in events and actions.
+    pub id: RangeId,
+    /// The keys.
+    pub keys: KeyRange,
+    /// The owner; `None` while the range is free.
+    pub owner: Option<EndpointRun>,
+    /// Fencing token of the owner's grant.
+    pub token: u64,
+    /// State that the former owner handed over.
+    pub handover: Option<Arc<str>>,
+    /// Where the range stands.
+    pub phase: Phase,
+    /// When the owner's lease has surely ended.
+    pub ends: Millis,
+    /// When the next order is due.
+    pub due: Millis,
+    /// Whether an order is on its way.
+    pub in_flight: bool,
+    /// Whether the owner has taken the token.
+    pub confirmed: bool,
+    /// Orders in a row that had no answer.
+    pub failures: u32,
+}
+
+/// The ranges of one service.
+#[derive(Clone, Debug)]
+pub struct Managed {
+    /// Version of the row; 0 if there is none yet.
+    pub version: u64,
+    /// The ranges, in no particular order.
+    pub ranges: Vec<Held>,
+    /// When the service was first seen without a row.
+    pub since: Millis,
+    /// When keys may be moved next.
+    pub next_move: Millis,
+}
+
+impl Managed {
+    /// A service without ranges, whose row has `version`.
+    pub fn new(version: u64, now: Millis) -> Self {
+        Self {
+            version,
+            ranges: Vec::new(),
+            since: now,
+            next_move: now,
+        }
+    }
+
+    /// The range with this id.
+    pub fn range_mut(&mut self, id: RangeId) -> Option<&mut Held> {
+        self.ranges.iter_mut().find(|held| held.id == id)
+    }
+
+    /// Whether any range waits for its row.
+    pub fn has_unwritten(&self) -> bool {
+        self.ranges.iter().any(|held| held.phase == Phase::Writing)
+    }
+
+    /// The content of the row.
+    pub fn owners(&self) -> Owners {
+        let owned = self.ranges.iter().filter_map(|held| {
+            let owner = held.owner.clone()?;
+            (held.phase != Phase::Free).then(|| OwnedRange {
+                keys: held.keys,
+                owner,
+                token: held.token,
+                handover: held.handover.clone(),
+            })
+        });
+        Owners::new(owned.collect())
+    }
+
+    /// Keys in no range.
+    pub fn uncovered(&self) -> Vec<KeyRange> {
+        let mut ranges: Vec<KeyRange> = self.ranges.iter().map(|held| held.keys).collect();
+        ranges.sort_unstable();
+        let mut gaps = Vec::new();
+        let mut next = 0_u32;
+        for keys in ranges {
+            if u32::from(keys.first) > next {
+                gaps.push(KeyRange {
+                    first: next as u16,
+                    last: keys.first - 1,
+                });
+            }
+            next = u32::from(keys.last) + 1;
+        }
+        if next <= u32::from(u16::MAX) {
+            gaps.push(KeyRange {
+                first: next as u16,
+                last: u16::MAX,
+            });
+        }
+        gaps
+    }
+}
--- /dev/null
+++ b/src/gateway/routes.rs
@@ -0,0 +1,87 @@
+//! Finds the route of a request.
+
+use super::model::{Route, Share};
+use crate::collections::Map;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+/// Routes by host, those with the longest prefix first.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    by_host: Map<Arc<str>, Vec<Arc<RouteEntry>>>,
+}
+
+/// A route and its state for dividing requests between services.
+#[derive(Debug)]
+pub struct RouteEntry {
+    /// The route.
+    pub route: Route,
+    requests: AtomicU64,
+}
+
+/// Fractional part of the golden ratio. Its multiples fill the unit interval evenly, so any run of
+/// consecutive requests is divided by weight.
+const GOLDEN: f64 = 0.618_033_988_749_895;
+
+impl RouteEntry {
+    fn new(route: Route) -> Self {
+        Self {
+            route,
+            requests: AtomicU64::new(u64::from(rand::random::<u16>())),
+        }
+    }
+
+    /// The share that the next request goes to; `None` if no share has weight.
+    pub fn next_share(&self) -> Option<&Share> {
+        let shares = &self.route.shares;
+        if shares.len() < 2 {
+            return shares.first();
+        }
+        let total: f64 = shares.iter().map(|share| share.weight).sum();
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        let mut point = (number as f64 * GOLDEN).fract() * total;
+        for share in shares {
+            if point < share.weight {
+                return Some(share);
+            }
+            point -= share.weight;
+        }
+        shares.iter().rfind(|share| share.weight > 0.0)
+    }
+}
+
+impl RouteTable {
+    /// Arranges routes for lookup.
+    pub fn new(routes: &[Route]) -> Self {
+        let mut by_host: Map<Arc<str>, Vec<Arc<RouteEntry>>> = Map::default();
+        for route in routes {
+            let host: Arc<str> = route.host.to_ascii_lowercase().into();
+            let entry = Arc::new(RouteEntry::new(route.clone()));
+            by_host.entry(host).or_default().push(entry);
+        }
+        for entries in by_host.values_mut() {
+            entries.sort_by_key(|entry| std::cmp::Reverse(entry.route.prefix.len()));
+        }
+        Self { by_host }
+    }
+
+    /// The route of `host` with the longest prefix that begins `path`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteEntry>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, port)| {
+            if port.bytes().all(|b| b.is_ascii_digit()) {
+                name
+            } else {
+                host
+            }
+        });
+        let entries = match self.by_host.get(host) {
+            Some(entries) => entries,
+            None => self.by_host.get(host.to_ascii_lowercase().as_str())?,
+        };
+        entries
+            .iter()
+            .find(|entry| path.starts_with(&*entry.route.prefix))
+    }
+}
--- /dev/null
+++ b/src/gateway/send.rs
@@ -0,0 +1,233 @@
+//! One exchange with an endpoint, and what it proves.
+
+use super::{
+    backend::{Backend, Load, Verdict},
+    platform::HeaderNames,
+};
+use crate::clock::Clock;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use std::time::Duration;
+use strum::Display;
+
+/// Largest body of an answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// What is sent to an endpoint, the same at each attempt.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers of the caller, without those of one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// The caller's id of the request.
+    pub id: HeaderValue,
+}
+
+/// Why a request surely did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum NotRun {
+    /// No connection was made, or it was found closed before a byte was written.
+    NotSent,
+    /// The endpoint had no room, or the deadline had passed in its queue.
+    Shed,
+    /// The endpoint does not own the key, or is another one than the request named.
+    NotOwner,
+}
+
+/// Why it is not known whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum MayHaveRun {
+    /// The connection was lost.
+    ConnectionLost,
+    /// The answer belongs to another request, or lacks its signature.
+    Mismatch,
+    /// The answer broke off.
+    Truncated,
+}
+
+/// What an exchange proved.
+#[derive(Debug)]
+pub enum Exchange {
+    /// The endpoint's own complete answer.
+    Answered(Response<Bytes>),
+    /// The request did not run.
+    NotRun(NotRun),
+    /// The request may have run.
+    MayHaveRun(MayHaveRun),
+}
+
+/// Sends `out` to `backend`, which has made room for it. Dropping the future closes the connection,
+/// which cancels the request.
+pub async fn send(
+    backend: &Backend,
+    out: &Outgoing,
+    names: &HeaderNames,
+    left: Duration,
+    clock: Clock,
+) -> Exchange {
+    let mut room = Room {
+        backend,
+        clock,
+        verdict: Verdict::Neutral,
+        load: None,
+    };
+    let sent = clock.now();
+    let result = exchange(backend, out, names, left, &mut room.load).await;
+    room.verdict = match &result {
+        Exchange::Answered(answer) if answer.status().is_server_error() => Verdict::Failed,
+        Exchange::Answered(_) => Verdict::Answered(clock.now().since(sent)),
+        Exchange::NotRun(NotRun::Shed) => Verdict::Shed,
+        Exchange::NotRun(NotRun::NotOwner) => Verdict::Neutral,
+        Exchange::NotRun(NotRun::NotSent) | Exchange::MayHaveRun(_) => Verdict::Lost,
+    };
+    result
+}
+
+/// Gives the room at the endpoint back when the exchange ends or is cancelled.
+struct Room<'a> {
+    backend: &'a Backend,
+    clock: Clock,
+    verdict: Verdict,
+    load: Option<Load>,
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.backend
+            .give_back(self.verdict, self.load, self.clock.now());
+    }
+}
+
+async fn exchange(
+    backend: &Backend,
+    out: &Outgoing,
+    names: &HeaderNames,
+    left: Duration,
+    load: &mut Option<Load>,
+) -> Exchange {
+    let started = tokio::time::Instant::now();
+    // A kept connection may turn out closed; the request then goes out on a new one.
+    let (mut sender, answer) = loop {
+        let kept = backend.pool.take();
+        let was_kept = kept.is_some();
+        let mut sender = match kept {
+            Some(sender) => sender,
+            None => match backend.pool.connect(left).await {
+                Ok(sender) => sender,
+                Err(_) => return Exchange::NotRun(NotRun::NotSent),
+            },
+        };
+        let left = left.saturating_sub(started.elapsed());
+        let req = to_request(backend, out, names, left);
+        match sender.try_send_request(req).await {
+            Ok(answer) => break (sender, answer),
+            // hyper hands the request back only if no byte of it was written.
+            Err(e) if e.message().is_some() && was_kept => {}
+            Err(e) if e.message().is_some() => return Exchange::NotRun(NotRun::NotSent),
+            Err(_) => return Exchange::MayHaveRun(MayHaveRun::ConnectionLost),
+        }
+    };
+    *load = load_of(answer.headers(), names);
+    match read(answer, out, names).await {
+        Ok(answer) => {
+            if !closes(answer.headers()) && !sender.is_closed() {
+                // The connection becomes ready when its task has seen the end of the answer.
+                let ready = std::future::poll_fn(|cx| sender.poll_ready(cx));
+                if tokio::time::timeout(READY_WITHIN, ready)
+                    .await
+                    .is_ok_and(|r| r.is_ok())
+                {
+                    backend.pool.keep(sender);
+                }
+            }
+            classify(answer, names)
+        }
+        Err(reason) => Exchange::MayHaveRun(reason),
+    }
+}
+
+/// Time for a connection to become ready after its exchange.
+const READY_WITHIN: Duration = Duration::from_millis(2);
+
+fn to_request(
+    backend: &Backend,
+    out: &Outgoing,
+    names: &HeaderNames,
+    left: Duration,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(out.body.clone()));
+    *req.method_mut() = out.method.clone();
+    *req.uri_mut() = out.uri.clone();
+    *req.headers_mut() = out.headers.clone();
+    let headers = req.headers_mut();
+    headers.insert(&names.request_id, out.id.clone());
+    headers.insert(&names.deadline, HeaderValue::from(left.as_millis() as u64));
+    if let Ok(name) = HeaderValue::from_str(&backend.entry.run.name) {
+        headers.insert(&names.expected_endpoint, name);
+    }
+    req
+}
+
+/// Reads the whole answer and checks that it belongs to the request.
+async fn read(
+    answer: Response<Incoming>,
+    out: &Outgoing,
+    names: &HeaderNames,
+) -> Result<Response<Bytes>, MayHaveRun> {
+    let (parts, body) = answer.into_parts();
+    let mut echoes = parts.headers.get_all(&names.request_id).iter();
+    let signed = parts.headers.contains_key(&names.signature);
+    match (echoes.next(), echoes.next()) {
+        (Some(echo), None) if *echo == out.id => {}
+        (None, None) if !signed && !parts.status.is_success() => {}
+        _ => return Err(MayHaveRun::Mismatch),
+    }
+    let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
+    if parts.status.is_success() && (!signed || encoded) {
+        return Err(MayHaveRun::Mismatch);
+    }
+    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|_| MayHaveRun::Truncated)?.to_bytes();
+    Ok(Response::from_parts(parts, body))
+}
+
+fn classify(answer: Response<Bytes>, names: &HeaderNames) -> Exchange {
+    let not_executed = answer.headers().contains_key(&names.not_executed);
+    match answer.status() {
+        StatusCode::MISDIRECTED_REQUEST => Exchange::NotRun(NotRun::NotOwner),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if not_executed => {
+            Exchange::NotRun(NotRun::Shed)
+        }
+        _ => Exchange::Answered(answer),
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    headers.get_all(header::CONNECTION).iter().any(|value| {
+        let text = value.to_str().unwrap_or_default();
+        text.split(',')
+            .any(|token| token.trim().eq_ignore_ascii_case("close"))
+    })
+}
+
+/// The load that an endpoint reports; `None` if it reports none that can be read.
+fn load_of(headers: &HeaderMap, names: &HeaderNames) -> Option<Load> {
+    let text = headers.get(&names.load)?.to_str().ok()?;
+    let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
+    let mut next = || numbers.next()?.ok();
+    let load = Load {
+        running: next()?,
+        waiting: next()?,
+        slots: next()?,
+    };
+    (load.slots > 0).then_some(load)
+}
--- /dev/null
+++ b/src/gateway/status.rs
@@ -0,0 +1,120 @@
+//! The status address: readiness, metrics and what the daemon knows.
+
+use super::view::View;
+use crate::{
+    clock::{Clock, Millis},
+    entry::metrics::Metrics,
+    logging,
+};
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use serde_json::json;
+use std::{
+    fmt::Write,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// What the status address tells about.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// Path of the readiness check.
+    pub ready_path: Arc<str>,
+    /// Routes, endpoints and owners.
+    pub view: Arc<ArcSwap<View>>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Whether the daemon is stopping.
+    pub stopping: Arc<AtomicBool>,
+    /// The daemon's clock.
+    pub clock: Clock,
+}
+
+impl Status {
+    /// Whether the daemon serves callers.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.view.load().version > 0
+    }
+
+    /// Answers a request.
+    pub fn answer<B>(&self, req: &Request<B>) -> Response<Full<Bytes>> {
+        let path = req.uri().path();
+        let (status, text) = match path {
+            path if *path == *self.ready_path => {
+                let ready = self.is_ready();
+                let status = if ready {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                };
+                (status, String::new())
+            }
+            "/metrics" => (StatusCode::OK, self.metrics_text()),
+            "/status" => (StatusCode::OK, self.status_text()),
+            _ => (StatusCode::NOT_FOUND, String::new()),
+        };
+        let mut answer = Response::new(Full::new(Bytes::from(text)));
+        *answer.status_mut() = status;
+        answer
+    }
+
+    fn metrics_text(&self) -> String {
+        let mut text = self.metrics.counters().to_text();
+        let view = self.view.load();
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "fireflygauge_config_version {}", view.version);
+        let dropped = logging::dropped_lines();
+        let _ = writeln!(text, "fireflygauge_log_lines_dropped {dropped}");
+        for service in view.services.values() {
+            let (name, members) = (&service.name, service.members.len());
+            let _ = writeln!(
+                text,
+                "fireflygauge_endpoints{{service=\"{name}\"}} {members}"
+            );
+            let waiting = service.state.queue.len();
+            let _ = writeln!(text, "fireflygauge_waiting{{service=\"{name}\"}} {waiting}");
+        }
+        text
+    }
+
+    fn status_text(&self) -> String {
+        let (view, now) = (self.view.load(), self.clock.now());
+        let services = view.services.values().map(|service| {
+            let endpoints = service.members.iter().map(|member| {
+                let backend = &member.backend;
+                json!({
+                    "endpoint": backend.entry.run.name,
+                    "zone": backend.entry.zone,
+                    "leaving": member.leaving.is_some(),
+                    "aside": backend.is_aside(now),
+                    "in_flight": backend.in_flight(),
+                    "age_ms": now.since(backend.first_seen).0,
+                })
+            });
+            let ranges = service.owners.ranges().iter().map(|range| {
+                json!({
+                    "first": range.keys.first,
+                    "last": range.keys.last,
+                    "owner": range.owner.name,
+                    "token": range.token,
+                })
+            });
+            json!({
+                "service": service.name,
+                "endpoints": endpoints.collect::<Vec<_>>(),
+                "ranges": ranges.collect::<Vec<_>>(),
+            })
+        });
+        let report = json!({
+            "config_version": view.version,
+            "ready": self.is_ready(),
+            "uptime_ms": now.since(Millis::ZERO).0,
+            "services": services.collect::<Vec<_>>(),
+        });
+        report.to_string()
+    }
+}
--- /dev/null
+++ b/src/gateway/view.rs
@@ -0,0 +1,324 @@
+//! What the request thread knows: an immutable view of routes, endpoints and owners.
+
+use super::{
+    backend::Backend,
+    budget::{BudgetRule, RetryBudget},
+    gate::WaitQueue,
+    model::{CallerLimits, Configuration, EndpointEntry, EndpointRun, Key},
+    owners::{OwnedRange, Owners},
+    routes::RouteTable,
+};
+use crate::{
+    clock::Millis,
+    collections::Map,
+    world::{ServiceName, ZoneName},
+};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Time after an endpoint was seen leaving for which requests for its keys still go there, while
+/// the keys move.
+const KEYED_LEAVING_GRACE: Millis = Millis(1_400);
+
+/// Routes, endpoints and owners at one moment.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Version of the configuration; 0 for none.
+    pub version: u64,
+    /// The routes.
+    pub routes: Arc<RouteTable>,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    /// The services.
+    pub services: Map<ServiceName, Arc<ServiceView>>,
+}
+
+/// A service at one moment.
+#[derive(Debug)]
+pub struct ServiceView {
+    /// The service.
+    pub name: ServiceName,
+    /// Whether its endpoints own keys.
+    pub keyed: bool,
+    /// Its endpoints.
+    pub members: Vec<Member>,
+    /// Owners of its keys.
+    pub owners: Arc<Owners>,
+    /// What lasts from one view to the next.
+    pub state: Arc<ServiceState>,
+}
+
+/// An endpoint at one moment.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The endpoint.
+    pub backend: Arc<Backend>,
+    /// When it was first seen leaving.
+    pub leaving: Option<Millis>,
+    /// Whether it is in the daemon's zone.
+    pub is_near: bool,
+    /// Until when it is slow after its start.
+    pub warm_at: Millis,
+}
+
+/// State of a service that lasts from one view to the next.
+#[derive(Debug)]
+pub struct ServiceState {
+    /// Requests that wait for any endpoint.
+    pub queue: Arc<WaitQueue>,
+    budget: Mutex<RetryBudget>,
+    heat: Mutex<Map<Key, u32>>,
+}
+
+impl ServiceState {
+    fn new(rule: BudgetRule) -> Self {
+        Self {
+            queue: Arc::default(),
+            budget: Mutex::new(RetryBudget::new(rule)),
+            heat: Mutex::default(),
+        }
+    }
+
+    /// Counts a request, and its key if it has one.
+    pub fn count_request(&self, key: Option<Key>, now: Millis) {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.count_request(now);
+        drop(budget);
+        if let Some(key) = key {
+            let mut heat = self.heat.lock().unwrap_or_else(PoisonError::into_inner);
+            *heat.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Counts a repeated send if the retry budget allows it.
+    pub fn try_repeat(&self, daemons: usize, now: Millis) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.try_repeat(daemons, now)
+    }
+
+    /// Requests by key since the last call.
+    pub fn take_heat(&self) -> Vec<(Key, u32)> {
+        let mut heat = self.heat.lock().unwrap_or_else(PoisonError::into_inner);
+        heat.drain().collect()
+    }
+}
+
+impl ServiceView {
+    /// The range of `key` and its owner, if the owner is known and may be sent requests.
+    pub fn owner_of(&self, key: Key, now: Millis) -> Option<(&OwnedRange, &Member)> {
+        let range = self.owners.range_of(key)?;
+        let member = self
+            .members
+            .iter()
+            .find(|member| member.backend.entry.run == range.owner)?;
+        let usable = member
+            .leaving
+            .is_none_or(|since| now.since(since) < KEYED_LEAVING_GRACE);
+        usable.then_some((range, member))
+    }
+}
+
+/// Collects what the store shows and builds views of it.
+#[derive(Debug)]
+pub struct ViewBuilder {
+    zone: ZoneName,
+    rule: BudgetRule,
+    config: Option<Arc<Configuration>>,
+    routes: Arc<RouteTable>,
+    endpoints: Map<Arc<str>, Registered>,
+    owners: Map<ServiceName, (u64, Arc<Owners>)>,
+    states: Map<ServiceName, Arc<ServiceState>>,
+}
+
+#[derive(Debug)]
+struct Registered {
+    entry: EndpointEntry,
+    backend: Option<Arc<Backend>>,
+    leaving: Option<Millis>,
+    warm_at: Millis,
+    /// Removed at a time when the store may have lost entries of endpoints that live.
+    doubted_until: Option<Millis>,
+}
+
+impl ViewBuilder {
+    /// Starts without knowledge, for a daemon in `zone`.
+    pub fn new(zone: ZoneName, rule: BudgetRule) -> Self {
+        Self {
+            zone,
+            rule,
+            config: None,
+            routes: Arc::default(),
+            endpoints: Map::default(),
+            owners: Map::default(),
+            states: Map::default(),
+        }
+    }
+
+    /// Takes in a configuration. Older ones than the present are ignored.
+    pub fn configure(&mut self, config: Configuration) -> bool {
+        let newer = self
+            .config
+            .as_ref()
+            .is_none_or(|present| config.version > present.version);
+        if newer {
+            self.routes = Arc::new(RouteTable::new(&config.routes));
+            self.config = Some(Arc::new(config));
+        }
+        newer
+    }
+
+    /// The present configuration.
+    pub fn config(&self) -> Option<&Arc<Configuration>> {
+        self.config.as_ref()
+    }
+
+    /// Takes in an endpoint's entry.
+    pub fn register(&mut self, entry: EndpointEntry, now: Millis) {
+        let name = Arc::clone(&entry.run.name);
+        let known = self.endpoints.remove(&name);
+        let same = known.filter(|known| {
+            known.entry.run == entry.run
+                && known.entry.addr == entry.addr
+                && known.entry.service == entry.service
+        });
+        let leaving = entry
+            .draining
+            .then(|| same.as_ref().and_then(|known| known.leaving).unwrap_or(now));
+        let registered = Registered {
+            backend: same.and_then(|known| known.backend),
+            leaving,
+            warm_at: now + entry.warmup,
+            doubted_until: None,
+            entry,
+        };
+        self.endpoints.insert(name, registered);
+    }
+
+    /// Takes in that an entry is gone. With `doubt`, it is kept until then unless it returns.
+    pub fn remove(&mut self, name: &str, doubt: Option<Millis>) {
+        match doubt {
+            Some(until) => {
+                if let Some(known) = self.endpoints.get_mut(name) {
+                    known.doubted_until = known.doubted_until.or(Some(until));
+                }
+            }
+            None => {
+                self.endpoints.remove(name);
+            }
+        }
+    }
+
+    /// Drops entries that did not return in time. True if any was dropped.
+    pub fn drop_doubted(&mut self, now: Millis) -> bool {
+        let before = self.endpoints.len();
+        self.endpoints
+            .retain(|_, known| known.doubted_until.is_none_or(|until| now < until));
+        self.endpoints.len() != before
+    }
+
+    /// When the next doubted entry is dropped.
+    pub fn next_doubt(&self) -> Option<Millis> {
+        self.endpoints
+            .values()
+            .filter_map(|k| k.doubted_until)
+            .min()
+    }
+
+    /// Names of the registered endpoints, those in doubt left out.
+    pub fn names(&self) -> Vec<Arc<str>> {
+        let sure = self
+            .endpoints
+            .iter()
+            .filter(|(_, k)| k.doubted_until.is_none());
+        sure.map(|(name, _)| Arc::clone(name)).collect()
+    }
+
+    /// The entries of all endpoints.
+    pub fn entries(&self) -> Vec<EndpointEntry> {
+        self.endpoints.values().map(|k| k.entry.clone()).collect()
+    }
+
+    /// Takes in the owners of a service's keys. Older versions are ignored.
+    pub fn own(&mut self, service: ServiceName, version: u64, owners: Owners) -> bool {
+        let newer = self
+            .owners
+            .get(&service)
+            .is_none_or(|(present, _)| version > *present);
+        if newer {
+            self.owners.insert(service, (version, Arc::new(owners)));
+        }
+        newer
+    }
+
+    /// Builds a view of what is known at `now`.
+    pub fn build(&mut self, now: Millis) -> View {
+        let Some(config) = self.config.clone() else {
+            return View::default();
+        };
+        let services = config
+            .services
+            .values()
+            .map(|service| {
+                let name = service.name.clone();
+                (
+                    name.clone(),
+                    Arc::new(self.service(name, service.keyed, now)),
+                )
+            })
+            .collect();
+        View {
+            version: config.version,
+            routes: Arc::clone(&self.routes),
+            limits: config.limits,
+            services,
+        }
+    }
+
+    fn service(&mut self, name: ServiceName, keyed: bool, now: Millis) -> ServiceView {
+        let rule = self.rule;
+        let state = self
+            .states
+            .entry(name.clone())
+            .or_insert_with(|| Arc::new(ServiceState::new(rule)));
+        let state = Arc::clone(state);
+        let zone = &self.zone;
+        let of_service = self
+            .endpoints
+            .values_mut()
+            .filter(|k| k.entry.service == name);
+        let mut members: Vec<Member> = of_service
+            .map(|known| {
+                let backend = known.backend.get_or_insert_with(|| {
+                    let queue = if keyed {
+                        Arc::default()
+                    } else {
+                        Arc::clone(&state.queue)
+                    };
+                    Arc::new(Backend::new(known.entry.clone(), queue, now))
+                });
+                Member {
+                    backend: Arc::clone(backend),
+                    leaving: known.leaving,
+                    is_near: known.entry.zone == *zone,
+                    warm_at: known.warm_at,
+                }
+            })
+            .collect();
+        members.sort_by(|a, b| run_of(a).cmp(run_of(b)));
+        let owners = self
+            .owners
+            .get(&name)
+            .map(|(_, owners)| Arc::clone(owners))
+            .unwrap_or_default();
+        ServiceView {
+            name,
+            keyed,
+            members,
+            owners,
+            state,
+        }
+    }
+}
+
+fn run_of(member: &Member) -> &EndpointRun {
+    &member.backend.entry.run
+}
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,7 +1,7 @@
 //! Small HTTP client for control traffic: the platform, grants, health and operators.
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -12,6 +12,15 @@
 /// Largest answer that is accepted, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Time to open a connection, where a loss is detected.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which data without an acknowledgement ends a connection.
+const PEER_LOST_AFTER: Duration = Duration::from_millis(900);
+/// Time between probes of a silent connection.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection ends.
+const PROBES: u32 = 2;
+
 /// Why a control request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum HttpError {
@@ -43,6 +52,23 @@
     pub fn new() -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        Self::over(connector)
+    }
+
+    /// Creates a client that gives connections up on which the other side acknowledges nothing.
+    /// Calls that wait long for their answer then end soon after the other side is lost.
+    pub fn detecting_loss() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_tcp_user_timeout(Some(PEER_LOST_AFTER));
+        connector.set_keepalive(Some(PROBE_EVERY));
+        connector.set_keepalive_interval(Some(PROBE_EVERY));
+        connector.set_keepalive_retries(Some(PROBES));
+        Self::over(connector)
+    }
+
+    fn over(connector: HttpConnector) -> Self {
         let inner = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
             .pool_idle_timeout(Duration::from_secs(10))
@@ -62,6 +88,23 @@
         body: impl Into<Bytes>,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), HttpError> {
+        let answer = self.call(method, addr, path, body, timeout).await?;
+        let (parts, body) = answer.into_parts();
+        Ok((parts.status, body))
+    }
+
+    /// Like [`Self::send`], with the headers of the answer.
+    ///
+    /// # Errors
+    /// [`HttpError`] if there is no complete answer.
+    pub async fn call(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: impl Into<Bytes>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, HttpError> {
         let req = Request::builder()
             .method(method)
             .uri(format!("http://{addr}{path}"))
@@ -74,7 +117,7 @@
         }
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), HttpError> {
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, HttpError> {
         let answer = self.inner.request(req).await.map_err(|e| {
             if e.is_connect() {
                 HttpError::Connect(e.to_string())
@@ -82,11 +125,11 @@
                 HttpError::Incomplete(e.to_string())
             }
         })?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES)
             .collect()
             .await
             .map_err(|e| HttpError::Incomplete(e.to_string()))?;
-        Ok((status, body.to_bytes()))
+        Ok(Response::from_parts(parts, body.to_bytes()))
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod declaration;
 pub mod entry;
+pub mod gateway;
 pub mod http_client;
 pub mod logging;
 pub mod membership;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     config::ConfigSnapshot,
+    gateway::{heat::HeatReport, term::LeaseRow},
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
     world::{GroupId, Incarnation, Link, Vm, VmName},
@@ -28,6 +29,8 @@
     },
     /// Passes a caller's request to the front daemon of its target.
     Forward(ForwardRequest),
+    /// Tells the controller of ranges what a daemon counted.
+    Report(DaemonReport),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -41,10 +44,30 @@
     Grant(GrantReply),
     /// Answers [`PeerRequest::Forward`].
     Forward(ForwardReply),
+    /// Answers [`PeerRequest::Report`].
+    Report(ReportReply),
     /// The request could not be understood or served.
     Error(Arc<str>),
 }
 
+/// What a daemon tells the controller of ranges.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DaemonReport {
+    /// The daemon.
+    pub name: VmName,
+    /// What it counted since its last report.
+    pub heat: HeatReport,
+}
+
+/// What the controller of ranges tells a daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// Version of the controller lease, and its row; `None` if the daemon does not hold it.
+    pub lease: Option<(u64, LeaseRow)>,
+    /// Daemons that report at present.
+    pub daemons: u32,
+}
+
 /// What a daemon tells of itself; its heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberReport {
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -257,6 +257,9 @@
                 let answer = (context.forward)(forward);
                 Box::pin(async move { PeerReply::Forward(answer.await) })
             }
+            PeerRequest::Report(_) => {
+                Box::pin(async { PeerReply::Error("this daemon keeps no ranges".into()) })
+            }
             PeerRequest::Sync(sync) => {
                 let shared = Arc::clone(&shared);
                 Box::pin(async move { PeerReply::Sync(shared.answer(sync).await) })
