Send each release on a connection of its own

An endpoint that answers twice sends the second answer to a grant when the next order is due on the kept connection. The release took that 200 for its own answer, while the endpoint had released nothing.

--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -12,6 +12,8 @@
 /// Largest answer that is accepted, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Idle connections that are kept to one address.
+const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Time to open a connection, where a loss is detected.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which data without an acknowledgement ends a connection.
@@ -52,12 +54,22 @@
     pub fn new() -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        Self::over(connector)
+        Self::over(connector, MAX_IDLE_CONNECTIONS)
     }
 
     /// Creates a client that gives connections up on which the other side acknowledges nothing.
     /// Calls that wait long for their answer then end soon after the other side is lost.
     pub fn detecting_loss() -> Self {
+        Self::over(Self::loss_detecting_connector(), MAX_IDLE_CONNECTIONS)
+    }
+
+    /// Like [`Self::detecting_loss`], with a new connection for each call. A second answer that
+    /// the other side sends late then cannot be taken for the answer to the next call.
+    pub fn without_reuse() -> Self {
+        Self::over(Self::loss_detecting_connector(), 0)
+    }
+
+    fn loss_detecting_connector() -> HttpConnector {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -65,13 +77,14 @@
         connector.set_keepalive(Some(PROBE_EVERY));
         connector.set_keepalive_interval(Some(PROBE_EVERY));
         connector.set_keepalive_retries(Some(PROBES));
-        Self::over(connector)
+        connector
     }
 
-    fn over(connector: HttpConnector) -> Self {
+    fn over(connector: HttpConnector, max_idle: usize) -> Self {
         let inner = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
             .pool_idle_timeout(Duration::from_secs(10))
+            .pool_max_idle_per_host(max_idle)
             .build(connector);
         Self { inner }
     }
