--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -30,6 +30,10 @@
 const WAITING_PER_SLOT: u32 = 1;
 /// Requests of one daemon at an endpoint at most, as a multiple of its slots.
 const CAP_PER_SLOT: u32 = 2;
+/// Longest time between two requests to an endpoint that keeps refusing, in milliseconds.
+const MAX_SPACING_MS: f64 = 2_000.0;
+/// Share of the spacing that is kept after an answer.
+const SPACING_KEPT: f64 = 0.7;
 /// Time for which requests for keys that the endpoint says it does not own are held back.
 const NOT_OWNER_PAUSE: Millis = Millis(150);
 
@@ -69,6 +73,9 @@
     times_aside: u32,
     report: Option<(Load, Millis)>,
     sent_since_report: u32,
+    /// Time between two requests, in milliseconds, while the endpoint keeps refusing.
+    spacing_ms: f64,
+    opens_at: Millis,
     not_owner: Map<(KeyRange, u64), Millis>,
     work_count: u32,
     work_total_ms: u64,
@@ -106,6 +113,8 @@
                 times_aside: 0,
                 report: None,
                 sent_since_report: 0,
+                spacing_ms: 0.0,
+                opens_at: Millis::ZERO,
                 not_owner: Map::default(),
                 work_count: 0,
                 work_total_ms: 0,
@@ -116,8 +125,12 @@
     /// Takes room for one request if there is any at `now`.
     pub fn try_take(&self, now: Millis) -> bool {
         let mut state = self.state();
+        if state.has_long_queue(now) || now < state.opens_at {
+            return false;
+        }
         let taken = state.limit.try_take(now);
         if taken {
+            state.pace(now);
             state.sent_since_report += 1;
         }
         taken
@@ -206,7 +219,44 @@
 }
 
 impl State {
+    /// Whether the endpoint reported more waiting requests than it can have finished since then.
+    fn has_long_queue(&self, now: Millis) -> bool {
+        let Some((load, at)) = self.report else {
+            return false;
+        };
+        let beyond = f64::from(load.waiting.saturating_sub(load.slots * WAITING_PER_SLOT));
+        let drained_after = beyond / f64::from(load.slots) * self.work_ms;
+        (now.since(at).0 as f64) < drained_after.min(REPORT_AGE.0 as f64)
+    }
+
+    /// Spaces requests out. Many daemons with one request each can overload an endpoint, which no
+    /// limit on the requests of one daemon prevents.
+    fn pace(&mut self, now: Millis) {
+        if self.spacing_ms > 0.0 {
+            let spacing = self.spacing_ms * rand::random_range(0.7..1.3);
+            self.opens_at = now + Millis(spacing as u64);
+        }
+    }
+
+    fn adapt_spacing(&mut self, verdict: Verdict, now: Millis) {
+        match verdict {
+            Verdict::Shed | Verdict::Lost => {
+                let longer = (self.spacing_ms * 2.0).max(self.work_ms / 4.0);
+                self.spacing_ms = longer.min(MAX_SPACING_MS);
+                self.pace(now);
+            }
+            Verdict::Answered(_) => {
+                self.spacing_ms *= SPACING_KEPT;
+                if self.spacing_ms < self.work_ms / 8.0 {
+                    self.spacing_ms = 0.0;
+                }
+            }
+            Verdict::Failed | Verdict::Neutral => {}
+        }
+    }
+
     fn learn(&mut self, verdict: Verdict, now: Millis) {
+        self.adapt_spacing(verdict, now);
         let failed = match verdict {
             Verdict::Answered(latency) => {
                 self.work_ms += WORK_WEIGHT * (latency.0.max(1) as f64 - self.work_ms);
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -99,10 +99,10 @@
     let (tx, mut rx) = mpsc::channel(RING_LENGTH);
     let (watch_lease, lease_needed) = watch::channel(true);
     let (_always, always) = watch::channel(true);
-    follow(&platform, Table::Declarations, always.clone(), &tx);
-    follow(&platform, Table::Endpoints, always.clone(), &tx);
-    follow(&platform, Table::Owners, always, &tx);
-    follow(&platform, Table::Controller, lease_needed, &tx);
+    follow(&cx, &platform, Table::Declarations, always.clone(), &tx);
+    follow(&cx, &platform, Table::Endpoints, always.clone(), &tx);
+    follow(&cx, &platform, Table::Owners, always, &tx);
+    follow(&cx, &platform, Table::Controller, lease_needed, &tx);
     let mut control = Control {
         peers: PeerClient::default(),
         cx,
@@ -141,13 +141,21 @@
 }
 
 fn follow<P: Platform>(
+    cx: &ControlContext,
     platform: &P,
     table: Table,
     needed: watch::Receiver<bool>,
     tx: &mpsc::Sender<Input>,
 ) {
     let (news_tx, mut news) = mpsc::channel(8);
-    tokio::spawn(feeds::follow(platform.clone(), table, needed, news_tx));
+    let daemons = Arc::clone(&cx.daemons);
+    tokio::spawn(feeds::follow(
+        platform.clone(),
+        table,
+        needed,
+        daemons,
+        news_tx,
+    ));
     let tx = tx.clone();
     tokio::spawn(async move {
         while let Some(news) = news.recv().await {
--- a/src/gateway/controller/managed.rs
+++ b/src/gateway/controller/managed.rs
@@ -53,6 +53,22 @@
     pub failures: u32,
 }
 
+impl Held {
+    /// Whether `next` follows this range and has the same owner, and both are at rest.
+    fn can_join(&self, next: &Self) -> bool {
+        let at_rest = |held: &Self| {
+            held.phase == Phase::Held
+                && !held.in_flight
+                && held.failures == 0
+                && held.handover.is_none()
+        };
+        self.keys.last.checked_add(1) == Some(next.keys.first)
+            && self.owner == next.owner
+            && at_rest(self)
+            && at_rest(next)
+    }
+}
+
 /// The ranges of one service.
 #[derive(Clone, Debug)]
 pub struct Managed {
@@ -87,6 +103,25 @@
         self.ranges.iter().any(|held| held.phase == Phase::Writing)
     }
 
+    /// Joins neighbouring ranges of one owner, each under a token that `next_token` draws.
+    pub fn join_neighbours(&mut self, now: Millis, mut next_token: impl FnMut() -> u64) {
+        self.ranges.sort_by_key(|held| held.keys);
+        let mut joined: Vec<Held> = Vec::with_capacity(self.ranges.len());
+        for held in self.ranges.drain(..) {
+            match joined.last_mut() {
+                Some(last) if last.can_join(&held) => {
+                    last.keys.last = held.keys.last;
+                    last.ends = last.ends.max(held.ends);
+                    last.token = next_token();
+                    last.confirmed = false;
+                    last.due = now;
+                }
+                _ => joined.push(held),
+            }
+        }
+        self.ranges = joined;
+    }
+
     /// The content of the row.
     pub fn owners(&self) -> Owners {
         let owned = self.ranges.iter().filter_map(|held| {
--- a/src/gateway/controller/orders.rs
+++ b/src/gateway/controller/orders.rs
@@ -25,6 +25,9 @@
 const AVOID_FIRST: Millis = Millis(3_000);
 /// Time between rounds of planned moves of a service.
 const MOVE_EVERY: Millis = Millis(1_000);
+/// Ranges of a service above which no more are split, so that its row keeps to the size that the
+/// store accepts.
+const MAX_RANGES: usize = 2_000;
 /// Capacity of an endpoint that is still slow after its start.
 const WARMING_CAPACITY: f64 = 0.5;
 /// Work time that is assumed before any is known, in milliseconds.
@@ -74,6 +77,7 @@
                         .ranges
                         .iter()
                         .filter(|held| held.owner.as_ref() == Some(&entry.run))
+                        .filter(|held| held.phase != Phase::Free)
                         .map(|held| held.keys)
                         .collect(),
                 }
@@ -150,11 +154,14 @@
         heat: &HeatMap,
         now: Millis,
     ) {
-        let settled = managed
-            .ranges
-            .iter()
-            .all(|held| held.phase == Phase::Held && held.confirmed);
-        if !settled || now < managed.next_move || heat.total() == 0.0 {
+        let moving = managed.ranges.iter().filter(|held| {
+            matches!(
+                held.phase,
+                Phase::Releasing { planned: true } | Phase::Writing
+            )
+        });
+        let full = managed.ranges.len() > MAX_RANGES;
+        if full || moving.count() > 0 || now < managed.next_move || heat.total() == 0.0 {
             return;
         }
         managed.next_move = now + MOVE_EVERY;
@@ -177,7 +184,8 @@
         }) else {
             return;
         };
-        if managed.ranges[at].in_flight {
+        let whole = &managed.ranges[at];
+        if whole.in_flight || whole.phase != Phase::Held || !whole.confirmed {
             return;
         }
         let whole = managed.ranges.remove(at);
@@ -353,6 +361,8 @@
                 held.ends = now + lease;
                 held.due = now + every;
                 held.confirmed = true;
+                // It is needed only once, and would lengthen the row.
+                held.handover = None;
                 held.failures = 0;
             }
             GrantOutcome::Unknown => {
--- a/src/gateway/controller/writing.rs
+++ b/src/gateway/controller/writing.rs
@@ -15,6 +15,8 @@
 pub const LEASE_ROW: &str = "controller";
 /// Pause after a write that the store refused or did not answer.
 const RETRY_PAUSE: Millis = Millis(150);
+/// Pause after a takeover that the store refused or did not answer. All daemons try at such times.
+const TAKEOVER_PAUSE: Millis = Millis(700);
 
 /// A write whose outcome is not known yet.
 #[derive(Clone, Debug)]
@@ -54,12 +56,26 @@
         let renews = self.term.is_due(now) || (unwritten && self.term.may_act(now));
         let gives_up = self.stopping && self.term.is_mine();
         if takes_over || renews || gives_up {
+            if unwritten {
+                self.join_ranges(now);
+            }
             let pending = self.next_write(takes_over, gives_up, now);
             actions.push(Action::Write(pending.row.write_id, pending.writes.clone()));
             self.pending = Some(pending);
         }
     }
 
+    fn join_ranges(&mut self, now: Millis) {
+        let mut token = self.last_token;
+        for managed in self.services.values_mut().filter(|m| m.has_unwritten()) {
+            managed.join_neighbours(now, || {
+                token += 1;
+                token
+            });
+        }
+        self.last_token = token;
+    }
+
     fn next_write(&self, takes_over: bool, gives_up: bool, now: Millis) -> PendingWrite {
         let row = self.term.next(self.peer_addr, rand::random(), gives_up);
         let mut writes = vec![RowWrite {
@@ -98,18 +114,28 @@
             return;
         };
         pending.on_its_way = false;
+        let pause = if pending.takes_over {
+            TAKEOVER_PAUSE
+        } else {
+            RETRY_PAUSE
+        };
         match outcome {
             WriteOutcome::Committed(version) => self.settle(version, now),
             WriteOutcome::Conflict => pending.reads_lease = true,
+            WriteOutcome::Invalid => {
+                log::error!(target: "ownership", "The store takes no row like this one.");
+                self.pending = None;
+                self.not_before = now + RETRY_PAUSE;
+            }
             WriteOutcome::Unknown => {
                 pending.may_have_run = true;
-                self.not_before = now + RETRY_PAUSE;
+                self.not_before = now + pause;
             }
             WriteOutcome::Refused => {
                 if !pending.may_have_run {
                     self.pending = None;
                 }
-                self.not_before = now + RETRY_PAUSE;
+                self.not_before = now + pause;
             }
         }
     }
--- a/src/gateway/feeds.rs
+++ b/src/gateway/feeds.rs
@@ -1,7 +1,13 @@
 //! Follows tables of the store.
 
 use super::platform::{Changes, Platform, Rows, StoreError, Table};
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     sync::{mpsc, watch},
     time::sleep,
@@ -14,6 +20,16 @@
 /// Longest pause after a failed call.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause after news of endpoints for each daemon that follows the store. Changes of many endpoints
+/// come one by one; read together, they cost a call for each daemon rather than one for each change.
+const PAUSE_PER_DAEMON: Duration = Duration::from_millis(15);
+/// Shortest pause after news of endpoints.
+const MIN_NEWS_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after news of endpoints. A leaving endpoint must be known within 2 s.
+const MAX_NEWS_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after news of owners or declarations.
+const OTHER_NEWS_PAUSE: Duration = Duration::from_millis(50);
+
 /// News of a table.
 #[derive(Clone, Debug)]
 pub struct News {
@@ -32,6 +48,7 @@
     platform: P,
     table: Table,
     mut needed: watch::Receiver<bool>,
+    daemons: Arc<AtomicUsize>,
     tx: mpsc::Sender<News>,
 ) {
     let mut follower = Follower {
@@ -65,6 +82,7 @@
                 if is_news && tx.send(news).await.is_err() {
                     return;
                 }
+                sleep(news_pause(table, daemons.load(Ordering::Relaxed))).await;
             }
             Ok(None) => after = None,
             Err(e) => sleep(follower.failed(&e)).await,
@@ -72,6 +90,17 @@
     }
 }
 
+fn news_pause(table: Table, daemons: usize) -> Duration {
+    match table {
+        Table::Endpoints => {
+            let pause = PAUSE_PER_DAEMON * u32::try_from(daemons).unwrap_or(u32::MAX);
+            pause.clamp(MIN_NEWS_PAUSE, MAX_NEWS_PAUSE)
+        }
+        Table::Declarations | Table::Owners => OTHER_NEWS_PAUSE,
+        Table::Controller => Duration::ZERO,
+    }
+}
+
 struct Follower<P> {
     platform: P,
     table: Table,
--- a/src/gateway/owners.rs
+++ b/src/gateway/owners.rs
@@ -1,13 +1,16 @@
 //! Which endpoint owns which keys, as written in the store.
 
 use super::model::{EndpointRun, Key, KeyRange};
-use crate::peer::codec::{self, CodecError};
+use crate::{
+    collections::Map,
+    peer::codec::{self, CodecError},
+};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Keys that one endpoint owns under one fencing token.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnedRange {
     /// The keys.
     pub keys: KeyRange,
@@ -20,7 +23,7 @@
 }
 
 /// The owners of a service's keys. Keys in no range have no owner.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Owners {
     ranges: Vec<OwnedRange>,
 }
@@ -50,12 +53,26 @@
         range.keys.contains(key).then_some(range)
     }
 
-    /// The content of a row.
+    /// The content of a row, in which each owner is named once.
     ///
     /// # Errors
     /// [`CodecError::TooLarge`] if there are too many ranges.
     pub fn encode(&self) -> Result<Bytes, CodecError> {
-        codec::encode(self)
+        let mut places: Map<&EndpointRun, u32> = Map::default();
+        let mut row = OwnersRow::default();
+        for range in &self.ranges {
+            let place = *places.entry(&range.owner).or_insert_with(|| {
+                row.owners.push(range.owner.clone());
+                row.owners.len() as u32 - 1
+            });
+            row.ranges.push(RangeRow {
+                keys: range.keys,
+                owner: place,
+                token: range.token,
+                handover: range.handover.clone(),
+            });
+        }
+        codec::encode(&row)
     }
 
     /// Reads the content of a row.
@@ -63,16 +80,41 @@
     /// # Errors
     /// [`CodecError`] if it is malformed or its ranges are not in order.
     pub fn decode(value: &[u8]) -> Result<Self, CodecError> {
-        let owners: Self = codec::decode(value)?;
-        let in_order = owners
-            .ranges
+        let row: OwnersRow = codec::decode(value)?;
+        let ranges = row.ranges.into_iter().map(|range| {
+            let owner = row.owners.get(range.owner as usize)?;
+            Some(OwnedRange {
+                keys: range.keys,
+                owner: owner.clone(),
+                token: range.token,
+                handover: range.handover,
+            })
+        });
+        let ranges: Option<Vec<OwnedRange>> = ranges.collect();
+        let ranges = ranges.ok_or(CodecError::Malformed("an owner is missing".into()))?;
+        let in_order = ranges
             .windows(2)
             .all(|pair| pair[0].keys.last < pair[1].keys.first);
-        let valid = owners.ranges.iter().all(|r| r.keys.first <= r.keys.last);
+        let valid = ranges.iter().all(|r| r.keys.first <= r.keys.last);
         if in_order && valid {
-            Ok(owners)
+            Ok(Self { ranges })
         } else {
             Err(CodecError::Malformed("the ranges are not in order".into()))
         }
     }
 }
+
+#[derive(Default, Serialize, Deserialize)]
+struct OwnersRow {
+    owners: Vec<EndpointRun>,
+    ranges: Vec<RangeRow>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RangeRow {
+    keys: KeyRange,
+    /// Place among the owners.
+    owner: u32,
+    token: u64,
+    handover: Option<Arc<str>>,
+}
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -13,8 +13,11 @@
 const MOVE_ABOVE: f64 = 0.25;
 /// Load difference in requests a second above which keys move.
 const MOVE_ABOVE_RATE: f64 = 3.0;
-/// Moves in one round at most.
-const MAX_MOVES: usize = 4;
+
+/// Load of a piece, as a multiple of what is wanted, above which it is not moved.
+const MAX_OVERSHOOT: f64 = 1.6;
+/// Load of a piece, as a share of what is wanted, below which it is not worth a move.
+const MIN_PIECE: f64 = 0.1;
 
 /// An endpoint that may own keys.
 #[derive(Clone, Debug)]
@@ -126,46 +129,108 @@
     Some((head, tail))
 }
 
-/// Moves from the endpoints with most load to those with least.
+/// Moves from the endpoints with most load to those with least. Each endpoint receives keys at most
+/// once in a round; an overloaded one may give keys to many.
 pub fn rebalance(candidates: &[Candidate], heat: &HeatMap) -> Vec<Move> {
-    let mut loads: Vec<f64> = candidates
-        .iter()
-        .map(|c| c.ranges.iter().map(|keys| load(heat, *keys)).sum())
-        .collect();
-    let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
-    let total: f64 = loads.iter().sum();
-    let mut used = vec![false; candidates.len()];
+    let mut round = Round::new(candidates, heat);
     let mut moves = Vec::new();
-    while moves.len() < MAX_MOVES {
-        let over = |i: usize, loads: &[f64]| loads[i] - total * candidates[i].capacity / capacity;
-        let free = |i: &usize| !used[*i];
-        let by_excess = |a: &usize, b: &usize| over(*a, &loads).total_cmp(&over(*b, &loads));
-        let from = (0..candidates.len()).filter(free).max_by(by_excess);
-        let to = (0..candidates.len()).filter(free).min_by(by_excess);
-        let (Some(from), Some(to)) = (from, to) else {
-            break;
-        };
-        let mean = total / candidates.len() as f64;
-        let (above, below) = (over(from, &loads), -over(to, &loads));
-        if from == to || above + below < (mean * MOVE_ABOVE).max(MOVE_ABOVE_RATE) * 2.0 {
-            break;
+    while let Some(chosen) = round.next_move() {
+        moves.push(chosen);
+    }
+    moves
+}
+
+/// The loads of one round of moves as they become.
+struct Round<'a> {
+    candidates: &'a [Candidate],
+    heat: &'a HeatMap,
+    ranges: Vec<Vec<KeyRange>>,
+    loads: Vec<f64>,
+    total: f64,
+    capacity: f64,
+    may_give: Vec<bool>,
+    may_receive: Vec<bool>,
+}
+
+impl<'a> Round<'a> {
+    fn new(candidates: &'a [Candidate], heat: &'a HeatMap) -> Self {
+        let ranges: Vec<Vec<KeyRange>> = candidates.iter().map(|c| c.ranges.clone()).collect();
+        let loads: Vec<f64> = ranges
+            .iter()
+            .map(|ranges| ranges.iter().map(|keys| load(heat, *keys)).sum())
+            .collect();
+        Self {
+            candidates,
+            heat,
+            total: loads.iter().sum(),
+            capacity: candidates.iter().map(|c| c.capacity).sum(),
+            may_give: vec![true; candidates.len()],
+            may_receive: vec![true; candidates.len()],
+            ranges,
+            loads,
         }
-        let wanted = above.min(below).max((above + below) / 4.0);
-        let Some(keys) = piece_of(&candidates[from].ranges, wanted, heat) else {
-            used[from] = true;
-            continue;
+    }
+
+    /// Load above the endpoint's share by capacity; negative below it.
+    fn excess(&self, i: usize) -> f64 {
+        self.loads[i] - self.total * self.candidates[i].capacity / self.capacity
+    }
+
+    fn next_move(&mut self) -> Option<Move> {
+        let mean = self.total / self.candidates.len() as f64;
+        let worth_moving = (mean * MOVE_ABOVE).max(MOVE_ABOVE_RATE) * 2.0;
+        loop {
+            let all = 0..self.candidates.len();
+            let by_excess = |a: &usize, b: &usize| self.excess(*a).total_cmp(&self.excess(*b));
+            let from = all
+                .clone()
+                .filter(|i| self.may_give[*i])
+                .max_by(by_excess)?;
+            let to = all.filter(|i| self.may_receive[*i]).min_by(by_excess)?;
+            let (above, below) = (self.excess(from), -self.excess(to));
+            if from == to || above + below < worth_moving {
+                return None;
+            }
+            let wanted = above
+                .min(below)
+                .max((above + below) / 4.0)
+                .min(above.max(below));
+            let Some(keys) = piece_of(&self.ranges[from], wanted, self.heat) else {
+                self.may_give[from] = false;
+                continue;
+            };
+            self.apply(from, to, keys);
+            return Some(Move {
+                keys,
+                to: self.candidates[to].run.clone(),
+            });
+        }
+    }
+
+    fn apply(&mut self, from: usize, to: usize, keys: KeyRange) {
+        let moved = load(self.heat, keys);
+        self.loads[from] -= moved;
+        self.loads[to] += moved;
+        self.may_receive[from] = false;
+        self.may_receive[to] = false;
+        self.may_give[to] = false;
+        let Some(at) = self.ranges[from].iter().position(|r| r.overlaps(keys)) else {
+            return;
         };
-        let moved = load(heat, keys);
-        loads[from] -= moved;
-        loads[to] += moved;
-        used[from] = true;
-        used[to] = true;
-        moves.push(Move {
-            keys,
-            to: candidates[to].run.clone(),
-        });
+        let whole = self.ranges[from].swap_remove(at);
+        if whole.first < keys.first {
+            self.ranges[from].push(KeyRange {
+                first: whole.first,
+                last: keys.first - 1,
+            });
+        }
+        if whole.last > keys.last {
+            self.ranges[from].push(KeyRange {
+                first: keys.last + 1,
+                last: whole.last,
+            });
+        }
     }
-    moves
 }
 
 /// Keys of about `wanted` load: a whole range if one fits, or a piece of the busiest one.
@@ -180,7 +245,35 @@
     let busiest = ranges
         .iter()
         .max_by(|a, b| load(heat, **a).total_cmp(&load(heat, **b)))?;
-    let (head, _) = cut(*busiest, wanted, heat)?;
-    // A single busy key may outweigh what is wanted.
-    (load(heat, head) <= wanted * 2.0).then_some(head)
+    let head = cut(*busiest, wanted, heat).map_or(*busiest, |(head, _)| head);
+    if load(heat, head) <= wanted * MAX_OVERSHOOT {
+        return (head != *busiest || ranges.len() > 1).then_some(head);
+    }
+    beside_hot_key(head, *busiest, wanted, heat)
+}
+
+/// Keys on one side of the busiest key of `head`, which outweighs what is wanted by itself. It stays
+/// where it is, and its neighbours make room for it.
+fn beside_hot_key(
+    head: KeyRange,
+    whole: KeyRange,
+    wanted: f64,
+    heat: &HeatMap,
+) -> Option<KeyRange> {
+    let (hot, _) = heat.keys(head).max_by(|a, b| a.1.total_cmp(&b.1))?;
+    let before = (hot > whole.first).then(|| KeyRange {
+        first: whole.first,
+        last: hot - 1,
+    });
+    let after = (hot < whole.last).then(|| KeyRange {
+        first: hot + 1,
+        last: whole.last,
+    });
+    let sides = before.into_iter().chain(after);
+    let heavier = sides.max_by(|a, b| load(heat, *a).total_cmp(&load(heat, *b)))?;
+    if load(heat, heavier) < wanted * MIN_PIECE {
+        return None;
+    }
+    let piece = cut(heavier, wanted, heat).map_or(heavier, |(head, _)| head);
+    (load(heat, piece) <= wanted * MAX_OVERSHOOT).then_some(piece)
 }
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -70,8 +70,10 @@
     Committed(u64),
     /// A condition failed; nothing was written.
     Conflict,
-    /// Nothing was written.
+    /// Nothing was written; the store may take it later.
     Refused,
+    /// Nothing was written, and the store never takes such rows.
+    Invalid,
     /// It may have taken effect, or may still.
     Unknown,
 }
