Tell random refusals from overload; refuse at once when the queue is too long

Cause: an endpoint that sheds part of its requests while it has free slots (srv_grey) was treated as overloaded and spaced out, and requests waited in queues whose expected wait exceeded what they wait at most.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -140,8 +140,10 @@
     pub fn give_back(&self, verdict: Verdict, load: Option<Load>, now: Millis) {
         {
             let mut state = self.state();
-            state.learn(verdict, now);
             let full = load.is_some_and(|load| load.waiting > load.slots * WAITING_PER_SLOT);
+            let busy = load.is_none_or(|load| load.running >= load.slots);
+            state.learn(verdict, now);
+            state.adapt_spacing(verdict, busy, now);
             if let Some(load) = load {
                 state.report = Some((load, now));
                 state.sent_since_report = 0;
@@ -149,8 +151,8 @@
             let ended = match verdict {
                 _ if full => Ended::Shed,
                 Verdict::Answered(latency) => Ended::Served(latency),
-                Verdict::Shed | Verdict::Lost => Ended::Shed,
-                Verdict::Failed | Verdict::Neutral => Ended::Other,
+                Verdict::Shed | Verdict::Lost if busy => Ended::Shed,
+                _ => Ended::Other,
             };
             state.limit.give_back(ended, now);
             if let (Verdict::Answered(latency), Some(load)) = (verdict, load)
@@ -181,6 +183,12 @@
         state.work_ms * (1.0 + 0.25 * busy + queued / slots) * failing
     }
 
+    /// Time between two requests that the endpoint takes from this daemon, in milliseconds.
+    pub fn interval_ms(&self) -> f64 {
+        let state = self.state();
+        (state.work_ms / state.limit.limit().max(1.0)).max(state.spacing_ms)
+    }
+
     /// Whether the endpoint should be left alone at `now`.
     pub fn is_aside(&self, now: Millis) -> bool {
         self.state().aside_until.is_some_and(|until| now < until)
@@ -238,8 +246,12 @@
         }
     }
 
-    fn adapt_spacing(&mut self, verdict: Verdict, now: Millis) {
+    /// An endpoint that refuses although it has free slots fails at random, and waiting would not
+    /// help; neither does a single lost connection show that it is full.
+    fn adapt_spacing(&mut self, verdict: Verdict, busy: bool, now: Millis) {
         match verdict {
+            Verdict::Shed if !busy => {}
+            Verdict::Lost if self.in_a_row < 2 => {}
             Verdict::Shed | Verdict::Lost => {
                 let longer = (self.spacing_ms * 2.0).max(self.work_ms / 4.0);
                 self.spacing_ms = longer.min(MAX_SPACING_MS);
@@ -256,7 +268,6 @@
     }
 
     fn learn(&mut self, verdict: Verdict, now: Millis) {
-        self.adapt_spacing(verdict, now);
         let failed = match verdict {
             Verdict::Answered(latency) => {
                 self.work_ms += WORK_WEIGHT * (latency.0.max(1) as f64 - self.work_ms);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -34,7 +34,7 @@
 };
 
 /// Share of the objective for which a request waits for room, in percent.
-const WAIT_PERCENT: u64 = 60;
+const WAIT_PERCENT: u64 = 120;
 /// Longest pause between looks at the endpoints while a request waits.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Shortest time that a refused caller is asked to stay away, in milliseconds.
@@ -77,6 +77,13 @@
     sends: u32,
 }
 
+impl Job<'_> {
+    /// Whether the requests ahead take longer than this one waits at most.
+    fn would_wait_too_long(&self, ahead: usize, interval_ms: f64, now: Millis) -> bool {
+        ahead as f64 * interval_ms > self.waits_until.since(now).0 as f64
+    }
+}
+
 /// What came of a request.
 enum Outcome {
     Answered(Response<Bytes>),
@@ -301,10 +308,11 @@
                 }
                 Err(obstacle) => obstacle,
             };
-            let until = until.unwrap_or(job.waits_until).min(job.waits_until);
-            if now >= job.waits_until {
+            let is_hopeless = reason == Reason::Busy && until == Some(now);
+            if is_hopeless || now >= job.waits_until {
                 return Room::None(reason);
             }
+            let until = until.unwrap_or(job.waits_until).min(job.waits_until);
             let pause = self
                 .clock
                 .until(until)
@@ -350,12 +358,18 @@
         {
             return Err((Reason::NoEndpoint, None, None));
         }
+        let is_new = turn.is_none();
         let turn = *turn.get_or_insert_with(|| queue.turn(job.route.priority));
         if !queue.is_behind(turn)
             && let Some(member) = choice::take_room(service, &job.tried, now)
         {
             return Ok(member.backend);
         }
+        let usable = service.members.iter().filter(|m| m.leaving.is_none());
+        let rate: f64 = usable.map(|m| 1.0 / m.backend.interval_ms()).sum();
+        if is_new && job.would_wait_too_long(queue.ahead_of(turn), 1.0 / rate, now) {
+            return Err((Reason::Busy, None, Some(now)));
+        }
         Err((Reason::Busy, Some(Arc::clone(queue)), None))
     }
 
@@ -378,10 +392,14 @@
             return Err((Reason::Busy, None, None));
         }
         let queue = &backend.queue;
+        let is_new = turn.is_none();
         let turn = *turn.get_or_insert_with(|| queue.turn(job.route.priority));
         if !queue.is_behind(turn) && backend.try_take(now) {
             return Ok(Arc::clone(backend));
         }
+        if is_new && job.would_wait_too_long(queue.ahead_of(turn), backend.interval_ms(), now) {
+            return Err((Reason::Busy, None, Some(now)));
+        }
         Err((Reason::Busy, Some(Arc::clone(queue)), None))
     }
 
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -46,6 +46,11 @@
             .is_some_and(|(first, _)| *first < turn)
     }
 
+    /// Requests that wait and come before `turn`.
+    pub fn ahead_of(&self, turn: Turn) -> usize {
+        self.state().waiting.range(..turn).count()
+    }
+
     /// Requests that wait.
     pub fn len(&self) -> usize {
         self.state().waiting.len()
