Prove that an endpoint has ended by asking the other daemons; move keys only off busy endpoints

The owners row now names addresses, a successor learns that the former run has ended from the next run's report, and an endpoint that is leaving and refuses connections to every daemon counts as ended. Owners that a daemon does not know yet come with the controller's answer to its report. Key leases are 4 s.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,7 +6,9 @@
     heat::{HeatMap, HeatReport, ServiceHeat, WorkTime},
     model::Configuration,
     owners::Owners,
-    platform::{GrantOutcome, Platform, ReleaseOutcome, Rows, StoredRow, Table, WriteOutcome},
+    platform::{
+        GrantOutcome, Listening, Platform, ReleaseOutcome, Rows, StoredRow, Table, WriteOutcome,
+    },
     term::LeaseRow,
     view::{View, ViewBuilder},
 };
@@ -15,9 +17,9 @@
     collections::{Map, Set},
     peer::{
         client::PeerClient,
-        message::{DaemonReport, PeerReply, PeerRequest, ReportReply},
+        message::{DaemonReport, OwnersNews, PeerReply, PeerRequest, ReportReply},
     },
-    world::{ServiceName, VmName},
+    world::{Incarnation, ServiceName, VmName},
 };
 use arc_swap::ArcSwap;
 use std::{
@@ -30,6 +32,7 @@
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
+    task::JoinSet,
     time::{sleep, timeout},
 };
 
@@ -66,6 +69,8 @@
 pub struct ControlContext {
     /// Name of this daemon.
     pub name: VmName,
+    /// Its run.
+    pub run: Incarnation,
     /// Address of this daemon for others.
     pub peer_addr: SocketAddr,
     /// The daemon's clock.
@@ -166,13 +171,21 @@
     });
 }
 
+/// A daemon that reports.
+#[derive(Clone, Copy, Debug)]
+struct Reporting {
+    at: Millis,
+    run: Incarnation,
+    peer_addr: SocketAddr,
+}
+
 struct Control<P> {
     cx: ControlContext,
     platform: P,
     builder: ViewBuilder,
     controller: Controller,
     heat: Map<ServiceName, HeatMap>,
-    daemons: Map<VmName, Millis>,
+    daemons: Map<VmName, Reporting>,
     peers: PeerClient,
     tx: mpsc::Sender<Input>,
     watch_lease: watch::Sender<bool>,
@@ -340,6 +353,19 @@
 
     fn carry_out(&self, action: Action) {
         let (platform, tx) = (self.platform.clone(), self.tx.clone());
+        if let Action::Confirm(service, id, addr) = action {
+            let others = self.daemons.values().map(|daemon| daemon.peer_addr);
+            let others: Vec<SocketAddr> = others.filter(|a| *a != self.cx.peer_addr).collect();
+            let peers = self.peers.clone();
+            tokio::spawn(async move {
+                let gone = nobody_listens(&peers, &others, addr).await;
+                // The receiver is gone only when the daemon stops.
+                let _ = tx
+                    .send(Input::Controller(Event::Confirmed(service, id, gone)))
+                    .await;
+            });
+            return;
+        }
         tokio::spawn(async move {
             let event = perform(&platform, action).await;
             // The receiver is gone only when the daemon stops.
@@ -355,6 +381,9 @@
         self.reported = now;
         let report = DaemonReport {
             name: self.cx.name.clone(),
+            run: self.cx.run,
+            peer_addr: self.cx.peer_addr,
+            owners: self.builder.owner_versions(),
             heat: self.take_heat(),
         };
         let term = self.controller.term();
@@ -416,7 +445,20 @@
 
     /// Takes in the report of a daemon.
     fn count(&mut self, report: &DaemonReport, now: Millis) {
-        self.daemons.insert(report.name.clone(), now);
+        let reporting = Reporting {
+            at: now,
+            run: report.run,
+            peer_addr: report.peer_addr,
+        };
+        let before = self.daemons.insert(report.name.clone(), reporting);
+        let replaced = before.filter(|before| before.run != report.run);
+        if let Some(run) = replaced.map(|before| before.run) {
+            self.controller.handle(Event::RunEnded(run), now);
+        }
+        let former = self.controller.former_run_of(&report.name, report.run);
+        if let Some(run) = former {
+            self.controller.handle(Event::RunEnded(run), now);
+        }
         for heat in &report.heat.services {
             let map = self.heat.entry(heat.service.clone()).or_default();
             map.add(heat, now);
@@ -425,7 +467,7 @@
 
     fn set_daemons(&mut self, now: Millis) {
         self.daemons
-            .retain(|_, reported| now.since(*reported) < DAEMON_AGE);
+            .retain(|_, daemon| now.since(daemon.at) < DAEMON_AGE);
         let daemons = self.daemons.len().max(1);
         self.cx.daemons.store(daemons, Ordering::Relaxed);
     }
@@ -439,17 +481,54 @@
         let answer = ReportReply {
             lease: lease.map(|row| (term.version(), row.clone())),
             daemons: self.daemons.len() as u32,
+            owners: self.newer_owners(&report),
         };
         // The daemon that asked has gone if nobody takes the answer.
         let _ = reply.send(answer);
     }
 
+    /// Owners that a daemon does not know yet, because its way to the store is slow or cut.
+    fn newer_owners(&self, report: &DaemonReport) -> Vec<OwnersNews> {
+        let known: Map<&ServiceName, u64> = report
+            .owners
+            .iter()
+            .map(|(name, version)| (name, *version))
+            .collect();
+        let newer = self
+            .builder
+            .owners()
+            .filter(|(name, version, _)| known.get(name).copied().unwrap_or_default() < *version);
+        newer
+            .filter_map(|(service, version, owners)| {
+                Some(OwnersNews {
+                    service: service.clone(),
+                    version,
+                    row: owners.encode().ok()?.to_vec(),
+                })
+            })
+            .collect()
+    }
+
+    fn take_owners_news(&mut self, news: Vec<OwnersNews>) {
+        let mut is_newer = false;
+        for row in news {
+            match Owners::decode(&row.row) {
+                Ok(owners) => is_newer |= self.builder.own(row.service, row.version, owners),
+                Err(e) => log::error!(target: "peer", error:% = e; "Owners of a peer unreadable."),
+            }
+        }
+        if is_newer {
+            self.publish();
+        }
+    }
+
     fn take_answer(&mut self, answer: Option<ReportReply>) {
         let now = self.cx.clock.now();
         let Some(answer) = answer else {
             self.answered = None;
             return;
         };
+        self.take_owners_news(answer.owners);
         let Some((version, row)) = answer.lease else {
             self.answered = None;
             return;
@@ -485,9 +564,39 @@
     }
 }
 
+/// Daemons that are asked about an endpoint at most.
+const MAX_ASKED: usize = 24;
+/// Daemons that have to confirm that an endpoint is gone.
+const MIN_CONFIRMING: usize = 2;
+/// Time for a daemon to answer what it finds at an endpoint's address.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest time to give the controller lease up.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Asks `others` whether something listens at `addr`. True if most of them answer, and all that do
+/// found the connection refused.
+async fn nobody_listens(peers: &PeerClient, others: &[SocketAddr], addr: SocketAddr) -> bool {
+    let mut asked = JoinSet::new();
+    for other in others.iter().copied().take(MAX_ASKED) {
+        let peers = peers.clone();
+        asked.spawn(async move {
+            let request = PeerRequest::Probe(addr);
+            peers.send(other, &request, PROBE_TIMEOUT).await
+        });
+    }
+    let count = asked.len();
+    let mut refused = 0;
+    while let Some(answer) = asked.join_next().await {
+        match answer {
+            Ok(Ok(PeerReply::Probe(Listening::No))) => refused += 1,
+            Ok(Ok(PeerReply::Probe(Listening::Yes | Listening::Unknown))) => return false,
+            // A daemon that does not answer proves nothing.
+            _ => {}
+        }
+    }
+    refused >= MIN_CONFIRMING && refused * 4 >= count * 3
+}
+
 async fn perform<P: Platform>(platform: &P, action: Action) -> Event {
     match action {
         Action::Write(id, writes) => {
@@ -510,6 +619,7 @@
             let outcome = timeout(ORDER_TIMEOUT.into(), platform.grant(addr, order)).await;
             Event::Granted(service, id, outcome.unwrap_or(GrantOutcome::Unknown))
         }
+        Action::Confirm(service, id, _) => Event::Confirmed(service, id, false),
         Action::Release(service, id, addr, keys, token) => {
             let released = timeout(RELEASE_TIMEOUT, platform.release(addr, keys, token)).await;
             Event::Released(service, id, released.unwrap_or(ReleaseOutcome::Unknown))
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -26,9 +26,9 @@
 use std::{net::SocketAddr, sync::Arc};
 use writing::PendingWrite;
 
-/// Length of a key lease. It outlasts the loss of a controller (about 3 s until the successor has
+/// Length of a key lease. It outlasts the loss of a controller (about 2.5 s until the successor has
 /// renewed the leases), and bounds how long the keys of a silent endpoint stay unserved.
-pub const KEY_LEASE: Millis = Millis(5_000);
+pub const KEY_LEASE: Millis = Millis(4_000);
 /// Time after which an order without an answer counts as lost. Its connection is closed then.
 pub const ORDER_TIMEOUT: Millis = Millis(800);
 /// Bits of a fencing token below the epoch.
@@ -61,6 +61,10 @@
     Granted(ServiceName, RangeId, GrantOutcome),
     /// An endpoint answered a release, or did not.
     Released(ServiceName, RangeId, ReleaseOutcome),
+    /// Whether the other daemons agree that nothing listens at the address of a range's owner.
+    Confirmed(ServiceName, RangeId, bool),
+    /// A run of a daemon gives no more orders.
+    RunEnded(Incarnation),
 }
 
 /// What has to be done.
@@ -76,6 +80,8 @@
     Grant(ServiceName, RangeId, SocketAddr, GrantOrder),
     /// Take keys back from an endpoint.
     Release(ServiceName, RangeId, SocketAddr, KeyRange, u64),
+    /// Ask the other daemons whether nothing listens at the address of a range's owner.
+    Confirm(ServiceName, RangeId, SocketAddr),
 }
 
 /// The state of the controller on one daemon. Most daemons only watch the lease.
@@ -95,6 +101,9 @@
     pending: Option<PendingWrite>,
     not_before: Millis,
     grace: Millis,
+    /// The run that held the lease before, unless it has surely ended.
+    former: Option<Incarnation>,
+    former_name: Option<VmName>,
     last_token: u64,
     last_id: u64,
 }
@@ -123,6 +132,8 @@
             pending: None,
             not_before: Millis::ZERO,
             grace: Millis::ZERO,
+            former: None,
+            former_name: None,
             last_token: 0,
             last_id: 0,
         }
@@ -138,6 +149,12 @@
         &self.services
     }
 
+    /// The run of `name` that held the lease before, if the daemon has another run by now.
+    pub fn former_run_of(&self, name: &VmName, run: Incarnation) -> Option<Incarnation> {
+        let former = self.former.filter(|former| *former != run)?;
+        (self.former_name.as_ref() == Some(name)).then_some(former)
+    }
+
     /// Gives the lease up as soon as possible.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -160,6 +177,8 @@
             Event::Released(service, id, outcome) => {
                 self.finish_release(&service, id, outcome, now);
             }
+            Event::Confirmed(service, id, gone) => self.finish_confirm(&service, id, gone, now),
+            Event::RunEnded(run) => self.end_run(run, now),
         }
     }
 
@@ -196,6 +215,22 @@
         }
     }
 
+    /// A former holder that has surely ended shortens the wait for leases that it gave.
+    fn end_run(&mut self, run: Incarnation, now: Millis) {
+        self.term.note_ended(run);
+        if self.former != Some(run) || !self.term.is_mine() {
+            return;
+        }
+        self.former = None;
+        let ends = now + ORDER_TIMEOUT + self.longest_lease();
+        self.grace = self.grace.min(ends);
+        for held in self.services.values_mut().flat_map(|m| &mut m.ranges) {
+            if !held.confirmed {
+                held.ends = held.ends.min(ends);
+            }
+        }
+    }
+
     fn drop_services(&mut self) {
         self.services.clear();
         self.loaded = false;
@@ -236,6 +271,7 @@
         for (service, version, owners) in rows {
             let mut managed = Managed::new(version, now);
             for range in owners.ranges() {
+                self.addrs.entry(range.owner.clone()).or_insert(range.addr);
                 let held = Held {
                     id: self.next_id(),
                     keys: range.keys,
@@ -248,6 +284,7 @@
                     in_flight: false,
                     confirmed: false,
                     failures: 0,
+                    nobody_listens: false,
                 };
                 managed.ranges.push(held);
             }
--- a/src/gateway/controller/managed.rs
+++ b/src/gateway/controller/managed.rs
@@ -3,12 +3,13 @@
 use super::RangeId;
 use crate::{
     clock::Millis,
+    collections::Map,
     gateway::{
         model::{EndpointRun, KeyRange},
         owners::{OwnedRange, Owners},
     },
 };
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 /// Where a range stands on its way from one owner to the next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     pub confirmed: bool,
     /// Orders in a row that had no answer.
     pub failures: u32,
+    /// Whether the last order found that nothing listens at the owner's address.
+    pub nobody_listens: bool,
 }
 
 impl Held {
@@ -123,12 +126,16 @@
     }
 
     /// The content of the row.
-    pub fn owners(&self) -> Owners {
+    ///
+    /// `addrs` has the addresses of all owners.
+    pub fn owners(&self, addrs: &Map<EndpointRun, SocketAddr>) -> Owners {
         let owned = self.ranges.iter().filter_map(|held| {
             let owner = held.owner.clone()?;
+            let addr = *addrs.get(&owner)?;
             (held.phase != Phase::Free).then(|| OwnedRange {
                 keys: held.keys,
                 owner,
+                addr,
                 token: held.token,
                 handover: held.handover.clone(),
             })
--- a/src/gateway/controller/orders.rs
+++ b/src/gateway/controller/orders.rs
@@ -24,7 +24,7 @@
 /// Time for which a silent endpoint gets no keys at first.
 const AVOID_FIRST: Millis = Millis(3_000);
 /// Time between rounds of planned moves of a service.
-const MOVE_EVERY: Millis = Millis(1_000);
+const MOVE_EVERY: Millis = Millis(500);
 /// Ranges of a service above which no more are split, so that its row keeps to the size that the
 /// store accepts.
 const MAX_RANGES: usize = 2_000;
@@ -64,7 +64,7 @@
                 let avoided = self.avoided.get(&entry.run);
                 let failing = avoided.is_some_and(|avoided| now < avoided.until);
                 let work_ms = heat.work_ms(&entry.run.name).unwrap_or(DEFAULT_WORK_MS);
-                let speed = f64::from(entry.slots) * DEFAULT_WORK_MS / work_ms.max(1.0);
+                let speed = f64::from(entry.slots) * 1_000.0 / work_ms.max(1.0);
                 let warm = if entry.warmup > Millis::ZERO {
                     WARMING_CAPACITY
                 } else {
@@ -144,6 +144,7 @@
             in_flight: false,
             confirmed: false,
             failures: 0,
+            nobody_listens: false,
         }
     }
 
@@ -412,10 +413,41 @@
                 held.handover = handover;
                 held.ends = now;
             }
+            ReleaseOutcome::NobodyListens => {
+                held.nobody_listens = true;
+                held.failures += 1;
+                // The machine may vanish soon, and then nothing can be told any more.
+                held.due = now;
+            }
             ReleaseOutcome::Unknown => {
                 held.failures += 1;
                 held.due = now + RETRY_PAUSE;
             }
         }
     }
+
+    /// An endpoint that is leaving or has no entry, and at whose address no daemon finds a listener,
+    /// has ended. A single daemon may be cut off from an endpoint that serves the others.
+    pub(super) fn finish_confirm(
+        &mut self,
+        name: &ServiceName,
+        id: RangeId,
+        gone: bool,
+        now: Millis,
+    ) {
+        let Some(held) = self.services.get_mut(name).and_then(|m| m.range_mut(id)) else {
+            return;
+        };
+        held.in_flight = false;
+        held.nobody_listens = false;
+        held.due = now + RETRY_PAUSE;
+        log::info!(target: "ownership", service:% = name, first = held.keys.first,
+            last = held.keys.last, owner:% = held.owner.as_ref().map_or("", |o| &o.name), gone;
+            "Other daemons asked for the endpoint.");
+        if gone && held.phase == (Phase::Releasing { planned: false }) {
+            held.phase = Phase::Free;
+            held.handover = None;
+            held.ends = now;
+        }
+    }
 }
--- a/src/gateway/controller/writing.rs
+++ b/src/gateway/controller/writing.rs
@@ -94,7 +94,7 @@
                 table: Table::Owners,
                 name: Arc::clone(&name.0),
                 expected: Some(managed.version),
-                value: managed.owners().encode().ok(),
+                value: managed.owners(&self.addrs).encode().ok(),
             });
         }
         PendingWrite {
@@ -146,6 +146,8 @@
             return;
         };
         let former_ended = self.term.former_has_ended();
+        let former_name = self.term.row().map(|row| row.holder.clone());
+        let former_run = self.term.row().map(|row| row.run).filter(|_| !former_ended);
         self.term.wrote(version, pending.row, pending.sent, now);
         if pending.takes_over {
             let former = if former_ended {
@@ -154,6 +156,8 @@
                 STOP_AFTER
             };
             self.start_epoch(now, former);
+            self.former = former_run;
+            self.former_name = former_name;
         }
         for (name, ids) in pending.ranges {
             let Some(managed) = self.services.get_mut(&name) else {
--- a/src/gateway/heat.rs
+++ b/src/gateway/heat.rs
@@ -6,7 +6,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Time after which a past request counts 1/e of a present one.
-const MEMORY_MS: f64 = 3_000.0;
+const MEMORY_MS: f64 = 1_500.0;
 /// Rate below which a key is forgotten, in requests a second.
 const FORGET_BELOW: f64 = 0.01;
 /// Weight of a report's work time in the average.
@@ -97,8 +97,13 @@
         self.rates.values().sum()
     }
 
-    /// Average work time at an endpoint, in milliseconds.
+    /// Average work time at an endpoint, in milliseconds; that of all endpoints if this one's is
+    /// not known, and `None` if nothing is known.
     pub fn work_ms(&self, endpoint: &str) -> Option<f64> {
-        self.work_ms.get(endpoint).copied()
+        let known = self.work_ms.get(endpoint).copied();
+        known.or_else(|| {
+            let count = self.work_ms.len();
+            (count > 0).then(|| self.work_ms.values().sum::<f64>() / count as f64)
+        })
     }
 }
--- a/src/gateway/owners.rs
+++ b/src/gateway/owners.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 /// Keys that one endpoint owns under one fencing token.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     pub keys: KeyRange,
     /// The owner.
     pub owner: EndpointRun,
+    /// Address of the owner, known to successors of the controller after its entry is gone.
+    pub addr: SocketAddr,
     /// Fencing token of the owner's grant when the row was written.
     pub token: u64,
     /// State that the former owner handed over.
@@ -62,7 +64,7 @@
         let mut row = OwnersRow::default();
         for range in &self.ranges {
             let place = *places.entry(&range.owner).or_insert_with(|| {
-                row.owners.push(range.owner.clone());
+                row.owners.push((range.owner.clone(), range.addr));
                 row.owners.len() as u32 - 1
             });
             row.ranges.push(RangeRow {
@@ -82,10 +84,11 @@
     pub fn decode(value: &[u8]) -> Result<Self, CodecError> {
         let row: OwnersRow = codec::decode(value)?;
         let ranges = row.ranges.into_iter().map(|range| {
-            let owner = row.owners.get(range.owner as usize)?;
+            let (owner, addr) = row.owners.get(range.owner as usize)?;
             Some(OwnedRange {
                 keys: range.keys,
                 owner: owner.clone(),
+                addr: *addr,
                 token: range.token,
                 handover: range.handover,
             })
@@ -106,7 +109,7 @@
 
 #[derive(Default, Serialize, Deserialize)]
 struct OwnersRow {
-    owners: Vec<EndpointRun>,
+    owners: Vec<(EndpointRun, SocketAddr)>,
     ranges: Vec<RangeRow>,
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -9,10 +9,11 @@
 const IDLE_KEY_RATE: f64 = 0.0005;
 /// Parts that keys without an owner are cut into, for each endpoint that could take them.
 const PARTS_PER_ENDPOINT: f64 = 0.5;
-/// Load difference, as a share of the mean, above which keys move.
-const MOVE_ABOVE: f64 = 0.25;
-/// Load difference in requests a second above which keys move.
-const MOVE_ABOVE_RATE: f64 = 3.0;
+/// Share of its capacity below which an endpoint keeps its keys: requests hardly wait there, and
+/// every move interrupts its keys for a moment.
+const BUSY: f64 = 0.5;
+/// Load above an endpoint's fair part, as a share of its capacity, above which keys move.
+const MOVE_ABOVE: f64 = 0.12;
 
 /// Load of a piece, as a multiple of what is wanted, above which it is not moved.
 const MAX_OVERSHOOT: f64 = 1.6;
@@ -24,7 +25,7 @@
 pub struct Candidate {
     /// The endpoint.
     pub run: EndpointRun,
-    /// Requests that it can serve, relative to the others.
+    /// Requests that it can serve in a second.
     pub capacity: f64,
     /// Ranges that it owns.
     pub ranges: Vec<KeyRange>,
@@ -176,9 +177,12 @@
         self.loads[i] - self.total * self.candidates[i].capacity / self.capacity
     }
 
+    fn is_overloaded(&self, i: usize) -> bool {
+        let capacity = self.candidates[i].capacity;
+        self.loads[i] > capacity * BUSY && self.excess(i) > capacity * MOVE_ABOVE
+    }
+
     fn next_move(&mut self) -> Option<Move> {
-        let mean = self.total / self.candidates.len() as f64;
-        let worth_moving = (mean * MOVE_ABOVE).max(MOVE_ABOVE_RATE) * 2.0;
         loop {
             let all = 0..self.candidates.len();
             let by_excess = |a: &usize, b: &usize| self.excess(*a).total_cmp(&self.excess(*b));
@@ -188,7 +192,9 @@
                 .max_by(by_excess)?;
             let to = all.filter(|i| self.may_receive[*i]).min_by(by_excess)?;
             let (above, below) = (self.excess(from), -self.excess(to));
-            if from == to || above + below < worth_moving {
+            // An endpoint that has just joined gets keys even if nobody is busy.
+            let is_idle = self.ranges[to].is_empty() && self.total > 0.0;
+            if from == to || below <= 0.0 || !(is_idle || self.is_overloaded(from)) {
                 return None;
             }
             let wanted = above
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -4,6 +4,7 @@
 use crate::clock::Millis;
 use bytes::Bytes;
 use http::HeaderName;
+use serde::{Deserialize, Serialize};
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 use strum::{Display, EnumCount, EnumIter};
 
@@ -125,10 +126,23 @@
 pub enum ReleaseOutcome {
     /// It no longer owns the keys, and no work runs on them.
     Released(Option<Arc<str>>),
+    /// Nothing listens at its address, as seen from this daemon.
+    NobodyListens,
     /// It may still own the keys.
     Unknown,
 }
 
+/// What an attempt to connect shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Listening {
+    /// Something accepts connections.
+    Yes,
+    /// Connections are refused.
+    No,
+    /// There is no answer.
+    Unknown,
+}
+
 /// Names of the headers that the platform defines.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -179,6 +193,9 @@
         token: u64,
     ) -> impl Future<Output = ReleaseOutcome> + Send;
 
+    /// Whether something accepts connections at `addr`.
+    fn probe(&self, addr: SocketAddr) -> impl Future<Output = Listening> + Send;
+
     /// Decodes a declared configuration from a row; `None` if the row holds something else.
     fn configuration(&self, row: &StoredRow) -> Option<Result<Configuration, String>>;
 
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -14,7 +14,7 @@
     clock::{Clock, Millis},
     entry::metrics::Metrics,
     peer::{
-        message::{PeerReply, PeerRequest},
+        message::{DaemonReport, PeerReply, PeerRequest},
         server::{self as peer_server, Handler, Pending},
     },
     world::{Incarnation, VmName, ZoneName},
@@ -89,6 +89,7 @@
     let daemons = Arc::new(AtomicUsize::new(1));
     let control = ControlContext {
         name: options.name.clone(),
+        run: Incarnation::random(),
         peer_addr: options.peer_addr,
         clock,
         view: Arc::clone(&view),
@@ -201,7 +202,7 @@
     let builder = ViewBuilder::new(options.zone.clone(), options.budget);
     let controller = Controller::new(
         options.name.clone(),
-        Incarnation::random(),
+        cx.run,
         options.peer_addr,
         platform.max_lease(),
         Millis(rand::random_range(0..=MAX_JITTER_MS)),
@@ -213,7 +214,7 @@
         .spawn(move || {
             runtime.block_on(async move {
                 let (tx, reports) = mpsc::channel(REPORT_RING);
-                let handler = report_handler(tx);
+                let handler = peer_handler(tx, platform.clone());
                 tokio::spawn(peer_server::serve(listener, handler, stop.clone()));
                 control::run(cx, platform, builder, controller, reports, stop).await;
             });
@@ -221,22 +222,31 @@
     Ok(thread)
 }
 
-/// Hands reports of other daemons to the control thread.
-fn report_handler(tx: mpsc::Sender<ReportSent>) -> Handler<PeerRequest, PeerReply> {
+/// Answers other daemons.
+fn peer_handler<P: Platform>(
+    tx: mpsc::Sender<ReportSent>,
+    platform: P,
+) -> Handler<PeerRequest, PeerReply> {
     Arc::new(move |request| -> Pending<PeerReply> {
-        let tx = tx.clone();
+        let (tx, platform) = (tx.clone(), platform.clone());
         Box::pin(async move {
-            let PeerRequest::Report(report) = request else {
-                return PeerReply::Error("this daemon takes reports only".into());
-            };
-            let (reply, answer) = oneshot::channel();
-            if tx.try_send((report, reply)).is_err() {
-                return PeerReply::Error("the daemon is busy or stopping".into());
-            }
-            match answer.await {
-                Ok(answer) => PeerReply::Report(answer),
-                Err(_) => PeerReply::Error("the daemon is stopping".into()),
+            match request {
+                PeerRequest::Report(report) => hand_over(&tx, report).await,
+                PeerRequest::Probe(addr) => PeerReply::Probe(platform.probe(addr).await),
+                _ => PeerReply::Error("this daemon keeps ranges, not partitions".into()),
             }
         })
     })
 }
+
+/// Hands a report to the control thread and waits for its answer.
+async fn hand_over(tx: &mpsc::Sender<ReportSent>, report: DaemonReport) -> PeerReply {
+    let (reply, answer) = oneshot::channel();
+    if tx.try_send((report, reply)).is_err() {
+        return PeerReply::Error("the daemon is busy or stopping".into());
+    }
+    match answer.await {
+        Ok(answer) => PeerReply::Report(answer),
+        Err(_) => PeerReply::Error("the daemon is stopping".into()),
+    }
+}
--- a/src/gateway/term.rs
+++ b/src/gateway/term.rs
@@ -15,12 +15,12 @@
 use std::net::SocketAddr;
 
 /// Time between renewals.
-pub const RENEW_EVERY: Millis = Millis(1_000);
+pub const RENEW_EVERY: Millis = Millis(800);
 /// Age of an unchanged row at which another daemon takes it over.
-pub const TAKEOVER_AFTER: Millis = Millis(2_400);
+pub const TAKEOVER_AFTER: Millis = Millis(2_000);
 /// Time after the last renewal for which the holder gives orders. Store outages up to this length
 /// plus most of a key lease leave ownership untouched.
-pub const STOP_AFTER: Millis = Millis(6_000);
+pub const STOP_AFTER: Millis = Millis(9_500);
 
 /// Content of the lease row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +67,8 @@
     changed: Option<Millis>,
     renewed: Option<Millis>,
     jitter: Millis,
+    /// The last run that is known to give no more orders.
+    ended: Option<Incarnation>,
 }
 
 impl Term {
@@ -80,9 +82,15 @@
             changed: None,
             renewed: None,
             jitter,
+            ended: None,
         }
     }
 
+    /// Takes in that `run` gives no more orders.
+    pub fn note_ended(&mut self, run: Incarnation) {
+        self.ended = Some(run);
+    }
+
     /// Version of the row that was last seen; 0 for none.
     pub fn version(&self) -> u64 {
         self.version
@@ -156,6 +164,7 @@
             Some(row) if row.released => age >= self.jitter,
             // The former run on this VM has ended.
             Some(row) if row.holder == self.me => true,
+            Some(row) if self.ended == Some(row.run) => age >= self.jitter,
             Some(_) => age >= TAKEOVER_AFTER + self.jitter,
         }
     }
@@ -164,7 +173,7 @@
     pub fn former_has_ended(&self) -> bool {
         self.row
             .as_ref()
-            .is_none_or(|row| row.released || row.holder == self.me)
+            .is_none_or(|row| row.released || row.holder == self.me || self.ended == Some(row.run))
     }
 
     /// The next content of the row.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -249,6 +249,21 @@
         newer
     }
 
+    /// The owners of each service's keys, with the versions of their rows.
+    pub fn owners(&self) -> impl Iterator<Item = (&ServiceName, u64, &Owners)> {
+        self.owners
+            .iter()
+            .map(|(name, (version, owners))| (name, *version, &**owners))
+    }
+
+    /// Versions of the owners' rows.
+    pub fn owner_versions(&self) -> Vec<(ServiceName, u64)> {
+        let versions = self
+            .owners()
+            .map(|(name, version, _)| (name.clone(), version));
+        versions.collect()
+    }
+
     /// Builds a view of what is known at `now`.
     pub fn build(&mut self, now: Millis) -> View {
         let Some(config) = self.config.clone() else {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,7 +7,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use std::{net::SocketAddr, time::Duration};
+use std::{error::Error, io, net::SocketAddr, time::Duration};
 
 /// Largest answer that is accepted, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -26,6 +26,9 @@
 /// Why a control request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum HttpError {
+    /// Nothing listens at the address, so nothing was sent.
+    #[error("the connection was refused")]
+    Refused,
     /// No connection was made, so nothing was sent.
     #[error("could not connect: {0}")]
     Connect(String),
@@ -132,7 +135,9 @@
 
     async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Response<Bytes>, HttpError> {
         let answer = self.inner.request(req).await.map_err(|e| {
-            if e.is_connect() {
+            if e.is_connect() && is_refusal(&e) {
+                HttpError::Refused
+            } else if e.is_connect() {
                 HttpError::Connect(e.to_string())
             } else {
                 HttpError::Incomplete(e.to_string())
@@ -146,3 +151,16 @@
         Ok(Response::from_parts(parts, body.to_bytes()))
     }
 }
+
+/// Whether the system reported that nothing listens.
+fn is_refusal(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(e) = cause {
+        let io = e.downcast_ref::<io::Error>();
+        if io.is_some_and(|io| io.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = e.source();
+    }
+    false
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     config::ConfigSnapshot,
-    gateway::{heat::HeatReport, term::LeaseRow},
+    gateway::{heat::HeatReport, platform::Listening, term::LeaseRow},
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
-    world::{GroupId, Incarnation, Link, Vm, VmName},
+    world::{GroupId, Incarnation, Link, ServiceName, Vm, VmName},
 };
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 /// First byte of every frame. A daemon answers other versions with an error.
 pub const PROTOCOL_VERSION: u8 = 1;
@@ -31,6 +31,8 @@
     Forward(ForwardRequest),
     /// Tells the controller of ranges what a daemon counted.
     Report(DaemonReport),
+    /// Asks whether something listens at an endpoint's address.
+    Probe(SocketAddr),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -46,6 +48,8 @@
     Forward(ForwardReply),
     /// Answers [`PeerRequest::Report`].
     Report(ReportReply),
+    /// Answers [`PeerRequest::Probe`].
+    Probe(Listening),
     /// The request could not be understood or served.
     Error(Arc<str>),
 }
@@ -55,6 +59,12 @@
 pub struct DaemonReport {
     /// The daemon.
     pub name: VmName,
+    /// Its run.
+    pub run: Incarnation,
+    /// Its address for other daemons.
+    pub peer_addr: SocketAddr,
+    /// Versions of the owners that it knows.
+    pub owners: Vec<(ServiceName, u64)>,
     /// What it counted since its last report.
     pub heat: HeatReport,
 }
@@ -66,6 +76,19 @@
     pub lease: Option<(u64, LeaseRow)>,
     /// Daemons that report at present.
     pub daemons: u32,
+    /// Owners in newer versions than the daemon knows, as in the store.
+    pub owners: Vec<OwnersNews>,
+}
+
+/// The owners of a service's keys, as in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnersNews {
+    /// The service.
+    pub service: ServiceName,
+    /// Version of the row.
+    pub version: u64,
+    /// Content of the row.
+    pub row: Vec<u8>,
 }
 
 /// What a daemon tells of itself; its heartbeat.
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -257,7 +257,7 @@
                 let answer = (context.forward)(forward);
                 Box::pin(async move { PeerReply::Forward(answer.await) })
             }
-            PeerRequest::Report(_) => {
+            PeerRequest::Report(_) | PeerRequest::Probe(_) => {
                 Box::pin(async { PeerReply::Error("this daemon keeps no ranges".into()) })
             }
             PeerRequest::Sync(sync) => {
