--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -38,7 +38,7 @@
 /// Added to a lease for timers that fire late.
 const LEASE_MARGIN: Millis = Millis(200);
 /// Time to gather endpoints before the keys of a new service are first assigned.
-const GATHER: Millis = Millis(700);
+const GATHER: Millis = Millis(2_000);
 
 /// Identifies a range of keys within the memory of one controller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
