Test ownership under random faults; release keys from an endpoint that started again

Adds tests of src/gateway: a simulated platform around three controllers with random faults (one owner of a key at any time, all keys served again afterwards), a whole daemon with endpoints that answer badly, decoders of the adapter, routes, budget, queue and placement.

Found by the simulation: a grant meant for a former run reached the run that had started at its address; the controller then saw the former run ended and gave the keys to others at once. Keys that may have been granted since are now released at that address first. A planned move whose owner vanished kept sending releases every 20 ms; it now counts as an unplanned one.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -328,6 +328,15 @@
 
     /// What is known of the endpoint that ran as `run`.
     fn standing(&self, run: &EndpointRun) -> Standing {
+        let addr = self.addrs.get(run);
+        let replaced = addr.is_some_and(|addr| {
+            self.endpoints
+                .values()
+                .any(|e| e.addr == *addr && e.run.born_ms > run.born_ms)
+        });
+        if replaced {
+            return Standing::Replaced;
+        }
         if let Some(entry) = self.endpoints.get(&run.name) {
             if entry.run.born_ms > run.born_ms {
                 return Standing::Ended;
@@ -340,17 +349,7 @@
                 };
             }
         }
-        let addr = self.addrs.get(run);
-        let replaced = addr.is_some_and(|addr| {
-            self.endpoints
-                .values()
-                .any(|e| e.addr == *addr && e.run.born_ms > run.born_ms)
-        });
-        if replaced {
-            Standing::Ended
-        } else {
-            Standing::Leaving
-        }
+        Standing::Leaving
     }
 }
 
@@ -368,6 +367,8 @@
     Present,
     /// It is draining, or its entry is gone; it may still hold its keys.
     Leaving,
-    /// A later run under its name or address proves that it has ended.
+    /// A later run under its name proves that it has ended.
     Ended,
+    /// A later run at its address proves that it has ended, and may have taken orders for it.
+    Replaced,
 }
--- a/src/gateway/controller/orders.rs
+++ b/src/gateway/controller/orders.rs
@@ -277,7 +277,20 @@
         let before = held.phase;
         let silent = held.failures >= MAX_FAILURES;
         match (held.phase, standing) {
-            (_, Standing::Ended) => held.phase = Phase::Free,
+            // Orders for the former run may have reached the present one at the same address.
+            (Phase::Held, Standing::Replaced) if now < held.ends => {
+                held.phase = Phase::Releasing { planned: false };
+                held.token = self.next_token();
+                held.due = now;
+                held.failures = 0;
+            }
+            (Phase::Releasing { .. }, Standing::Replaced) if now < held.ends => {
+                held.phase = Phase::Releasing { planned: false };
+            }
+            (_, Standing::Ended | Standing::Replaced) => held.phase = Phase::Free,
+            (Phase::Releasing { planned: true }, Standing::Leaving) => {
+                held.phase = Phase::Releasing { planned: false };
+            }
             (Phase::Held, Standing::Leaving) => {
                 held.phase = Phase::Releasing { planned: false };
                 held.token = self.next_token();
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -127,6 +127,18 @@
             .header("content-type", "application/json")
             .body(Full::new(body.into()))
             .map_err(|e| HttpError::Connect(e.to_string()))?;
+        self.request(req, timeout).await
+    }
+
+    /// Sends any request and reads the whole answer within `timeout`.
+    ///
+    /// # Errors
+    /// [`HttpError`] if there is no complete answer.
+    pub async fn request(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, HttpError> {
         match tokio::time::timeout(timeout, self.exchange(req)).await {
             Ok(answer) => answer,
             Err(_) => Err(HttpError::Timeout(timeout)),
--- /dev/null
+++ b/tests/gateway/budget.rs
@@ -0,0 +1,57 @@
+//! The shared retry budget.
+
+use fireflygauge::{
+    clock::Millis,
+    gateway::budget::{BudgetRule, RetryBudget},
+};
+use test_case::test_case;
+
+const RULE: BudgetRule = BudgetRule {
+    ratio: 0.2,
+    extra: 58.0,
+    window: Millis(10_000),
+};
+
+/// Guards against daemons that together send more repeats than the platform allows, in any window.
+#[test_case(1, 0; "alone, without requests")]
+#[test_case(9, 0; "nine daemons, without requests")]
+#[test_case(9, 100; "nine daemons, with requests")]
+#[test_case(62, 20; "many daemons")]
+fn repeats_keep_to_the_budget(daemons: usize, per_second: u32) {
+    let mut budget = RetryBudget::new(RULE);
+    let (mut requests, mut repeats): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
+    for ms in (0..40_000).step_by(10) {
+        if per_second > 0 && ms % (1_000 / u64::from(per_second)).max(1) < 10 {
+            budget.count_request(Millis(ms));
+            requests.push(ms);
+        }
+        while budget.try_repeat(daemons, Millis(ms)) {
+            repeats.push(ms);
+        }
+    }
+    for from in (0..30_000).step_by(100) {
+        let within = |times: &[u64]| {
+            times
+                .iter()
+                .filter(|t| (from..from + 10_000).contains(*t))
+                .count()
+        };
+        let share = RULE.extra / daemons as f64;
+        // The window of the requests may be the one half a window before.
+        let shifted = requests.iter().filter(|t| {
+            let from = from.saturating_sub(5_000);
+            (from..from + 10_000).contains(*t)
+        });
+        let most = within(&requests).max(shifted.count());
+        assert!(within(&repeats) as f64 <= RULE.ratio * most as f64 + share);
+    }
+}
+
+/// Guards against a budget that is never refilled.
+#[test]
+fn repeats_are_possible_again_after_the_window() {
+    let mut budget = RetryBudget::new(RULE);
+    while budget.try_repeat(1, Millis(0)) {}
+    assert!(!budget.try_repeat(1, Millis(9_000)));
+    assert!(budget.try_repeat(1, Millis(11_000)));
+}
--- /dev/null
+++ b/tests/gateway/choice.rs
@@ -0,0 +1,78 @@
+//! Choosing an endpoint.
+
+use fireflygauge::{
+    clock::Millis,
+    gateway::{
+        backend::{Backend, Load, Verdict},
+        gate::WaitQueue,
+        model::{EndpointEntry, EndpointRun, KeyRange},
+    },
+};
+use std::sync::Arc;
+use test_case::test_case;
+
+fn backend() -> Backend {
+    let entry = EndpointEntry {
+        run: EndpointRun {
+            name: "e".into(),
+            born_ms: 1,
+        },
+        service: "records".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        slots: 4,
+        draining: false,
+        warmup: Millis::ZERO,
+    };
+    Backend::new(entry, Arc::new(WaitQueue::default()), Millis(0))
+}
+
+fn finish(backend: &Backend, verdict: Verdict, load: Option<Load>, now: u64) {
+    assert!(backend.try_take(Millis(now)));
+    backend.give_back(verdict, load, Millis(now));
+}
+
+/// Guards against an endpoint that keeps getting requests although all fail.
+#[test]
+fn failures_in_a_row_set_an_endpoint_aside() {
+    let backend = backend();
+    for i in 0..3 {
+        finish(&backend, Verdict::Failed, None, i);
+    }
+    assert!(backend.is_aside(Millis(10)));
+    assert!(!backend.is_aside(Millis(2_000)));
+}
+
+/// Guards against spacing requests out because of refusals that have nothing to do with load.
+#[test_case(Load { running: 1, waiting: 0, slots: 4 }, true; "free slots")]
+#[test_case(Load { running: 4, waiting: 4, slots: 4 }, false; "no free slots")]
+fn only_busy_endpoints_are_spaced_out(load: Load, takes_more: bool) {
+    let backend = backend();
+    finish(&backend, Verdict::Shed, Some(load), 1_000);
+    assert_eq!(backend.try_take(Millis(1_001)), takes_more);
+}
+
+/// Guards against requests that are sent to a long queue.
+#[test]
+fn a_long_queue_is_left_alone_until_it_has_drained() {
+    let backend = backend();
+    let load = Load {
+        running: 4,
+        waiting: 12,
+        slots: 4,
+    };
+    finish(&backend, Verdict::Answered(Millis(100)), Some(load), 1_000);
+    assert!(!backend.try_take(Millis(1_001)));
+    assert!(backend.try_take(Millis(1_700)));
+}
+
+/// Guards against a storm of requests at an endpoint whose keys are moving.
+#[test]
+fn keys_that_are_not_owned_are_held_back_for_a_moment() {
+    let backend = backend();
+    let keys = KeyRange { first: 1, last: 9 };
+    backend.denied(keys, 5, Millis(100));
+    assert!(backend.denied_until(keys, 5, Millis(120)).is_some());
+    assert!(backend.denied_until(keys, 6, Millis(120)).is_none());
+    assert!(backend.denied_until(keys, 5, Millis(400)).is_none());
+}
--- /dev/null
+++ b/tests/gateway/fake_platform.rs
@@ -0,0 +1,224 @@
+//! A platform in memory: a store with feeds, and orders that endpoints always take.
+
+use bytes::Bytes;
+use fireflygauge::{
+    clock::Millis,
+    gateway::{
+        model::{
+            CallerLimits, Configuration, EndpointEntry, EndpointRun, KeyRange, Repeats, Route,
+            Service, Share,
+        },
+        platform::{
+            Changes, GrantOrder, GrantOutcome, HeaderNames, Listening, Platform, ReleaseOutcome,
+            RowWrite, Rows, StoreError, StoredRow, Table, WriteOutcome,
+        },
+    },
+};
+use http::HeaderName;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::time::sleep;
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    rows: BTreeMap<(u8, Arc<str>), (u64, Bytes)>,
+}
+
+/// The platform. The rows of endpoints and declarations are texts that only the tests understand.
+#[derive(Clone)]
+pub struct FakePlatform {
+    state: Arc<Mutex<State>>,
+    names: Arc<HeaderNames>,
+}
+
+/// Names of the headers.
+pub fn names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-deadline"),
+        expected_endpoint: HeaderName::from_static("x-endpoint"),
+        not_executed: HeaderName::from_static("x-not-run"),
+        signature: HeaderName::from_static("x-signature"),
+        load: HeaderName::from_static("x-load"),
+        key: HeaderName::from_static("x-key"),
+    }
+}
+
+impl FakePlatform {
+    /// An empty platform.
+    pub fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            names: Arc::new(names()),
+        }
+    }
+
+    /// Declares the configuration of the tests as `version`.
+    pub fn declare(&self, version: u64) {
+        self.put(Table::Declarations, "config", &version.to_string());
+    }
+
+    /// Registers an endpoint.
+    pub fn register(&self, name: &str, service: &str, addr: SocketAddr) {
+        self.put(Table::Endpoints, name, &format!("{service} {addr}"));
+    }
+
+    fn put(&self, table: Table, name: &str, value: &str) {
+        let mut state = self.state.lock().expect("no panic while locked");
+        state.version += 1;
+        let row = (state.version, Bytes::from(value.to_owned()));
+        state.rows.insert((table as u8, name.into()), row);
+    }
+
+    fn rows_after(&self, table: Table, after: u64) -> Rows {
+        let state = self.state.lock().expect("no panic while locked");
+        let of_table = state.rows.iter().filter(|((t, _), _)| *t == table as u8);
+        let newer = of_table.filter(|(_, (version, _))| *version > after);
+        let rows = newer.map(|((_, name), (version, value))| StoredRow {
+            name: Arc::clone(name),
+            version: *version,
+            value: Some(value.clone()),
+        });
+        Rows {
+            rows: rows.collect(),
+            version: state.version,
+        }
+    }
+}
+
+/// The configuration of the tests: routes `/safe/` and `/unsafe/` to the service `plain`, and
+/// `/keyed/` to the service `keyed`.
+fn configuration(version: u64) -> Configuration {
+    let route = |prefix: &str, service: &str, repeats| Route {
+        name: prefix.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        repeats,
+        timeout: Millis(1_500),
+        objective: Millis(500),
+        priority: 1,
+        max_attempts: 3,
+        shares: vec![Share {
+            service: service.into(),
+            weight: 1.0,
+        }],
+    };
+    let service = |name: &str, keyed| {
+        let service = Service {
+            name: name.into(),
+            keyed,
+            max_connections: 100,
+        };
+        (service.name.clone(), service)
+    };
+    Configuration {
+        version,
+        routes: vec![
+            route("/safe/", "plain", Repeats::Allowed),
+            route("/unsafe/", "plain", Repeats::Never),
+            route("/keyed/", "keyed", Repeats::Allowed),
+        ],
+        services: [service("plain", false), service("keyed", true)]
+            .into_iter()
+            .collect(),
+        limits: CallerLimits::default(),
+    }
+}
+
+impl Platform for FakePlatform {
+    async fn read(&self, table: Table) -> Result<Rows, StoreError> {
+        Ok(self.rows_after(table, 0))
+    }
+
+    async fn changes(
+        &self,
+        table: Table,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let looks = wait.as_millis() / 10;
+        for _ in 0..looks {
+            let rows = self.rows_after(table, after);
+            if !rows.rows.is_empty() {
+                return Ok(Changes::Rows(rows));
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        Ok(Changes::Rows(self.rows_after(table, after)))
+    }
+
+    async fn write(&self, writes: Vec<RowWrite>) -> WriteOutcome {
+        let mut state = self.state.lock().expect("no panic while locked");
+        let holds = writes.iter().all(|write| {
+            let row = state
+                .rows
+                .get(&(write.table as u8, Arc::clone(&write.name)));
+            let version = row.map_or(0, |(version, _)| *version);
+            write.expected.is_none_or(|expected| expected == version)
+        });
+        if !holds {
+            return WriteOutcome::Conflict;
+        }
+        state.version += 1;
+        let version = state.version;
+        for write in writes {
+            let value = write.value.expect("rows are never removed");
+            state
+                .rows
+                .insert((write.table as u8, write.name), (version, value));
+        }
+        WriteOutcome::Committed(version)
+    }
+
+    async fn grant(&self, _: SocketAddr, _: GrantOrder) -> GrantOutcome {
+        GrantOutcome::Granted
+    }
+
+    async fn release(&self, _: SocketAddr, _: KeyRange, _: u64) -> ReleaseOutcome {
+        ReleaseOutcome::Released(None)
+    }
+
+    async fn probe(&self, _: SocketAddr) -> Listening {
+        Listening::Unknown
+    }
+
+    fn configuration(&self, row: &StoredRow) -> Option<Result<Configuration, String>> {
+        let text = std::str::from_utf8(row.value.as_ref()?).ok()?;
+        Some(
+            text.parse()
+                .map(configuration)
+                .map_err(|_| "not a number".into()),
+        )
+    }
+
+    fn endpoint(&self, row: &StoredRow) -> Result<EndpointEntry, String> {
+        let value = row.value.as_ref().ok_or("removed")?;
+        let text = std::str::from_utf8(value).map_err(|e| e.to_string())?;
+        let (service, addr) = text.split_once(' ').ok_or("no address")?;
+        Ok(EndpointEntry {
+            run: EndpointRun {
+                name: Arc::clone(&row.name),
+                born_ms: 1,
+            },
+            service: service.into(),
+            addr: addr.parse().map_err(|_| "bad address")?,
+            zone: "a".into(),
+            slots: 4,
+            draining: false,
+            warmup: Millis::ZERO,
+        })
+    }
+
+    fn header_names(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    fn max_lease(&self) -> Millis {
+        Millis(10_000)
+    }
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,13 @@
+//! The router for platforms that register endpoints themselves.
+
+mod budget;
+mod choice;
+mod controller;
+mod daemon;
+mod fake_endpoint;
+mod fake_platform;
+mod owners;
+mod placement;
+mod queue;
+mod routes;
+mod world;
--- /dev/null
+++ b/tests/gateway/placement.rs
@@ -0,0 +1,108 @@
+//! Which endpoint gets which keys.
+
+use fireflygauge::{
+    clock::Millis,
+    gateway::{
+        heat::{HeatMap, ServiceHeat},
+        model::{EndpointRun, KeyRange},
+        placement::{Candidate, distribute, rebalance},
+    },
+};
+use proptest::prelude::*;
+
+fn candidate(i: usize, capacity: f64, ranges: Vec<KeyRange>) -> Candidate {
+    Candidate {
+        run: EndpointRun {
+            name: format!("e{i}").into(),
+            born_ms: 1,
+        },
+        capacity,
+        ranges,
+    }
+}
+
+fn heat(keys: &[(u16, u32)]) -> HeatMap {
+    let mut map = HeatMap::default();
+    let report = ServiceHeat {
+        service: "rounds".into(),
+        keys: keys.to_vec(),
+        work: Vec::new(),
+    };
+    map.add(&report, Millis(100));
+    map
+}
+
+proptest! {
+    /// Guards against keys that get two owners or none.
+    #[test]
+    fn every_free_key_gets_one_owner(
+        endpoints in 1_usize..20,
+        keys in proptest::collection::vec((any::<u16>(), 1_u32..200), 0..40),
+    ) {
+        let candidates: Vec<Candidate> =
+            (0..endpoints).map(|i| candidate(i, 40.0, Vec::new())).collect();
+        let mut moves = distribute(&[KeyRange::ALL], &candidates, &heat(&keys));
+        moves.sort_by_key(|m| m.keys);
+        prop_assert_eq!(moves[0].keys.first, 0);
+        prop_assert_eq!(moves[moves.len() - 1].keys.last, u16::MAX);
+        for pair in moves.windows(2) {
+            prop_assert_eq!(u32::from(pair[0].keys.last) + 1, u32::from(pair[1].keys.first));
+        }
+    }
+
+    /// Guards against a plan that takes keys from an endpoint that does not own them, or takes the
+    /// same keys twice.
+    #[test]
+    fn moves_stay_within_their_owners_ranges(
+        keys in proptest::collection::vec((any::<u16>(), 1_u32..400), 1..40),
+    ) {
+        let halves = [
+            KeyRange { first: 0, last: 32_767 },
+            KeyRange { first: 32_768, last: u16::MAX },
+        ];
+        let candidates = [
+            candidate(0, 40.0, vec![halves[0]]),
+            candidate(1, 30.0, vec![halves[1]]),
+            candidate(2, 30.0, Vec::new()),
+        ];
+        let moves = rebalance(&candidates, &heat(&keys));
+        for (i, one) in moves.iter().enumerate() {
+            let inside = halves.iter().any(|h| h.contains(one.keys.first) && h.contains(one.keys.last));
+            prop_assert!(inside);
+            prop_assert!(!moves[i + 1..].iter().any(|other| other.keys.overlaps(one.keys)));
+        }
+    }
+}
+
+/// Guards against a hot key that keeps the busy keys beside it on its overloaded owner.
+#[test]
+fn neighbours_of_a_hot_key_move_away() {
+    let candidates = [
+        candidate(0, 40.0, vec![KeyRange::ALL]),
+        candidate(1, 40.0, Vec::new()),
+        candidate(2, 40.0, Vec::new()),
+    ];
+    let moves = rebalance(&candidates, &heat(&[(100, 300), (200, 20), (300, 20)]));
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|m| !m.keys.contains(100)));
+}
+
+/// Guards against moves that interrupt keys although no endpoint is busy.
+#[test]
+fn calm_endpoints_keep_their_keys() {
+    let halves = [
+        KeyRange {
+            first: 0,
+            last: 32_767,
+        },
+        KeyRange {
+            first: 32_768,
+            last: u16::MAX,
+        },
+    ];
+    let candidates = [
+        candidate(0, 400.0, vec![halves[0]]),
+        candidate(1, 400.0, vec![halves[1]]),
+    ];
+    assert_eq!(rebalance(&candidates, &heat(&[(1, 30), (40_000, 5)])), []);
+}
