--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -32,6 +32,8 @@
 const CAP_PER_SLOT: u32 = 2;
 /// Longest time between two requests to an endpoint that keeps refusing, in milliseconds.
 const MAX_SPACING_MS: f64 = 2_000.0;
+/// Time for which an endpoint is left alone whose address another one has.
+const REPLACED_PAUSE: Millis = Millis(4_000);
 /// Share of the spacing that is kept after an answer.
 const SPACING_KEPT: f64 = 0.7;
 /// Time for which requests for keys that the endpoint says it does not own are held back.
@@ -59,6 +61,8 @@
     Shed,
     /// The connection was refused or lost, or the answer was not usable.
     Lost,
+    /// Another endpoint has its address.
+    Replaced,
     /// Nothing can be learnt from it.
     Neutral,
 }
@@ -76,6 +80,7 @@
     /// Time between two requests, in milliseconds, while the endpoint keeps refusing.
     spacing_ms: f64,
     opens_at: Millis,
+    replaced_until: Option<Millis>,
     not_owner: Map<(KeyRange, u64), Millis>,
     work_count: u32,
     work_total_ms: u64,
@@ -115,6 +120,7 @@
                 sent_since_report: 0,
                 spacing_ms: 0.0,
                 opens_at: Millis::ZERO,
+                replaced_until: None,
                 not_owner: Map::default(),
                 work_count: 0,
                 work_total_ms: 0,
@@ -194,6 +200,12 @@
         self.state().aside_until.is_some_and(|until| now < until)
     }
 
+    /// Whether another endpoint was found at its address. Its entry is about to go, and requests
+    /// would count against the retry budget of the other endpoint's service.
+    pub fn is_replaced(&self, now: Millis) -> bool {
+        self.state().replaced_until.is_some_and(|until| now < until)
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.state().limit.in_flight()
@@ -263,7 +275,7 @@
                     self.spacing_ms = 0.0;
                 }
             }
-            Verdict::Failed | Verdict::Neutral => {}
+            Verdict::Failed | Verdict::Replaced | Verdict::Neutral => {}
         }
     }
 
@@ -274,6 +286,10 @@
                 false
             }
             Verdict::Failed | Verdict::Lost => true,
+            Verdict::Replaced => {
+                self.replaced_until = Some(now + REPLACED_PAUSE);
+                return;
+            }
             Verdict::Shed | Verdict::Neutral => return,
         };
         let sample = if failed { 1.0 } else { 0.0 };
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -385,6 +385,9 @@
             return Err((Reason::NoOwner, None, None));
         };
         let backend = &member.backend;
+        if backend.is_replaced(now) {
+            return Err((Reason::NoOwner, None, None));
+        }
         if let Some(until) = backend.denied_until(range.keys, range.token, now) {
             return Err((Reason::NoOwner, None, Some(until)));
         }
@@ -492,7 +495,9 @@
                 Outcome::Answered(answer)
             }
         }
-        Exchange::NotRun(NotRun::NotOwner) => Outcome::Refused(Reason::NoOwner),
+        Exchange::NotRun(NotRun::NotOwner | NotRun::OtherEndpoint) => {
+            Outcome::Refused(Reason::NoOwner)
+        }
         Exchange::NotRun(_) => Outcome::Refused(Reason::Shed),
         Exchange::MayHaveRun(
             MayHaveRun::ConnectionLost | MayHaveRun::Mismatch | MayHaveRun::Truncated,
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -160,6 +160,8 @@
     pub load: HeaderName,
     /// Key of a request for a keyed service.
     pub key: HeaderName,
+    /// Name of the endpoint that answers.
+    pub endpoint: HeaderName,
 }
 
 /// A platform, as an adapter presents it.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -38,8 +38,10 @@
     NotSent,
     /// The endpoint had no room, or the deadline had passed in its queue.
     Shed,
-    /// The endpoint does not own the key, or is another one than the request named.
+    /// The endpoint does not own the key.
     NotOwner,
+    /// Another endpoint has the address by now.
+    OtherEndpoint,
 }
 
 /// Why it is not known whether a request ran.
@@ -87,6 +89,7 @@
         Exchange::Answered(_) => Verdict::Answered(clock.now().since(sent)),
         Exchange::NotRun(NotRun::Shed) => Verdict::Shed,
         Exchange::NotRun(NotRun::NotOwner) => Verdict::Neutral,
+        Exchange::NotRun(NotRun::OtherEndpoint) => Verdict::Replaced,
         Exchange::NotRun(NotRun::NotSent) | Exchange::MayHaveRun(_) => Verdict::Lost,
     };
     result
@@ -149,7 +152,7 @@
                     backend.pool.keep(sender);
                 }
             }
-            classify(answer, names)
+            classify(answer, backend, names)
         }
         Err(reason) => Exchange::MayHaveRun(reason),
     }
@@ -200,9 +203,12 @@
     Ok(Response::from_parts(parts, body))
 }
 
-fn classify(answer: Response<Bytes>, names: &HeaderNames) -> Exchange {
+fn classify(answer: Response<Bytes>, backend: &Backend, names: &HeaderNames) -> Exchange {
+    let answering = answer.headers().get(&names.endpoint);
+    let is_other = answering.is_some_and(|name| name != &*backend.entry.run.name);
     let not_executed = answer.headers().contains_key(&names.not_executed);
     match answer.status() {
+        StatusCode::MISDIRECTED_REQUEST if is_other => Exchange::NotRun(NotRun::OtherEndpoint),
         StatusCode::MISDIRECTED_REQUEST => Exchange::NotRun(NotRun::NotOwner),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS if not_executed => {
             Exchange::NotRun(NotRun::Shed)
--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -224,6 +224,27 @@
     }
 }
 
+/// Guards against requests that keep arriving at an address that belongs to another endpoint now,
+/// which used up the retry budget of that endpoint's service.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_address_of_another_endpoint_is_left_alone() {
+    let platform = FakePlatform::new();
+    let endpoint = FakeEndpoint::start(Answer::Other).await;
+    platform.register("k", "keyed", endpoint.addr);
+    platform.declare(1);
+    let daemon = Daemon::start(&platform);
+    daemon.wait_ready().await;
+    let end = Instant::now() + PATIENCE;
+    while endpoint.arrivals() == 0 {
+        assert!(Instant::now() < end, "no owner");
+        daemon.ask("/keyed/1").await;
+    }
+    for _ in 0..5 {
+        assert_eq!(daemon.ask("/keyed/1").await.status(), 503);
+    }
+    assert!(endpoint.arrivals() <= 2, "{} arrivals", endpoint.arrivals());
+}
+
 /// Guards against a stop that cuts off requests in flight, and against one that never ends.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_finishes_requests_in_flight() {
--- a/tests/gateway/fake_endpoint.rs
+++ b/tests/gateway/fake_endpoint.rs
@@ -31,6 +31,8 @@
     Unsigned,
     /// Refuses it and says so.
     Shed,
+    /// Is another endpoint than the one that the request names.
+    Other,
     /// Fails it with a status that promises that it has not run.
     False503,
 }
@@ -41,6 +43,7 @@
     /// Its address.
     pub addr: SocketAddr,
     runs: Arc<AtomicUsize>,
+    arrivals: Arc<AtomicUsize>,
 }
 
 impl FakeEndpoint {
@@ -51,6 +54,7 @@
         let endpoint = Self {
             addr,
             runs: Arc::default(),
+            arrivals: Arc::default(),
         };
         let served = endpoint.clone();
         tokio::spawn(async move {
@@ -66,6 +70,11 @@
         self.runs.load(Ordering::SeqCst)
     }
 
+    /// Requests that reached it.
+    pub fn arrivals(&self) -> usize {
+        self.arrivals.load(Ordering::SeqCst)
+    }
+
     async fn serve(self, mut stream: TcpStream, answer: Answer) {
         let mut buf = Vec::new();
         loop {
@@ -85,7 +94,8 @@
                 .find_map(|line| line.strip_prefix("x-id: "))
                 .unwrap_or_default()
                 .to_owned();
-            if !matches!(answer, Answer::Shed) {
+            self.arrivals.fetch_add(1, Ordering::SeqCst);
+            if !matches!(answer, Answer::Shed | Answer::Other) {
                 self.runs.fetch_add(1, Ordering::SeqCst);
             }
             let ok = format!(
@@ -109,6 +119,9 @@
                 Answer::Shed => {
                     "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".into()
                 }
+                Answer::Other => {
+                    "HTTP/1.1 421 Other\r\nx-instance: other\r\ncontent-length: 0\r\n\r\n".into()
+                }
                 Answer::False503 => format!(
                     "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 0\r\n\r\n"
                 ),
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -46,6 +46,7 @@
         signature: HeaderName::from_static("x-signature"),
         load: HeaderName::from_static("x-load"),
         key: HeaderName::from_static("x-key"),
+        endpoint: HeaderName::from_static("x-instance"),
     }
 }
 
