Pass owners on with the controller's answers instead of a store call for each daemon

The controller holds its answer to a report until owners change, so changes reach all daemons at once; they read lease and owners from the store only while no controller with a fresh lease answers.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -43,11 +43,17 @@
 /// Time between steps of other daemons.
 const WATCHING_STEP: Duration = Duration::from_millis(250);
 /// Time between reports to the controller.
-const REPORT_EVERY: Millis = Millis(500);
+const REPORT_EVERY: Millis = Millis(400);
+/// Time for which the controller holds its answer to a report until owners change. So changes
+/// reach all daemons at once without a call to the store for each.
+const HELD_REPORT: Millis = Millis(400);
 /// Time to wait for the controller's answer to a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Age of the controller's last answer at which the lease row is read from the store.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Age of the controller's last answer at which the lease and the owners are read from the store.
 const WATCH_AFTER: Millis = Millis(900);
+/// The same for the last renewal of the lease. A controller that cannot renew it may have a
+/// successor.
+const RENEWAL_AGE: Millis = Millis(1_600);
 /// Time after its last report for which a daemon counts.
 const DAEMON_AGE: Millis = Millis(3_000);
 /// Time for an endpoint to answer a release, which it does when the work on the keys has ended.
@@ -103,10 +109,11 @@
 ) {
     let (tx, mut rx) = mpsc::channel(RING_LENGTH);
     let (watch_lease, lease_needed) = watch::channel(true);
+    let (watch_owners, owners_needed) = watch::channel(true);
     let (_always, always) = watch::channel(true);
     follow(&cx, &platform, Table::Declarations, always.clone(), &tx);
-    follow(&cx, &platform, Table::Endpoints, always.clone(), &tx);
-    follow(&cx, &platform, Table::Owners, always, &tx);
+    follow(&cx, &platform, Table::Endpoints, always, &tx);
+    follow(&cx, &platform, Table::Owners, owners_needed, &tx);
     follow(&cx, &platform, Table::Controller, lease_needed, &tx);
     let mut control = Control {
         peers: PeerClient::default(),
@@ -118,6 +125,9 @@
         daemons: Map::default(),
         tx,
         watch_lease,
+        watch_owners,
+        parked: Vec::new(),
+        report_sent: false,
         answered: None,
         reported: Millis::ZERO,
         loaded: Set::default(),
@@ -179,6 +189,13 @@
     peer_addr: SocketAddr,
 }
 
+/// A report whose answer is held.
+struct Parked {
+    report: DaemonReport,
+    reply: oneshot::Sender<ReportReply>,
+    until: Millis,
+}
+
 struct Control<P> {
     cx: ControlContext,
     platform: P,
@@ -189,6 +206,11 @@
     peers: PeerClient,
     tx: mpsc::Sender<Input>,
     watch_lease: watch::Sender<bool>,
+    watch_owners: watch::Sender<bool>,
+    /// Reports whose answers are held until owners change.
+    parked: Vec<Parked>,
+    /// Whether a report is on its way.
+    report_sent: bool,
     /// When the controller last answered a report.
     answered: Option<Millis>,
     reported: Millis,
@@ -336,19 +358,24 @@
             self.publish();
         }
         self.report(now);
-        self.choose_lease_watch(now);
+        self.choose_watches(now);
+        self.answer_parked(now);
         for action in self.controller.step(&self.heat, now) {
             self.carry_out(action);
         }
     }
 
-    /// The lease row is read from the store only while no controller answers reports.
-    fn choose_lease_watch(&mut self, now: Millis) {
-        let mine = self.controller.term().is_mine();
-        let fresh = self.answered.is_some_and(|at| now.since(at) < WATCH_AFTER);
-        let needed = !mine && !fresh;
-        self.watch_lease
-            .send_if_modified(|present| std::mem::replace(present, needed) != needed);
+    /// The lease and the owners are read from the store only while no controller answers reports.
+    fn choose_watches(&mut self, now: Millis) {
+        let term = self.controller.term();
+        let mine = term.is_mine();
+        let fresh = self.answered.is_some_and(|at| now.since(at) < WATCH_AFTER)
+            && term.age(now) < RENEWAL_AGE;
+        let set = |watch: &watch::Sender<bool>, needed: bool| {
+            watch.send_if_modified(|present| std::mem::replace(present, needed) != needed);
+        };
+        set(&self.watch_lease, !mine && !fresh);
+        set(&self.watch_owners, mine || !fresh);
     }
 
     fn carry_out(&self, action: Action) {
@@ -375,7 +402,7 @@
 
     /// Reports what was counted to the controller.
     fn report(&mut self, now: Millis) {
-        if now.since(self.reported) < REPORT_EVERY {
+        if self.report_sent || now.since(self.reported) < REPORT_EVERY {
             return;
         }
         self.reported = now;
@@ -402,6 +429,7 @@
         if addr == self.cx.peer_addr {
             return;
         }
+        self.report_sent = true;
         let (peers, tx) = (self.peers.clone(), self.tx.clone());
         tokio::spawn(async move {
             let request = PeerRequest::Report(report);
@@ -476,12 +504,33 @@
     fn answer(&mut self, report: DaemonReport, reply: oneshot::Sender<ReportReply>) {
         let now = self.cx.clock.now();
         self.count(&report, now);
+        self.parked.push(Parked {
+            report,
+            reply,
+            until: now + HELD_REPORT,
+        });
+    }
+
+    /// Answers reports that were held long enough, or whose daemons do not know the newest owners.
+    fn answer_parked(&mut self, now: Millis) {
+        let acts = self.controller.term().may_act(now);
+        for parked in std::mem::take(&mut self.parked) {
+            let is_due = !acts || now >= parked.until;
+            if is_due || !self.newer_owners(&parked.report).is_empty() {
+                self.send_answer(&parked.report, parked.reply, now);
+            } else {
+                self.parked.push(parked);
+            }
+        }
+    }
+
+    fn send_answer(&self, report: &DaemonReport, reply: oneshot::Sender<ReportReply>, now: Millis) {
         let term = self.controller.term();
         let lease = term.row().filter(|_| term.may_act(now));
         let answer = ReportReply {
             lease: lease.map(|row| (term.version(), row.clone())),
             daemons: self.daemons.len() as u32,
-            owners: self.newer_owners(&report),
+            owners: self.newer_owners(report),
         };
         // The daemon that asked has gone if nobody takes the answer.
         let _ = reply.send(answer);
@@ -524,12 +573,17 @@
 
     fn take_answer(&mut self, answer: Option<ReportReply>) {
         let now = self.cx.clock.now();
+        self.report_sent = false;
+        // The next report, which asks for further changes, follows at once.
+        self.reported = Millis::ZERO;
         let Some(answer) = answer else {
+            self.reported = now;
             self.answered = None;
             return;
         };
         self.take_owners_news(answer.owners);
         let Some((version, row)) = answer.lease else {
+            self.reported = now;
             self.answered = None;
             return;
         };
--- a/src/gateway/term.rs
+++ b/src/gateway/term.rs
@@ -139,6 +139,11 @@
                 .is_some_and(|sent| now.since(sent) < STOP_AFTER)
     }
 
+    /// Time since the row was last seen to change.
+    pub fn age(&self, now: Millis) -> Millis {
+        now.since(self.changed.unwrap_or(Millis::ZERO))
+    }
+
     /// When the last renewal that took effect was sent.
     pub fn renewed(&self) -> Option<Millis> {
         self.renewed
