--- a/src/gateway/feeds.rs
+++ b/src/gateway/feeds.rs
@@ -26,7 +26,7 @@
 /// Shortest pause after news of endpoints.
 const MIN_NEWS_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after news of endpoints. A leaving endpoint must be known within 2 s.
-const MAX_NEWS_PAUSE: Duration = Duration::from_millis(700);
+const MAX_NEWS_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after news of owners or declarations.
 const OTHER_NEWS_PAUSE: Duration = Duration::from_millis(50);
 
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -46,10 +46,17 @@
 const STATUS_HEAD_TIME: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Daemons that are assumed to share the retry budgets until a controller tells their number.
+const UNKNOWN_DAEMONS: usize = 100;
 /// Share of the process's memory that bodies of requests may take.
 const BODY_MEMORY_SHARE: u64 = 4;
 /// Longest random delay of a takeover, in milliseconds.
-const MAX_JITTER_MS: u64 = 300;
+const MAX_JITTER_MS: u64 = 200;
+/// Further delay for each core that the process lacks to half a core, in milliseconds. The
+/// controller serves all daemons, which a machine with little processor time does late.
+const JITTER_PER_CORE_MS: f64 = 600.0;
+/// Cores from which there is no further delay.
+const ENOUGH_CORES: f64 = 0.5;
 
 /// What a daemon is told at its start.
 #[derive(Clone, Debug)]
@@ -68,6 +75,8 @@
     pub ready_path: Arc<str>,
     /// The retry budget.
     pub budget: BudgetRule,
+    /// Processor time that the process may take, in cores.
+    pub cores: f64,
     /// Memory of the process, in bytes.
     pub memory_bytes: u64,
     /// Longest time from a stop signal to the end of the process.
@@ -86,7 +95,7 @@
     let clock = Clock::start();
     let view = Arc::new(ArcSwap::default());
     let (changed, changes) = watch::channel(0);
-    let daemons = Arc::new(AtomicUsize::new(1));
+    let daemons = Arc::new(AtomicUsize::new(UNKNOWN_DAEMONS));
     let control = ControlContext {
         name: options.name.clone(),
         run: Incarnation::random(),
@@ -106,6 +115,7 @@
         view: Arc::clone(&view),
         metrics: metrics.clone(),
         stopping: Arc::clone(&stopping),
+        daemons: Arc::clone(&daemons),
         clock,
     };
     let units = (options.memory_bytes / BODY_MEMORY_SHARE / 1024) as usize;
@@ -205,7 +215,7 @@
         cx.run,
         options.peer_addr,
         platform.max_lease(),
-        Millis(rand::random_range(0..=MAX_JITTER_MS)),
+        takeover_delay(options.cores),
     );
     let runtime = current_thread()?;
     let listener = runtime.block_on(bind(options.peer_addr))?;
@@ -222,6 +232,13 @@
     Ok(thread)
 }
 
+/// Delay of a takeover, so that daemons rarely race and those with processor time come first.
+fn takeover_delay(cores: f64) -> Millis {
+    let lacking = (ENOUGH_CORES - cores).clamp(0.0, ENOUGH_CORES);
+    let delay = (lacking * JITTER_PER_CORE_MS) as u64;
+    Millis(delay + rand::random_range(0..=MAX_JITTER_MS))
+}
+
 /// Answers other daemons.
 fn peer_handler<P: Platform>(
     tx: mpsc::Sender<ReportSent>,
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -15,7 +15,7 @@
     fmt::Write,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
@@ -28,6 +28,8 @@
     pub view: Arc<ArcSwap<View>>,
     /// Counters.
     pub metrics: Metrics,
+    /// Daemons that share the retry budgets.
+    pub daemons: Arc<AtomicUsize>,
     /// Whether the daemon is stopping.
     pub stopping: Arc<AtomicBool>,
     /// The daemon's clock.
@@ -67,6 +69,8 @@
         let view = self.view.load();
         // Writing to a string does not fail.
         let _ = writeln!(text, "fireflygauge_config_version {}", view.version);
+        let daemons = self.daemons.load(Ordering::Relaxed);
+        let _ = writeln!(text, "fireflygauge_daemons {daemons}");
         let dropped = logging::dropped_lines();
         let _ = writeln!(text, "fireflygauge_log_lines_dropped {dropped}");
         for service in view.services.values() {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -17,7 +17,7 @@
 
 /// Time after an endpoint was seen leaving for which requests for its keys still go there, while
 /// the keys move.
-const KEYED_LEAVING_GRACE: Millis = Millis(1_400);
+const KEYED_LEAVING_GRACE: Millis = Millis(800);
 
 /// Routes, endpoints and owners at one moment.
 #[derive(Debug, Default)]
--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -56,6 +56,7 @@
                 extra: 50.0,
                 window: Millis(10_000),
             },
+            cores: 1.0,
             memory_bytes: 100_000_000,
             stop_limit: Duration::from_secs(4),
         };
@@ -75,11 +76,13 @@
     async fn wait_ready(&self) {
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end {
-            if self
-                .get(self.status, "/ready")
-                .await
-                .is_ok_and(|a| a.status() == 200)
-            {
+            let ready = self.get(self.status, "/ready").await;
+            let metrics = self.get(self.status, "/metrics").await;
+            // Repeats are scarce until the number of daemons is known.
+            let knows_daemons = metrics.is_ok_and(|answer| {
+                String::from_utf8_lossy(answer.body()).contains("fireflygauge_daemons 1\n")
+            });
+            if knows_daemons && ready.is_ok_and(|answer| answer.status() == 200) {
                 return;
             }
             sleep(Duration::from_millis(20)).await;
