--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,7 +18,7 @@
 };
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header, request::Parts};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::{
@@ -421,7 +421,7 @@
             Exchange::MayHaveRun(reason) => format!("may-have-run/{reason}"),
         };
         log::info!(
-            target: "request", id:? = out.id, route:% = job.route.name, service:% = job.service,
+            target: "request", id:% = out.id.to_str().unwrap_or("-"), route:% = job.route.name, service:% = job.service,
             endpoint:% = backend.entry.run.name, key:? = job.key, result:% = shown, again,
             sends = job.sends, after:% = self.clock.now().since(job.arrived),
             view = self.view.load().version;
@@ -440,8 +440,9 @@
         let now = self.clock.now();
         let answer = reply::refusal(reason, retry_after(ends.since(now)));
         log::info!(
-            target: "request", id:? = parts.headers.get(&self.names.request_id),
-            path:% = parts.uri.path(), service:% = service.map_or("", |name| &name.0),
+            target: "request", id:% = text_of(&parts.headers, &self.names.request_id),
+            path:% = parts.uri.path(), key:% = text_of(&parts.headers, &self.names.key),
+            service:% = service.map_or("", |name| &name.0),
             reason:% = reason, status = answer.status().as_u16(),
             after:% = now.since(arrived), left:% = ends.since(now),
             view = self.view.load().version;
@@ -468,6 +469,12 @@
     view.routes.find(host, parts.uri.path())
 }
 
+/// A header's value for logs; a dash if it is missing or not text.
+fn text_of<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or("-")
+}
+
 /// When a refused caller should come back: callers honour up to a third of the time they have.
 fn retry_after(left: Millis) -> Option<Duration> {
     let most = (left.0 / 3).min(MAX_RETRY_AFTER_MS);
