--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -111,7 +111,9 @@
                         }
                     });
                 }
-                Err(HttpError::Connect(e)) => failures.push(format!("{server}: {e}")),
+                Err(e @ (HttpError::Refused | HttpError::Connect(_))) => {
+                    failures.push(format!("{server}: {e}"));
+                }
                 Err(e) => return Err(ClientError::Unknown(server, e)),
             }
         }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -124,9 +124,8 @@
             .send(Method::POST, self.addr, "/transactions", body, self.timeout)
             .await;
         match answer {
-            Ok((StatusCode::SERVICE_UNAVAILABLE, _)) | Err(HttpError::Connect(_)) => {
-                CommitOutcome::Unavailable
-            }
+            Ok((StatusCode::SERVICE_UNAVAILABLE, _))
+            | Err(HttpError::Refused | HttpError::Connect(_)) => CommitOutcome::Unavailable,
             Ok((_, body)) => match parse(&body) {
                 Ok(CommitReply::Committed(versions)) => CommitOutcome::Committed(versions),
                 Ok(CommitReply::Conflict(rows)) => CommitOutcome::Conflict(rows),
