--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,15 +1,14 @@
 //! The control thread: follows the store, publishes views and runs the controller.
 
+mod actions;
+mod reports;
+
 use super::{
-    controller::{Action, Controller, Event, ORDER_TIMEOUT},
+    controller::{Action, Controller, Event},
     feeds::{self, News},
-    heat::{HeatMap, HeatReport, ServiceHeat, WorkTime},
+    heat::HeatMap,
     model::Configuration,
-    owners::Owners,
-    platform::{
-        GrantOutcome, Listening, Platform, ReleaseOutcome, Rows, StoredRow, Table, WriteOutcome,
-    },
-    term::LeaseRow,
+    platform::{Platform, Rows, Table},
     view::{View, ViewBuilder},
 };
 use crate::{
@@ -17,47 +16,35 @@
     collections::{Map, Set},
     peer::{
         client::PeerClient,
-        message::{DaemonReport, OwnersNews, PeerReply, PeerRequest, ReportReply},
+        message::{DaemonReport, ReportReply},
     },
     world::{Incarnation, ServiceName, VmName},
 };
+use actions::{decode_owners, lease_event, nobody_listens, perform};
 use arc_swap::ArcSwap;
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::AtomicUsize},
     time::Duration,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    task::JoinSet,
     time::{sleep, timeout},
 };
 
 /// Length of the ring between the tasks of the control thread.
 const RING_LENGTH: usize = 256;
+/// Longest time to give the controller lease up.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between steps of a daemon that holds the controller lease.
 const ACTING_STEP: Duration = Duration::from_millis(100);
 /// Time between steps of other daemons.
 const WATCHING_STEP: Duration = Duration::from_millis(250);
-/// Time between reports to the controller.
-const REPORT_EVERY: Millis = Millis(400);
-/// Time for which the controller holds its answer to a report until owners change. So changes
-/// reach all daemons at once without a call to the store for each.
-const HELD_REPORT: Millis = Millis(400);
-/// Time to wait for the controller's answer to a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Age of the controller's last answer at which the lease and the owners are read from the store.
 const WATCH_AFTER: Millis = Millis(900);
 /// The same for the last renewal of the lease. A controller that cannot renew it may have a
 /// successor.
 const RENEWAL_AGE: Millis = Millis(1_600);
-/// Time after its last report for which a daemon counts.
-const DAEMON_AGE: Millis = Millis(3_000);
-/// Time for an endpoint to answer a release, which it does when the work on the keys has ended.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which entries that vanished while the store failed are kept: the endpoints that live
 /// register again within 2 s.
 const DOUBT: Millis = Millis(2_100);
@@ -67,8 +54,6 @@
 const MASS_PERCENT: usize = 50;
 /// Entries that vanish at once are told from single ones from this number.
 const MASS_COUNT: usize = 3;
-/// Pause before the owners are read again after a failure.
-const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the control thread shares with the rest of the daemon.
 #[derive(Clone, Debug)]
@@ -400,200 +385,6 @@
         });
     }
 
-    /// Reports what was counted to the controller.
-    fn report(&mut self, now: Millis) {
-        if self.report_sent || now.since(self.reported) < REPORT_EVERY {
-            return;
-        }
-        self.reported = now;
-        let report = DaemonReport {
-            name: self.cx.name.clone(),
-            run: self.cx.run,
-            peer_addr: self.cx.peer_addr,
-            owners: self.builder.owner_versions(),
-            heat: self.take_heat(),
-        };
-        let term = self.controller.term();
-        if term.is_mine() {
-            self.count(&report, now);
-            self.set_daemons(now);
-            return;
-        }
-        let Some(addr) = term
-            .row()
-            .filter(|row| !row.released)
-            .map(|row| row.peer_addr)
-        else {
-            return;
-        };
-        if addr == self.cx.peer_addr {
-            return;
-        }
-        self.report_sent = true;
-        let (peers, tx) = (self.peers.clone(), self.tx.clone());
-        tokio::spawn(async move {
-            let request = PeerRequest::Report(report);
-            let answer = match peers.send(addr, &request, REPORT_TIMEOUT).await {
-                Ok(PeerReply::Report(answer)) => Some(answer),
-                Ok(_) => None,
-                Err(e) => {
-                    log::debug!(target: "peer", to:% = addr, error:% = e; "Report not answered.");
-                    None
-                }
-            };
-            // The receiver is gone only when the daemon stops.
-            let _ = tx.send(Input::Answer(answer)).await;
-        });
-    }
-
-    fn take_heat(&self) -> HeatReport {
-        let view = self.cx.view.load();
-        let keyed = view.services.values().filter(|service| service.keyed);
-        let services = keyed.map(|service| ServiceHeat {
-            service: service.name.clone(),
-            keys: service.state.take_heat(),
-            work: service
-                .members
-                .iter()
-                .filter_map(|member| {
-                    let (requests, total_ms) = member.backend.take_work();
-                    let endpoint = Arc::clone(&member.backend.entry.run.name);
-                    (requests > 0).then_some(WorkTime {
-                        endpoint,
-                        requests,
-                        total_ms,
-                    })
-                })
-                .collect(),
-        });
-        HeatReport {
-            services: services.collect(),
-        }
-    }
-
-    /// Takes in the report of a daemon.
-    fn count(&mut self, report: &DaemonReport, now: Millis) {
-        let reporting = Reporting {
-            at: now,
-            run: report.run,
-            peer_addr: report.peer_addr,
-        };
-        let before = self.daemons.insert(report.name.clone(), reporting);
-        let replaced = before.filter(|before| before.run != report.run);
-        if let Some(run) = replaced.map(|before| before.run) {
-            self.controller.handle(Event::RunEnded(run), now);
-        }
-        let former = self.controller.former_run_of(&report.name, report.run);
-        if let Some(run) = former {
-            self.controller.handle(Event::RunEnded(run), now);
-        }
-        for heat in &report.heat.services {
-            let map = self.heat.entry(heat.service.clone()).or_default();
-            map.add(heat, now);
-        }
-    }
-
-    fn set_daemons(&mut self, now: Millis) {
-        self.daemons
-            .retain(|_, daemon| now.since(daemon.at) < DAEMON_AGE);
-        let daemons = self.daemons.len().max(1);
-        self.cx.daemons.store(daemons, Ordering::Relaxed);
-    }
-
-    /// Answers the report of another daemon.
-    fn answer(&mut self, report: DaemonReport, reply: oneshot::Sender<ReportReply>) {
-        let now = self.cx.clock.now();
-        self.count(&report, now);
-        self.parked.push(Parked {
-            report,
-            reply,
-            until: now + HELD_REPORT,
-        });
-    }
-
-    /// Answers reports that were held long enough, or whose daemons do not know the newest owners.
-    fn answer_parked(&mut self, now: Millis) {
-        let acts = self.controller.term().may_act(now);
-        for parked in std::mem::take(&mut self.parked) {
-            let is_due = !acts || now >= parked.until;
-            if is_due || !self.newer_owners(&parked.report).is_empty() {
-                self.send_answer(&parked.report, parked.reply, now);
-            } else {
-                self.parked.push(parked);
-            }
-        }
-    }
-
-    fn send_answer(&self, report: &DaemonReport, reply: oneshot::Sender<ReportReply>, now: Millis) {
-        let term = self.controller.term();
-        let lease = term.row().filter(|_| term.may_act(now));
-        let answer = ReportReply {
-            lease: lease.map(|row| (term.version(), row.clone())),
-            daemons: self.daemons.len() as u32,
-            owners: self.newer_owners(report),
-        };
-        // The daemon that asked has gone if nobody takes the answer.
-        let _ = reply.send(answer);
-    }
-
-    /// Owners that a daemon does not know yet, because its way to the store is slow or cut.
-    fn newer_owners(&self, report: &DaemonReport) -> Vec<OwnersNews> {
-        let known: Map<&ServiceName, u64> = report
-            .owners
-            .iter()
-            .map(|(name, version)| (name, *version))
-            .collect();
-        let newer = self
-            .builder
-            .owners()
-            .filter(|(name, version, _)| known.get(name).copied().unwrap_or_default() < *version);
-        newer
-            .filter_map(|(service, version, owners)| {
-                Some(OwnersNews {
-                    service: service.clone(),
-                    version,
-                    row: owners.encode().ok()?.to_vec(),
-                })
-            })
-            .collect()
-    }
-
-    fn take_owners_news(&mut self, news: Vec<OwnersNews>) {
-        let mut is_newer = false;
-        for row in news {
-            match Owners::decode(&row.row) {
-                Ok(owners) => is_newer |= self.builder.own(row.service, row.version, owners),
-                Err(e) => log::error!(target: "peer", error:% = e; "Owners of a peer unreadable."),
-            }
-        }
-        if is_newer {
-            self.publish();
-        }
-    }
-
-    fn take_answer(&mut self, answer: Option<ReportReply>) {
-        let now = self.cx.clock.now();
-        self.report_sent = false;
-        // The next report, which asks for further changes, follows at once.
-        self.reported = Millis::ZERO;
-        let Some(answer) = answer else {
-            self.reported = now;
-            self.answered = None;
-            return;
-        };
-        self.take_owners_news(answer.owners);
-        let Some((version, row)) = answer.lease else {
-            self.reported = now;
-            self.answered = None;
-            return;
-        };
-        self.answered = Some(now);
-        self.controller
-            .handle(Event::Lease(version, Some(row)), now);
-        let daemons = (answer.daemons as usize).max(1);
-        self.cx.daemons.store(daemons, Ordering::Relaxed);
-    }
-
     /// Gives the controller lease up.
     async fn stop(&mut self, rx: &mut mpsc::Receiver<Input>) {
         self.controller.stop();
@@ -617,93 +408,3 @@
         }
     }
 }
-
-/// Daemons that are asked about an endpoint at most.
-const MAX_ASKED: usize = 24;
-/// Daemons that have to confirm that an endpoint is gone.
-const MIN_CONFIRMING: usize = 2;
-/// Time for a daemon to answer what it finds at an endpoint's address.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
-/// Longest time to give the controller lease up.
-const STOP_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Asks `others` whether something listens at `addr`. True if most of them answer, and all that do
-/// found the connection refused.
-async fn nobody_listens(peers: &PeerClient, others: &[SocketAddr], addr: SocketAddr) -> bool {
-    let mut asked = JoinSet::new();
-    for other in others.iter().copied().take(MAX_ASKED) {
-        let peers = peers.clone();
-        asked.spawn(async move {
-            let request = PeerRequest::Probe(addr);
-            peers.send(other, &request, PROBE_TIMEOUT).await
-        });
-    }
-    let count = asked.len();
-    let mut refused = 0;
-    while let Some(answer) = asked.join_next().await {
-        match answer {
-            Ok(Ok(PeerReply::Probe(Listening::No))) => refused += 1,
-            Ok(Ok(PeerReply::Probe(Listening::Yes | Listening::Unknown))) => return false,
-            // A daemon that does not answer proves nothing.
-            _ => {}
-        }
-    }
-    refused >= MIN_CONFIRMING && refused * 4 >= count * 3
-}
-
-async fn perform<P: Platform>(platform: &P, action: Action) -> Event {
-    match action {
-        Action::Write(id, writes) => {
-            let outcome = timeout(ORDER_TIMEOUT.into(), platform.write(writes)).await;
-            Event::Written(id, outcome.unwrap_or(WriteOutcome::Unknown))
-        }
-        Action::ReadLease => loop {
-            match platform.read(Table::Controller).await {
-                Ok(rows) => return lease_event(&rows),
-                Err(_) => sleep(READ_PAUSE).await,
-            }
-        },
-        Action::ReadOwners => loop {
-            match platform.read(Table::Owners).await {
-                Ok(rows) => return Event::Owners(decode_owners(&rows.rows)),
-                Err(_) => sleep(READ_PAUSE).await,
-            }
-        },
-        Action::Grant(service, id, addr, order) => {
-            let outcome = timeout(ORDER_TIMEOUT.into(), platform.grant(addr, order)).await;
-            Event::Granted(service, id, outcome.unwrap_or(GrantOutcome::Unknown))
-        }
-        Action::Confirm(service, id, _) => Event::Confirmed(service, id, false),
-        Action::Release(service, id, addr, keys, token) => {
-            let released = timeout(RELEASE_TIMEOUT, platform.release(addr, keys, token)).await;
-            Event::Released(service, id, released.unwrap_or(ReleaseOutcome::Unknown))
-        }
-    }
-}
-
-fn lease_event(rows: &Rows) -> Event {
-    let Some(row) = rows.rows.first() else {
-        return Event::Lease(0, None);
-    };
-    let lease = row.value.as_ref().and_then(|value| {
-        LeaseRow::decode(value)
-            .inspect_err(|e| log::error!(target: "ownership", error:% = e; "Lease row unreadable."))
-            .ok()
-    });
-    Event::Lease(row.version, lease)
-}
-
-fn decode_owners(rows: &[StoredRow]) -> Vec<(ServiceName, u64, Owners)> {
-    let decoded = rows.iter().filter_map(|row| {
-        let value = row.value.as_ref()?;
-        match Owners::decode(value) {
-            Ok(owners) => Some((ServiceName(Arc::clone(&row.name)), row.version, owners)),
-            Err(e) => {
-                log::error!(target: "ownership", row:% = row.name, error:% = e;
-                    "Owners unreadable.");
-                None
-            }
-        }
-    });
-    decoded.collect()
-}
--- /dev/null
+++ b/src/gateway/control/reports.rs
@@ -0,0 +1,226 @@
+//! Reports between daemons: what each counted, and the owners that it learns in return.
+
+use super::{Control, Input, Parked, Reporting};
+use crate::{
+    clock::Millis,
+    collections::Map,
+    gateway::{
+        controller::Event,
+        heat::{HeatReport, ServiceHeat, WorkTime},
+        owners::Owners,
+        platform::Platform,
+    },
+    peer::message::{DaemonReport, OwnersNews, PeerReply, PeerRequest, ReportReply},
+    world::ServiceName,
+};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::sync::oneshot;
+
+/// Time between reports to the controller.
+const REPORT_EVERY: Millis = Millis(400);
+/// Time for which the controller holds its answer to a report until owners change. So changes
+/// reach all daemons at once without a call to the store for each.
+const HELD_REPORT: Millis = Millis(400);
+/// Time to wait for the controller's answer to a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after its last report for which a daemon counts.
+const DAEMON_AGE: Millis = Millis(3_000);
+
+impl<P: Platform> Control<P> {
+    /// Reports what was counted to the controller.
+    pub(super) fn report(&mut self, now: Millis) {
+        if self.report_sent || now.since(self.reported) < REPORT_EVERY {
+            return;
+        }
+        self.reported = now;
+        let report = DaemonReport {
+            name: self.cx.name.clone(),
+            run: self.cx.run,
+            peer_addr: self.cx.peer_addr,
+            owners: self.builder.owner_versions(),
+            heat: self.take_heat(),
+        };
+        let term = self.controller.term();
+        if term.is_mine() {
+            self.count(&report, now);
+            self.set_daemons(now);
+            return;
+        }
+        let Some(addr) = term
+            .row()
+            .filter(|row| !row.released)
+            .map(|row| row.peer_addr)
+        else {
+            return;
+        };
+        if addr == self.cx.peer_addr {
+            return;
+        }
+        self.report_sent = true;
+        let (peers, tx) = (self.peers.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let request = PeerRequest::Report(report);
+            let answer = match peers.send(addr, &request, REPORT_TIMEOUT).await {
+                Ok(PeerReply::Report(answer)) => Some(answer),
+                Ok(_) => None,
+                Err(e) => {
+                    log::debug!(target: "peer", to:% = addr, error:% = e; "Report not answered.");
+                    None
+                }
+            };
+            // The receiver is gone only when the daemon stops.
+            let _ = tx.send(Input::Answer(answer)).await;
+        });
+    }
+
+    fn take_heat(&self) -> HeatReport {
+        let view = self.cx.view.load();
+        let keyed = view.services.values().filter(|service| service.keyed);
+        let services = keyed.map(|service| ServiceHeat {
+            service: service.name.clone(),
+            keys: service.state.take_heat(),
+            work: service
+                .members
+                .iter()
+                .filter_map(|member| {
+                    let (requests, total_ms) = member.backend.take_work();
+                    let endpoint = Arc::clone(&member.backend.entry.run.name);
+                    (requests > 0).then_some(WorkTime {
+                        endpoint,
+                        requests,
+                        total_ms,
+                    })
+                })
+                .collect(),
+        });
+        HeatReport {
+            services: services.collect(),
+        }
+    }
+
+    /// Takes in the report of a daemon.
+    fn count(&mut self, report: &DaemonReport, now: Millis) {
+        let reporting = Reporting {
+            at: now,
+            run: report.run,
+            peer_addr: report.peer_addr,
+        };
+        let before = self.daemons.insert(report.name.clone(), reporting);
+        let replaced = before.filter(|before| before.run != report.run);
+        if let Some(run) = replaced.map(|before| before.run) {
+            self.controller.handle(Event::RunEnded(run), now);
+        }
+        let former = self.controller.former_run_of(&report.name, report.run);
+        if let Some(run) = former {
+            self.controller.handle(Event::RunEnded(run), now);
+        }
+        for heat in &report.heat.services {
+            let map = self.heat.entry(heat.service.clone()).or_default();
+            map.add(heat, now);
+        }
+    }
+
+    fn set_daemons(&mut self, now: Millis) {
+        self.daemons
+            .retain(|_, daemon| now.since(daemon.at) < DAEMON_AGE);
+        let daemons = self.daemons.len().max(1);
+        self.cx.daemons.store(daemons, Ordering::Relaxed);
+    }
+
+    /// Answers the report of another daemon.
+    pub(super) fn answer(&mut self, report: DaemonReport, reply: oneshot::Sender<ReportReply>) {
+        let now = self.cx.clock.now();
+        self.count(&report, now);
+        self.parked.push(Parked {
+            report,
+            reply,
+            until: now + HELD_REPORT,
+        });
+    }
+
+    /// Answers reports that were held long enough, or whose daemons do not know the newest owners.
+    pub(super) fn answer_parked(&mut self, now: Millis) {
+        let acts = self.controller.term().may_act(now);
+        for parked in std::mem::take(&mut self.parked) {
+            let is_due = !acts || now >= parked.until;
+            if is_due || !self.newer_owners(&parked.report).is_empty() {
+                self.send_answer(&parked.report, parked.reply, now);
+            } else {
+                self.parked.push(parked);
+            }
+        }
+    }
+
+    fn send_answer(&self, report: &DaemonReport, reply: oneshot::Sender<ReportReply>, now: Millis) {
+        let term = self.controller.term();
+        let lease = term.row().filter(|_| term.may_act(now));
+        let answer = ReportReply {
+            lease: lease.map(|row| (term.version(), row.clone())),
+            daemons: self.daemons.len() as u32,
+            owners: self.newer_owners(report),
+        };
+        // The daemon that asked has gone if nobody takes the answer.
+        let _ = reply.send(answer);
+    }
+
+    /// Owners that a daemon does not know yet, because its way to the store is slow or cut.
+    fn newer_owners(&self, report: &DaemonReport) -> Vec<OwnersNews> {
+        let known: Map<&ServiceName, u64> = report
+            .owners
+            .iter()
+            .map(|(name, version)| (name, *version))
+            .collect();
+        let newer = self
+            .builder
+            .owners()
+            .filter(|(name, version, _)| known.get(name).copied().unwrap_or_default() < *version);
+        newer
+            .filter_map(|(service, version, owners)| {
+                Some(OwnersNews {
+                    service: service.clone(),
+                    version,
+                    row: owners.encode().ok()?.to_vec(),
+                })
+            })
+            .collect()
+    }
+
+    fn take_owners_news(&mut self, news: Vec<OwnersNews>) {
+        let mut is_newer = false;
+        for row in news {
+            match Owners::decode(&row.row) {
+                Ok(owners) => is_newer |= self.builder.own(row.service, row.version, owners),
+                Err(e) => log::error!(target: "peer", error:% = e; "Owners of a peer unreadable."),
+            }
+        }
+        if is_newer {
+            self.publish();
+        }
+    }
+
+    pub(super) fn take_answer(&mut self, answer: Option<ReportReply>) {
+        let now = self.cx.clock.now();
+        self.report_sent = false;
+        // The next report, which asks for further changes, follows at once.
+        self.reported = Millis::ZERO;
+        let Some(answer) = answer else {
+            self.reported = now;
+            self.answered = None;
+            return;
+        };
+        self.take_owners_news(answer.owners);
+        let Some((version, row)) = answer.lease else {
+            self.reported = now;
+            self.answered = None;
+            return;
+        };
+        self.answered = Some(now);
+        self.controller
+            .handle(Event::Lease(version, Some(row)), now);
+        let daemons = (answer.daemons as usize).max(1);
+        self.cx.daemons.store(daemons, Ordering::Relaxed);
+    }
+}
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -82,15 +82,6 @@
         }
     }
 
-    /// Wakes all requests in the queue.
-    pub fn wake_all(&self) {
-        let waiting = std::mem::take(&mut self.state().waiting);
-        for (_, tx) in waiting {
-            // A request that has just given up needs no waking.
-            let _ = tx.send(());
-        }
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
