--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -54,6 +54,10 @@
     pub attempts: u32,
 }
 
+/// Time that must be left for a request to be sent again. One that is still on its way at the
+/// deadline is reported as unknown, although its earlier refusals were proved.
+const MIN_SEND_TIME: Millis = Millis(50);
+
 /// Sends `req` until its outcome is known or too little time is left.
 pub async fn dispatch(cx: &Shared, req: &CallerRequest) -> Dispatched {
     cx.count_first_try(&req.contract.name);
@@ -123,7 +127,7 @@
     async fn pause(&mut self) -> bool {
         self.waits += 1;
         let wait = delay(self.waits, rand::random());
-        if self.left() <= wait {
+        if self.left() <= wait + MIN_SEND_TIME {
             return false;
         }
         sleep(wait.into()).await;
