Remove code that the change left unused

Two derives, two accessors that nobody calls, and an outcome that was stored only to be taken out again.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -144,11 +144,6 @@
         &self.term
     }
 
-    /// What the controller knows of its keyed services.
-    pub fn services(&self) -> &Map<ServiceName, Managed> {
-        &self.services
-    }
-
     /// The run of `name` that held the lease before, if the daemon has another run by now.
     pub fn former_run_of(&self, name: &VmName, run: Incarnation) -> Option<Incarnation> {
         let former = self.former.filter(|former| *former != run)?;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -232,10 +232,11 @@
             };
             let again = self.is_again(job, &backend, &result);
             self.log_attempt(job, out, &backend, &result, again);
-            last = Some(outcome_of(result, job.route.repeats));
+            let outcome = outcome_of(result, job.route.repeats);
             if !again {
-                return last.unwrap_or(Outcome::Refused(Reason::Unknown));
+                return outcome;
             }
+            last = Some(outcome);
         }
     }
 
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -6,10 +6,10 @@
 use http::HeaderName;
 use serde::{Deserialize, Serialize};
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
-use strum::{Display, EnumCount, EnumIter};
+use strum::Display;
 
 /// Tables of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumCount, EnumIter)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 #[strum(serialize_all = "lowercase")]
 pub enum Table {
     /// What operators declare.
--- a/src/gateway/term.rs
+++ b/src/gateway/term.rs
@@ -144,11 +144,6 @@
         now.since(self.changed.unwrap_or(Millis::ZERO))
     }
 
-    /// When the last renewal that took effect was sent.
-    pub fn renewed(&self) -> Option<Millis> {
-        self.renewed
-    }
-
     /// Whether the holder should renew the lease.
     pub fn is_due(&self, now: Millis) -> bool {
         self.is_mine()
