Send a request again only if another attempt can be answered in time

Cause: a request whose refusals were proved was sent once more with 50 ms left, and ended as unknown (504) where its attempts take longer than that.

--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -7,7 +7,7 @@
     reference::Base36,
     refusal::Code,
     request::CallerRequest,
-    retry::{Again, again, delay},
+    retry::{Again, again, delay, is_time_left},
     sending::{Sending, send},
     shared::Shared,
     targets::TargetState,
@@ -54,10 +54,6 @@
     pub attempts: u32,
 }
 
-/// Time that must be left for a request to be sent again. One that is still on its way at the
-/// deadline is reported as unknown, although its earlier refusals were proved.
-const MIN_SEND_TIME: Millis = Millis(50);
-
 /// Sends `req` until its outcome is known or too little time is left.
 pub async fn dispatch(cx: &Shared, req: &CallerRequest) -> Dispatched {
     cx.count_first_try(&req.contract.name);
@@ -70,6 +66,7 @@
         target: None,
         attempts: 0,
         waits: 0,
+        slowest: Millis::ZERO,
     };
     let result = run.until_final().await;
     Dispatched {
@@ -89,6 +86,8 @@
     target: Option<Arc<str>>,
     attempts: u32,
     waits: u32,
+    /// Longest time that an attempt took.
+    slowest: Millis,
 }
 
 impl Run<'_> {
@@ -96,7 +95,9 @@
         let mut may_have_run = None;
         loop {
             self.changes.mark_unchanged();
+            let started = self.cx.clock.now();
             let result = self.once().await;
+            self.slowest = self.slowest.max(self.cx.clock.now().since(started));
             if let Exchange::MayHaveRun(code) = &result {
                 may_have_run.get_or_insert(*code);
             }
@@ -127,7 +128,7 @@
     async fn pause(&mut self) -> bool {
         self.waits += 1;
         let wait = delay(self.waits, rand::random());
-        if self.left() <= wait + MIN_SEND_TIME {
+        if !is_time_left(self.left(), wait, self.slowest) {
             return false;
         }
         sleep(wait.into()).await;
--- a/src/routing/retry.rs
+++ b/src/routing/retry.rs
@@ -18,6 +18,13 @@
 /// Longest delay, in milliseconds.
 const MAX_DELAY_MS: u64 = 200;
 
+/// Time that must be left at least for a request to be sent again. One that is still on its way at
+/// the deadline is reported as unknown, although its earlier refusals were proved.
+const MIN_SEND_TIME: Millis = Millis(50);
+/// Time that must be left for a request to be sent again, as a multiple of the longest time that
+/// an attempt of it took to be refused.
+const SEND_TIME_FACTOR: u64 = 3;
+
 /// Retries as a share of first tries.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
@@ -90,3 +97,10 @@
     let full = (FIRST_DELAY_MS << retry.saturating_sub(1).min(16)).min(MAX_DELAY_MS);
     Millis(((full as f64) * (0.5 + jitter / 2.0)).ceil() as u64)
 }
+
+/// Whether enough of the `left` time remains to send a request again after `wait`. `slowest` is the
+/// longest time that an attempt of the request took so far.
+pub fn is_time_left(left: Millis, wait: Millis, slowest: Millis) -> bool {
+    let needed = MIN_SEND_TIME.max(Millis(slowest.0 * SEND_TIME_FACTOR));
+    left > wait + needed
+}
--- a/standins/tests/answers.rs
+++ b/standins/tests/answers.rs
@@ -159,6 +159,31 @@
     scenario.finish().await;
 }
 
+/// Guards against proved refusals that are reported as unknown: the link to the target is slow, and
+/// the last attempt is not answered before the deadline.
+#[test_case(25; "25 ms each way")]
+#[test_case(40; "40 ms each way")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn refused_over_a_slow_link(delay_ms: u64) {
+    let scenario = Scenario::start_idle(Layout::default()).await;
+    let shed = Control {
+        shed: true,
+        ..Control::default()
+    };
+    control_all(&scenario, &shed).await;
+    scenario.cluster.set_target_faults(LinkFaults {
+        delay_ms,
+        ..LinkFaults::default()
+    });
+    for service in [KEYED, UNKEYED] {
+        let ask = Ask::new(Method::POST, service, "k").within(600);
+        let attempts = ask_keys(&scenario, &ask, 6).await;
+        assert!(attempts.iter().all(is_not_run), "{attempts:?}");
+    }
+    scenario.cluster.set_target_faults(LinkFaults::default());
+    scenario.finish().await;
+}
+
 /// Guards against a request that waits beyond its deadline and runs nevertheless.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn deadline_passes_in_the_queue() {
--- a/tests/routing/retry.rs
+++ b/tests/routing/retry.rs
@@ -7,7 +7,7 @@
         exchange::Exchange,
         outcome::{Answer, OutcomeKind},
         refusal::Code,
-        retry::{Again, MAX_ATTEMPTS, RetryBudget, again, delay},
+        retry::{Again, MAX_ATTEMPTS, RetryBudget, again, delay, is_time_left},
     },
 };
 use http::{HeaderMap, StatusCode};
@@ -68,3 +68,14 @@
     }
     assert!(delay(1, 1.0) <= Millis(4));
 }
+
+/// Guards against a request whose refusals were proved and that is reported as unknown, because it
+/// was sent once more and the deadline came before the next refusal.
+#[test_case(300, 10, 5, true; "much_time_left")]
+#[test_case(55, 10, 0, false; "less_than_any_attempt_takes")]
+#[test_case(190, 10, 60, false; "less_than_its_attempts_took")]
+#[test_case(191, 10, 60, true; "as_much_as_its_attempts_took")]
+fn little_time_ends_the_attempts(left: u64, wait: u64, slowest: u64, expected: bool) {
+    let is_left = is_time_left(Millis(left), Millis(wait), Millis(slowest));
+    assert_eq!(is_left, expected);
+}
