Pass endpoints on with the controller's answers to reports

Cause: every daemon followed the endpoints in the store, and every table kept calling a store that failed.

The controller follows endpoints with calls held for 0.6 s and passes changes on. Others read them from the store when they have not been told for 1.3 s. While the store fails, the feed of declarations alone tries, with pauses of up to 2 s on large deployments; declarations are read at most every 0.5 s.

daemons_agree_with_the_store failed first: a controller that had read the whole table did not know of removals before that. It now tells all endpoints to a daemon whose version is older than that reading.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -53,6 +53,12 @@
     }
 }
 
+impl From<Duration> for Millis {
+    fn from(time: Duration) -> Self {
+        Self(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
 impl fmt::Display for Millis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} ms", self.0)
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod owners;
 pub mod placement;
 pub mod platform;
+pub mod registry;
 pub mod reply;
 pub mod routes;
 pub mod runtime;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -5,15 +5,16 @@
 
 use super::{
     controller::{Action, Controller, Event},
-    feeds::{self, News},
+    feeds::{self, Following, Need, News},
     heat::HeatMap,
     model::Configuration,
-    platform::{Platform, Rows, Table},
+    platform::{Platform, Rows, StoredRow, Table},
+    registry::{EndpointChange, EndpointChanges, Registration, Registry},
     view::{View, ViewBuilder},
 };
 use crate::{
     clock::{Clock, Millis},
-    collections::{Map, Set},
+    collections::Map,
     peer::{
         client::PeerClient,
         message::{DaemonReport, ReportReply},
@@ -24,7 +25,10 @@
 use arc_swap::ArcSwap;
 use std::{
     net::SocketAddr,
-    sync::{Arc, atomic::AtomicUsize},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
@@ -45,6 +49,9 @@
 /// The same for the last renewal of the lease. A controller that cannot renew it may have a
 /// successor.
 const RENEWAL_AGE: Millis = Millis(1_600);
+/// Age of what the controller tells of endpoints at which they are read from the store. A leaving
+/// endpoint must be known within 2 s.
+const ENDPOINTS_AGE: Millis = Millis(1_300);
 /// Time for which entries that vanished while the store failed are kept: the endpoints that live
 /// register again within 2 s.
 const DOUBT: Millis = Millis(2_100);
@@ -93,13 +100,15 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let (tx, mut rx) = mpsc::channel(RING_LENGTH);
-    let (watch_lease, lease_needed) = watch::channel(true);
-    let (watch_owners, owners_needed) = watch::channel(true);
-    let (_always, always) = watch::channel(true);
-    follow(&cx, &platform, Table::Declarations, always.clone(), &tx);
-    follow(&cx, &platform, Table::Endpoints, always, &tx);
-    follow(&cx, &platform, Table::Owners, owners_needed, &tx);
-    follow(&cx, &platform, Table::Controller, lease_needed, &tx);
+    let store_fails = Arc::new(watch::Sender::new(false));
+    let follow = |table| follow(&cx, &platform, table, &store_fails, &tx);
+    // Declarations are followed for as long as the daemon runs.
+    let _declarations = follow(Table::Declarations);
+    let watches = Watches {
+        endpoints: follow(Table::Endpoints),
+        owners: follow(Table::Owners),
+        lease: follow(Table::Controller),
+    };
     let mut control = Control {
         peers: PeerClient::default(),
         cx,
@@ -109,13 +118,14 @@
         heat: Map::default(),
         daemons: Map::default(),
         tx,
-        watch_lease,
-        watch_owners,
+        watches,
+        registry: Registry::default(),
+        as_of: Millis::ZERO,
+        told_as_of: Millis::ZERO,
         parked: Vec::new(),
-        report_sent: false,
+        report_sent: None,
         answered: None,
         reported: Millis::ZERO,
-        loaded: Set::default(),
         number: 0,
     };
     loop {
@@ -140,22 +150,46 @@
     }
 }
 
+/// A table that is followed in the store.
+struct Watch {
+    need: watch::Sender<Need>,
+    /// Version up to which the table is known otherwise.
+    known: Arc<AtomicU64>,
+}
+
+impl Watch {
+    fn set(&self, need: Need) {
+        self.need
+            .send_if_modified(|present| std::mem::replace(present, need) != need);
+    }
+}
+
+/// The tables that are followed only at times.
+struct Watches {
+    endpoints: Watch,
+    owners: Watch,
+    lease: Watch,
+}
+
 fn follow<P: Platform>(
     cx: &ControlContext,
     platform: &P,
     table: Table,
-    needed: watch::Receiver<bool>,
+    store_fails: &Arc<watch::Sender<bool>>,
     tx: &mpsc::Sender<Input>,
-) {
+) -> Watch {
     let (news_tx, mut news) = mpsc::channel(8);
-    let daemons = Arc::clone(&cx.daemons);
-    tokio::spawn(feeds::follow(
-        platform.clone(),
+    let (need_tx, need) = watch::channel(Need::Changes);
+    let known = Arc::new(AtomicU64::new(0));
+    let following = Following {
         table,
-        needed,
-        daemons,
-        news_tx,
-    ));
+        need,
+        known: Arc::clone(&known),
+        daemons: Arc::clone(&cx.daemons),
+        store_fails: Arc::clone(store_fails),
+        clock: cx.clock,
+    };
+    tokio::spawn(feeds::follow(platform.clone(), following, news_tx));
     let tx = tx.clone();
     tokio::spawn(async move {
         while let Some(news) = news.recv().await {
@@ -164,6 +198,10 @@
             }
         }
     });
+    Watch {
+        need: need_tx,
+        known,
+    }
 }
 
 /// A daemon that reports.
@@ -178,6 +216,7 @@
 struct Parked {
     report: DaemonReport,
     reply: oneshot::Sender<ReportReply>,
+    received: Millis,
     until: Millis,
 }
 
@@ -190,17 +229,20 @@
     daemons: Map<VmName, Reporting>,
     peers: PeerClient,
     tx: mpsc::Sender<Input>,
-    watch_lease: watch::Sender<bool>,
-    watch_owners: watch::Sender<bool>,
+    watches: Watches,
+    /// The endpoints as the store or the controller showed them.
+    registry: Registry,
+    /// Changes of endpoints that were acknowledged before this time are known, from the store.
+    as_of: Millis,
+    /// The same, from the controller.
+    told_as_of: Millis,
     /// Reports whose answers are held until owners change.
     parked: Vec<Parked>,
-    /// Whether a report is on its way.
-    report_sent: bool,
+    /// When the report was sent that is on its way.
+    report_sent: Option<Millis>,
     /// When the controller last answered a report.
     answered: Option<Millis>,
     reported: Millis,
-    /// Tables that were read once.
-    loaded: Set<Table>,
     number: u64,
 }
 
@@ -217,10 +259,12 @@
     }
 
     fn take_news(&mut self, news: &News) {
-        self.loaded.insert(news.table);
         match news.table {
             Table::Declarations => self.take_declarations(&news.rows),
-            Table::Endpoints => self.take_endpoints(news),
+            Table::Endpoints => {
+                self.take_endpoints(news);
+                return;
+            }
             Table::Owners => self.take_owners(&news.rows),
             Table::Controller if news.is_whole || !news.rows.rows.is_empty() => {
                 self.take_lease(&news.rows);
@@ -258,51 +302,76 @@
     }
 
     fn take_endpoints(&mut self, news: &News) {
-        let now = self.cx.clock.now();
-        let mut gone: Vec<Arc<str>> = Vec::new();
-        let mut present: Set<Arc<str>> = Set::default();
-        for row in &news.rows.rows {
-            if row.value.is_none() {
-                gone.push(Arc::clone(&row.name));
-                continue;
+        self.as_of = self.as_of.max(news.as_of);
+        let changes = news.rows.rows.iter().map(|row| EndpointChange {
+            name: Arc::clone(&row.name),
+            version: row.version,
+            registration: self.registration(row, news.after_failure),
+        });
+        let changes = EndpointChanges {
+            changes: changes.collect(),
+            version: news.rows.version,
+            is_whole: news.is_whole,
+            after_failure: news.after_failure,
+        };
+        self.apply_endpoints(changes);
+    }
+
+    fn registration(&self, row: &StoredRow, after_failure: bool) -> Registration {
+        if row.value.is_none() {
+            return Registration::Gone { after_failure };
+        }
+        match self.platform.endpoint(row) {
+            Ok(entry) => Registration::Present(entry),
+            Err(reason) => {
+                log::warn!(target: "health", row:% = row.name, version = row.version, reason;
+                    "Entry names no endpoint.");
+                Registration::Gone { after_failure }
             }
-            match self.platform.endpoint(row) {
-                Ok(entry) => {
-                    present.insert(Arc::clone(&row.name));
-                    log::debug!(target: "health", endpoint:% = row.name, version = row.version,
-                        draining = entry.draining; "Endpoint registered.");
+        }
+    }
+
+    /// Takes in endpoints that changed, from the store or from the controller.
+    pub(super) fn apply_endpoints(&mut self, news: EndpointChanges) {
+        let now = self.cx.clock.now();
+        let is_first = self.registry.version() == 0;
+        let changes = self.registry.apply(news);
+        let version = self.registry.version();
+        self.watches
+            .endpoints
+            .known
+            .store(version, Ordering::Relaxed);
+        if changes.is_empty() && !is_first {
+            return;
+        }
+        let mut gone: Vec<(Arc<str>, bool)> = Vec::new();
+        for change in changes {
+            match change.registration {
+                Registration::Present(entry) => {
+                    log::debug!(target: "health", endpoint:% = change.name,
+                        version = change.version, draining = entry.draining;
+                        "Endpoint registered.");
                     self.builder.register(entry, now);
                 }
-                Err(reason) => {
-                    log::warn!(target: "health", row:% = row.name, version = row.version, reason;
-                        "Entry names no endpoint.");
-                    gone.push(Arc::clone(&row.name));
-                }
+                Registration::Gone { after_failure } => gone.push((change.name, after_failure)),
             }
         }
-        gone.retain(|name| !present.contains(name));
-        if news.is_whole {
-            let names = self.builder.names();
-            gone.extend(names.into_iter().filter(|name| !present.contains(name)));
-        }
-        self.remove(&gone, news, now);
+        self.remove(&gone, now);
         self.tell_endpoints();
+        self.publish();
     }
 
     /// Removes entries, some of them only after a while in which they may return.
-    fn remove(&mut self, gone: &[Arc<str>], news: &News, now: Millis) {
-        if gone.is_empty() {
-            return;
-        }
+    fn remove(&mut self, gone: &[(Arc<str>, bool)], now: Millis) {
         let known = self.builder.names().len();
         let is_mass = gone.len() >= MASS_COUNT && gone.len() * 100 >= known * MASS_PERCENT;
-        let doubt = match (news.after_failure, is_mass) {
-            (true, _) => Some(now + DOUBT),
-            (false, true) => Some(now + MASS_DOUBT),
-            (false, false) => None,
-        };
-        for name in gone {
-            log::info!(target: "health", endpoint:% = name, version = news.rows.version,
+        for (name, after_failure) in gone {
+            let doubt = match (after_failure, is_mass) {
+                (true, _) => Some(now + DOUBT),
+                (false, true) => Some(now + MASS_DOUBT),
+                (false, false) => None,
+            };
+            log::info!(target: "health", endpoint:% = name, version = self.registry.version(),
                 doubted = doubt.is_some(); "Endpoint entry gone.");
             self.builder.remove(name, doubt);
         }
@@ -328,7 +397,7 @@
 
     fn publish(&mut self) {
         let now = self.cx.clock.now();
-        if !self.loaded.contains(&Table::Endpoints) {
+        if self.registry.version() == 0 {
             return;
         }
         self.cx.view.store(Arc::new(self.builder.build(now)));
@@ -350,17 +419,22 @@
         }
     }
 
-    /// The lease and the owners are read from the store only while no controller answers reports.
+    /// The lease, the owners and the endpoints are read from the store only while no controller
+    /// tells them in answers to reports.
     fn choose_watches(&mut self, now: Millis) {
         let term = self.controller.term();
         let mine = term.is_mine();
-        let fresh = self.answered.is_some_and(|at| now.since(at) < WATCH_AFTER)
-            && term.age(now) < RENEWAL_AGE;
-        let set = |watch: &watch::Sender<bool>, needed: bool| {
-            watch.send_if_modified(|present| std::mem::replace(present, needed) != needed);
-        };
-        set(&self.watch_lease, !mine && !fresh);
-        set(&self.watch_owners, mine || !fresh);
+        let answers = self.answered.is_some_and(|at| now.since(at) < WATCH_AFTER);
+        let fresh = answers && term.age(now) < RENEWAL_AGE;
+        let if_needed = |needed| if needed { Need::Changes } else { Need::Nothing };
+        self.watches.lease.set(if_needed(!mine && !fresh));
+        self.watches.owners.set(if_needed(mine || !fresh));
+        let told = answers && now.since(self.told_as_of) < ENDPOINTS_AGE;
+        self.watches.endpoints.set(if mine {
+            Need::Freshness
+        } else {
+            if_needed(!told)
+        });
     }
 
     fn carry_out(&self, action: Action) {
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -10,7 +10,7 @@
         owners::Owners,
         platform::Platform,
     },
-    peer::message::{DaemonReport, OwnersNews, PeerReply, PeerRequest, ReportReply},
+    peer::message::{DaemonReport, EndpointsNews, OwnersNews, PeerReply, PeerRequest, ReportReply},
     world::ServiceName,
 };
 use std::{
@@ -32,7 +32,7 @@
 impl<P: Platform> Control<P> {
     /// Reports what was counted to the controller.
     pub(super) fn report(&mut self, now: Millis) {
-        if self.report_sent || now.since(self.reported) < REPORT_EVERY {
+        if self.report_sent.is_some() || now.since(self.reported) < REPORT_EVERY {
             return;
         }
         self.reported = now;
@@ -41,6 +41,7 @@
             run: self.cx.run,
             peer_addr: self.cx.peer_addr,
             owners: self.builder.owner_versions(),
+            endpoints: self.registry.version(),
             heat: self.take_heat(),
         };
         let term = self.controller.term();
@@ -59,7 +60,7 @@
         if addr == self.cx.peer_addr {
             return;
         }
-        self.report_sent = true;
+        self.report_sent = Some(now);
         let (peers, tx) = (self.peers.clone(), self.tx.clone());
         tokio::spawn(async move {
             let request = PeerRequest::Report(report);
@@ -137,6 +138,7 @@
         self.parked.push(Parked {
             report,
             reply,
+            received: now,
             until: now + HELD_REPORT,
         });
     }
@@ -146,24 +148,35 @@
         let acts = self.controller.term().may_act(now);
         for parked in std::mem::take(&mut self.parked) {
             let is_due = !acts || now >= parked.until;
-            if is_due || !self.newer_owners(&parked.report).is_empty() {
-                self.send_answer(&parked.report, parked.reply, now);
+            let has_news = self.registry.has_after(parked.report.endpoints)
+                || !self.newer_owners(&parked.report).is_empty();
+            if is_due || has_news {
+                self.send_answer(parked, now);
             } else {
                 self.parked.push(parked);
             }
         }
     }
 
-    fn send_answer(&self, report: &DaemonReport, reply: oneshot::Sender<ReportReply>, now: Millis) {
+    fn send_answer(&self, parked: Parked, now: Millis) {
         let term = self.controller.term();
         let lease = term.row().filter(|_| term.may_act(now));
         let answer = ReportReply {
             lease: lease.map(|row| (term.version(), row.clone())),
             daemons: self.daemons.len() as u32,
-            owners: self.newer_owners(report),
+            owners: self.newer_owners(&parked.report),
+            endpoints: lease.and_then(|_| self.endpoints_news(&parked, now)),
         };
         // The daemon that asked has gone if nobody takes the answer.
-        let _ = reply.send(answer);
+        let _ = parked.reply.send(answer);
+    }
+
+    fn endpoints_news(&self, parked: &Parked, now: Millis) -> Option<EndpointsNews> {
+        (self.registry.version() > 0).then(|| EndpointsNews {
+            changes: self.registry.after(parked.report.endpoints),
+            age: now.since(self.as_of),
+            held: now.since(parked.received),
+        })
     }
 
     /// Owners that a daemon does not know yet, because its way to the store is slow or cut.
@@ -203,7 +216,7 @@
 
     pub(super) fn take_answer(&mut self, answer: Option<ReportReply>) {
         let now = self.cx.clock.now();
-        self.report_sent = false;
+        let sent = self.report_sent.take().unwrap_or(now);
         // The next report, which asks for further changes, follows at once.
         self.reported = Millis::ZERO;
         let Some(answer) = answer else {
@@ -218,6 +231,12 @@
             return;
         };
         self.answered = Some(now);
+        if let Some(news) = answer.endpoints {
+            // The answer was sent after the report had been held, and not before that.
+            let as_of = sent + news.held - news.age;
+            self.told_as_of = self.told_as_of.max(as_of);
+            self.apply_endpoints(news.changes);
+        }
         self.controller
             .handle(Event::Lease(version, Some(row)), now);
         let daemons = (answer.daemons as usize).max(1);
--- a/src/gateway/feeds.rs
+++ b/src/gateway/feeds.rs
@@ -1,10 +1,11 @@
 //! Follows tables of the store.
 
 use super::platform::{Changes, Platform, Rows, StoreError, Table};
+use crate::clock::{Clock, Millis};
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -15,10 +16,15 @@
 
 /// Time for which the store may hold a call until something changes.
 const WAIT: Duration = Duration::from_secs(20);
-/// Pause after a failed call, which doubles up to [`MAX_PAUSE`].
+/// The same where others rely on the news being fresh: an answer without news shows that there is
+/// none.
+const FRESH_WAIT: Duration = Duration::from_millis(600);
+/// Pause after a failed call, which doubles up to the longest pause.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// Longest pause after a failed call.
-const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause after a failed call for each daemon that may call the store.
+const FAILED_PAUSE_PER_DAEMON: Duration = Duration::from_millis(30);
+/// Limits of the longest pause after a failed call.
+const MAX_PAUSE: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(2)];
 
 /// Pause after news of endpoints for each daemon that follows the store. Changes of many endpoints
 /// come one by one; read together, they cost a call for each daemon rather than one for each change.
@@ -27,8 +33,32 @@
 const MIN_NEWS_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after news of endpoints. A leaving endpoint must be known within 2 s.
 const MAX_NEWS_PAUSE: Duration = Duration::from_millis(500);
-/// Pause after news of owners or declarations.
-const OTHER_NEWS_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after news of endpoints on the daemon that passes them on to the others.
+const PASSED_ON_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after news of declarations. A configuration must be in force within 2 s.
+const DECLARATIONS_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after news of owners.
+const OWNERS_PAUSE: Duration = Duration::from_millis(50);
+
+/// For what a table is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// It is not followed.
+    Nothing,
+    /// For its changes.
+    Changes,
+    /// For its changes, and to know how fresh the news is.
+    Freshness,
+}
+
+impl Need {
+    fn wait(self) -> Duration {
+        match self {
+            Self::Freshness => FRESH_WAIT,
+            Self::Changes | Self::Nothing => WAIT,
+        }
+    }
+}
 
 /// News of a table.
 #[derive(Clone, Debug)]
@@ -41,66 +71,128 @@
     pub is_whole: bool,
     /// Whether the store failed to answer before this.
     pub after_failure: bool,
+    /// All changes that the store acknowledged before this time are included.
+    pub as_of: Millis,
 }
 
-/// Sends news of a table while `needed` is true.
-pub async fn follow<P: Platform>(
-    platform: P,
-    table: Table,
-    mut needed: watch::Receiver<bool>,
-    daemons: Arc<AtomicUsize>,
-    tx: mpsc::Sender<News>,
-) {
+/// How a table is followed.
+#[derive(Clone, Debug)]
+pub struct Following {
+    /// The table.
+    pub table: Table,
+    /// Whether and for what it is needed.
+    pub need: watch::Receiver<Need>,
+    /// Version up to which the table is known without this feed; 0 if it is not.
+    pub known: Arc<AtomicU64>,
+    /// Daemons that may call the store.
+    pub daemons: Arc<AtomicUsize>,
+    /// Whether the store fails, as the feed of declarations finds. It alone tries then, since
+    /// calls that fail cost as much as others.
+    pub store_fails: Arc<watch::Sender<bool>>,
+    /// The daemon's clock.
+    pub clock: Clock,
+}
+
+/// Sends news of a table while it is needed.
+pub async fn follow<P: Platform>(platform: P, following: Following, tx: mpsc::Sender<News>) {
+    let Following {
+        table,
+        mut need,
+        known,
+        daemons,
+        store_fails,
+        clock,
+    } = following;
+    let mut fails = store_fails.subscribe();
     let mut follower = Follower {
         platform,
         table,
         failures: 0,
     };
     let mut after = None;
-    while needed.wait_for(|needed| *needed).await.is_ok() {
+    loop {
+        let Ok(present) = need
+            .wait_for(|need| *need != Need::Nothing)
+            .await
+            .map(|n| *n)
+        else {
+            return;
+        };
+        // The sender lives as long as this function, so there is no other end.
+        if table != Table::Declarations && fails.wait_for(|fails| !fails).await.is_err() {
+            return;
+        }
+        let from = after.or_else(|| match known.load(Ordering::Relaxed) {
+            0 => None,
+            version => Some(version),
+        });
+        let asked = clock.now();
         let result = tokio::select! {
-            result = follower.next(after) => result,
-            stopped = needed.wait_for(|needed| !needed) => {
-                if stopped.is_err() {
-                    return;
+            result = follower.next(from, present.wait()) => result,
+            changed = need.wait_for(|need| *need != present) => {
+                match changed.map(|need| *need) {
+                    Err(_) => return,
+                    // What changes until it is needed again is not seen here.
+                    Ok(Need::Nothing) => after = None,
+                    Ok(_) => {}
                 }
-                // What changes until it is needed again is read anew.
-                after = None;
                 continue;
             }
         };
+        if table == Table::Declarations {
+            let failed = result.is_err();
+            store_fails.send_if_modified(|fails| std::mem::replace(fails, failed) != failed);
+        }
         match result {
             Ok(Some((rows, is_whole))) => {
                 after = Some(rows.version);
+                let is_empty = !is_whole && rows.rows.is_empty();
+                let held = clock.now().since(asked) >= Millis::from(present.wait());
                 let news = News {
                     table,
                     is_whole,
                     after_failure: follower.succeeded(),
+                    as_of: if is_empty && held {
+                        asked + Millis::from(present.wait())
+                    } else {
+                        asked
+                    },
                     rows,
                 };
-                let is_news = is_whole || !news.rows.rows.is_empty() || news.after_failure;
+                let is_news = !is_empty || news.after_failure || present == Need::Freshness;
                 if is_news && tx.send(news).await.is_err() {
                     return;
                 }
-                sleep(news_pause(table, daemons.load(Ordering::Relaxed))).await;
+                if !is_empty {
+                    let daemons = daemons.load(Ordering::Relaxed);
+                    sleep(news_pause(table, present, daemons)).await;
+                }
+            }
+            Ok(None) => {
+                after = None;
+                known.store(0, Ordering::Relaxed);
             }
-            Ok(None) => after = None,
-            Err(e) => sleep(follower.failed(&e)).await,
+            Err(e) => sleep(follower.failed(&e, daemons.load(Ordering::Relaxed))).await,
         }
     }
 }
 
-fn news_pause(table: Table, daemons: usize) -> Duration {
+fn news_pause(table: Table, need: Need, daemons: usize) -> Duration {
     match table {
+        Table::Endpoints if need == Need::Freshness => PASSED_ON_PAUSE,
         Table::Endpoints => {
-            let pause = PAUSE_PER_DAEMON * u32::try_from(daemons).unwrap_or(u32::MAX);
-            pause.clamp(MIN_NEWS_PAUSE, MAX_NEWS_PAUSE)
+            per_daemon(PAUSE_PER_DAEMON, daemons).clamp(MIN_NEWS_PAUSE, MAX_NEWS_PAUSE)
         }
-        Table::Declarations | Table::Owners => OTHER_NEWS_PAUSE,
+        Table::Declarations => DECLARATIONS_PAUSE,
+        Table::Owners => OWNERS_PAUSE,
         Table::Controller => Duration::ZERO,
     }
 }
 
+fn per_daemon(pause: Duration, daemons: usize) -> Duration {
+    pause.saturating_mul(u32::try_from(daemons).unwrap_or(u32::MAX))
+}
+
 struct Follower<P> {
     platform: P,
     table: Table,
@@ -109,11 +201,15 @@
 
 impl<P: Platform> Follower<P> {
     /// The next rows, and whether they are the whole table; `None` if it has to be read again.
-    async fn next(&self, after: Option<u64>) -> Result<Option<(Rows, bool)>, StoreError> {
+    async fn next(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> Result<Option<(Rows, bool)>, StoreError> {
         let Some(after) = after else {
             return Ok(Some((self.platform.read(self.table).await?, true)));
         };
-        match self.platform.changes(self.table, after, WAIT).await? {
+        match self.platform.changes(self.table, after, wait).await? {
             Changes::Rows(rows) => Ok(Some((rows, false))),
             Changes::HistoryLost => {
                 log::info!(target: "store", table:% = self.table, after;
@@ -123,14 +219,16 @@
         }
     }
 
-    fn failed(&mut self, error: &StoreError) -> Duration {
+    fn failed(&mut self, error: &StoreError, daemons: usize) -> Duration {
         if self.failures == 0 {
             log::warn!(target: "store", table:% = self.table, error:% = error; "Store lost.");
         }
         self.failures += 1;
-        let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(4) - 1);
+        let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(7) - 1);
+        let [least, most] = MAX_PAUSE;
+        let longest = per_daemon(FAILED_PAUSE_PER_DAEMON, daemons).clamp(least, most);
         let jitter = rand::random_range(0.5..1.0);
-        pause.min(MAX_PAUSE).mul_f64(jitter)
+        pause.min(longest).mul_f64(jitter)
     }
 
     /// Notes a success. True if calls had failed before.
--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -58,7 +58,7 @@
 }
 
 /// An endpoint as it registered itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// The endpoint and its run.
     pub run: EndpointRun,
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -1,8 +1,9 @@
 //! Messages between daemons.
 
 use crate::{
+    clock::Millis,
     config::ConfigSnapshot,
-    gateway::{heat::HeatReport, platform::Listening, term::LeaseRow},
+    gateway::{heat::HeatReport, platform::Listening, registry::EndpointChanges, term::LeaseRow},
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
     world::{GroupId, Incarnation, Link, ServiceName, Vm, VmName},
@@ -11,7 +12,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 /// First byte of every frame. A daemon answers other versions with an error.
-pub const PROTOCOL_VERSION: u8 = 1;
+pub const PROTOCOL_VERSION: u8 = 2;
 
 /// A request from one daemon to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -65,6 +66,8 @@
     pub peer_addr: SocketAddr,
     /// Versions of the owners that it knows.
     pub owners: Vec<(ServiceName, u64)>,
+    /// Version of the store up to which it knows the endpoints; 0 if it does not.
+    pub endpoints: u64,
     /// What it counted since its last report.
     pub heat: HeatReport,
 }
@@ -78,6 +81,19 @@
     pub daemons: u32,
     /// Owners in newer versions than the daemon knows, as in the store.
     pub owners: Vec<OwnersNews>,
+    /// Endpoints that changed; `None` if the controller does not know them.
+    pub endpoints: Option<EndpointsNews>,
+}
+
+/// Changes of endpoints that the daemon does not know, and how fresh they are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointsNews {
+    /// The changes.
+    pub changes: EndpointChanges,
+    /// Age of the knowledge when the answer was sent: earlier changes are all included.
+    pub age: Millis,
+    /// Time for which the report was held before the answer was sent.
+    pub held: Millis,
 }
 
 /// The owners of a service's keys, as in the store.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,5 +9,6 @@
 mod owners;
 mod placement;
 mod queue;
+mod registry;
 mod routes;
 mod world;
