Space requests to a full endpoint by the number of daemons

Cause: a hot key's endpoint with 20 places got requests from 62 daemons, each with at least one in flight. It reset the connections (502, "unknown"), and requests waited at a daemon although the endpoint's next opening came later than they wait.

Answers that report a long queue now lengthen the spacing too, the first spacing follows from the number of daemons, and a request is refused at once if the endpoint opens too late for it.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -31,11 +31,17 @@
 /// Requests of one daemon at an endpoint at most, as a multiple of its slots.
 const CAP_PER_SLOT: u32 = 2;
 /// Longest time between two requests to an endpoint that keeps refusing, in milliseconds.
-const MAX_SPACING_MS: f64 = 2_000.0;
+const MAX_SPACING_MS: f64 = 4_000.0;
 /// Time for which an endpoint is left alone whose address another one has.
 const REPLACED_PAUSE: Millis = Millis(4_000);
-/// Share of the spacing that is kept after an answer.
+/// Share of the spacing that is kept after an answer of an endpoint with a short queue.
 const SPACING_KEPT: f64 = 0.7;
+/// The same for an endpoint with a free slot.
+const SPACING_KEPT_IDLE: f64 = 0.3;
+/// Factor on the spacing after an answer of an endpoint with a long queue.
+const SPACING_GROWTH: f64 = 1.4;
+/// First spacing, as a share of the one at which all daemons together keep the endpoint busy.
+const FIRST_SPACING_SHARE: f64 = 0.25;
 /// Time for which requests for keys that the endpoint says it does not own are held back.
 const NOT_OWNER_PAUSE: Millis = Millis(150);
 
@@ -70,6 +76,7 @@
 #[derive(Debug)]
 struct State {
     limit: Limit,
+    slots: u32,
     work_ms: f64,
     failures: f64,
     in_a_row: u32,
@@ -103,6 +110,7 @@
 impl Backend {
     /// An endpoint that is first seen at `now`.
     pub fn new(entry: EndpointEntry, queue: Arc<WaitQueue>, now: Millis) -> Self {
+        let entry_slots = entry.slots.max(1);
         let cap = entry.slots * CAP_PER_SLOT;
         Self {
             pool: Pool::new(entry.addr),
@@ -111,6 +119,7 @@
             first_seen: now,
             state: Mutex::new(State {
                 limit: Limit::new(LimitPolicy::Adaptive, cap),
+                slots: entry_slots,
                 work_ms: FIRST_WORK_MS,
                 failures: 0.0,
                 in_a_row: 0,
@@ -143,13 +152,15 @@
     }
 
     /// Gives room back and learns from how the request ended.
-    pub fn give_back(&self, verdict: Verdict, load: Option<Load>, now: Millis) {
+    ///
+    /// `daemons` share the endpoint.
+    pub fn give_back(&self, verdict: Verdict, load: Option<Load>, daemons: usize, now: Millis) {
         {
             let mut state = self.state();
             let full = load.is_some_and(|load| load.waiting > load.slots * WAITING_PER_SLOT);
             let busy = load.is_none_or(|load| load.running >= load.slots);
             state.learn(verdict, now);
-            state.adapt_spacing(verdict, busy, now);
+            state.adapt_spacing(verdict, load, daemons, now);
             if let Some(load) = load {
                 state.report = Some((load, now));
                 state.sent_since_report = 0;
@@ -195,6 +206,12 @@
         (state.work_ms / state.limit.limit().max(1.0)).max(state.spacing_ms)
     }
 
+    /// Time until a request gets room that has `ahead` others before it, in milliseconds.
+    pub fn wait_ms(&self, ahead: usize, now: Millis) -> f64 {
+        let closed = self.state().opens_at.since(now);
+        closed.0 as f64 + ahead as f64 * self.interval_ms()
+    }
+
     /// Whether the endpoint should be left alone at `now`.
     pub fn is_aside(&self, now: Millis) -> bool {
         self.state().aside_until.is_some_and(|until| now < until)
@@ -260,25 +277,38 @@
 
     /// An endpoint that refuses although it has free slots fails at random, and waiting would not
     /// help; neither does a single lost connection show that it is full.
-    fn adapt_spacing(&mut self, verdict: Verdict, busy: bool, now: Millis) {
+    fn adapt_spacing(&mut self, verdict: Verdict, load: Option<Load>, daemons: usize, now: Millis) {
+        let has_room = load.is_some_and(|load| load.running < load.slots);
         match verdict {
-            Verdict::Shed if !busy => {}
+            Verdict::Shed if has_room => {}
             Verdict::Lost if self.in_a_row < 2 => {}
-            Verdict::Shed | Verdict::Lost => {
-                let longer = (self.spacing_ms * 2.0).max(self.work_ms / 4.0);
-                self.spacing_ms = longer.min(MAX_SPACING_MS);
-                self.pace(now);
-            }
-            Verdict::Answered(_) => {
-                self.spacing_ms *= SPACING_KEPT;
-                if self.spacing_ms < self.work_ms / 8.0 {
-                    self.spacing_ms = 0.0;
+            Verdict::Shed | Verdict::Lost => self.lengthen_spacing(2.0, daemons, now),
+            Verdict::Answered(_) => match load {
+                Some(load) if load.waiting > load.slots * WAITING_PER_SLOT => {
+                    self.lengthen_spacing(SPACING_GROWTH, daemons, now);
                 }
-            }
+                Some(load) if load.waiting * 2 > load.slots => {}
+                _ if has_room => self.shorten_spacing(SPACING_KEPT_IDLE),
+                _ => self.shorten_spacing(SPACING_KEPT),
+            },
             Verdict::Failed | Verdict::Replaced | Verdict::Neutral => {}
         }
     }
 
+    fn lengthen_spacing(&mut self, factor: f64, daemons: usize, now: Millis) {
+        let fair = self.work_ms * daemons as f64 / f64::from(self.slots);
+        let first = (self.work_ms / 4.0).max(fair * FIRST_SPACING_SHARE);
+        self.spacing_ms = (self.spacing_ms * factor).max(first).min(MAX_SPACING_MS);
+        self.pace(now);
+    }
+
+    fn shorten_spacing(&mut self, kept: f64) {
+        self.spacing_ms *= kept;
+        if self.spacing_ms < self.work_ms / 8.0 {
+            self.spacing_ms = 0.0;
+        }
+    }
+
     fn learn(&mut self, verdict: Verdict, now: Millis) {
         let failed = match verdict {
             Verdict::Answered(latency) => {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -78,9 +78,9 @@
 }
 
 impl Job<'_> {
-    /// Whether the requests ahead take longer than this one waits at most.
-    fn would_wait_too_long(&self, ahead: usize, interval_ms: f64, now: Millis) -> bool {
-        ahead as f64 * interval_ms > self.waits_until.since(now).0 as f64
+    /// Whether room comes later than this request waits at most.
+    fn would_wait_too_long(&self, wait_ms: f64, now: Millis) -> bool {
+        wait_ms > self.waits_until.since(now).0 as f64
     }
 }
 
@@ -226,7 +226,8 @@
                 Room::None(reason) => return last.unwrap_or(Outcome::Refused(reason)),
             };
             let left = self.clock.until(job.ends);
-            let sending = send::send(&backend, out, &self.names, left, self.clock);
+            let daemons = self.daemons.load(Ordering::Relaxed);
+            let sending = send::send(&backend, out, &self.names, left, daemons, self.clock);
             let Ok(result) = timeout(left, sending).await else {
                 return Outcome::Refused(Reason::Timeout);
             };
@@ -368,7 +369,7 @@
         }
         let usable = service.members.iter().filter(|m| m.leaving.is_none());
         let rate: f64 = usable.map(|m| 1.0 / m.backend.interval_ms()).sum();
-        if is_new && job.would_wait_too_long(queue.ahead_of(turn), 1.0 / rate, now) {
+        if is_new && job.would_wait_too_long(queue.ahead_of(turn) as f64 / rate, now) {
             return Err((Reason::Busy, None, Some(now)));
         }
         Err((Reason::Busy, Some(Arc::clone(queue)), None))
@@ -401,7 +402,7 @@
         if !queue.is_behind(turn) && backend.try_take(now) {
             return Ok(Arc::clone(backend));
         }
-        if is_new && job.would_wait_too_long(queue.ahead_of(turn), backend.interval_ms(), now) {
+        if is_new && job.would_wait_too_long(backend.wait_ms(queue.ahead_of(turn), now), now) {
             return Err((Reason::Busy, None, Some(now)));
         }
         Err((Reason::Busy, Some(Arc::clone(queue)), None))
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -74,10 +74,12 @@
     out: &Outgoing,
     names: &HeaderNames,
     left: Duration,
+    daemons: usize,
     clock: Clock,
 ) -> Exchange {
     let mut room = Room {
         backend,
+        daemons,
         clock,
         verdict: Verdict::Neutral,
         load: None,
@@ -98,6 +100,7 @@
 /// Gives the room at the endpoint back when the exchange ends or is cancelled.
 struct Room<'a> {
     backend: &'a Backend,
+    daemons: usize,
     clock: Clock,
     verdict: Verdict,
     load: Option<Load>,
@@ -106,7 +109,7 @@
 impl Drop for Room<'_> {
     fn drop(&mut self) {
         self.backend
-            .give_back(self.verdict, self.load, self.clock.now());
+            .give_back(self.verdict, self.load, self.daemons, self.clock.now());
     }
 }
 
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -11,6 +11,9 @@
 use std::sync::Arc;
 use test_case::test_case;
 
+/// Daemons that share the endpoint.
+const DAEMONS: usize = 62;
+
 fn backend() -> Backend {
     let entry = EndpointEntry {
         run: EndpointRun {
@@ -29,7 +32,7 @@
 
 fn finish(backend: &Backend, verdict: Verdict, load: Option<Load>, now: u64) {
     assert!(backend.try_take(Millis(now)));
-    backend.give_back(verdict, load, Millis(now));
+    backend.give_back(verdict, load, DAEMONS, Millis(now));
 }
 
 /// Guards against an endpoint that keeps getting requests although all fail.
@@ -76,3 +79,33 @@
     assert!(backend.denied_until(keys, 6, Millis(120)).is_none());
     assert!(backend.denied_until(keys, 5, Millis(400)).is_none());
 }
+
+/// Guards against many daemons that together keep an endpoint full although each sends only one
+/// request at a time: its answers tell of a long queue, and connections are reset.
+#[test]
+fn an_endpoint_with_a_long_queue_is_shared_by_all_daemons() {
+    let backend = backend();
+    let long = Load {
+        running: 4,
+        waiting: 9,
+        slots: 4,
+    };
+    finish(&backend, Verdict::Answered(Millis(400)), Some(long), 0);
+    let wait = backend.wait_ms(0, Millis(0));
+    assert!(wait >= 300.0, "opens after {wait} ms");
+    let idle = Load {
+        running: 1,
+        waiting: 0,
+        slots: 4,
+    };
+    for i in 1..6 {
+        finish(
+            &backend,
+            Verdict::Answered(Millis(100)),
+            Some(idle),
+            i * 6_000,
+        );
+    }
+    let wait = backend.wait_ms(0, Millis(36_000));
+    assert!(wait < 1.0, "still closed for {wait} ms");
+}
