Ask again for declarations that the controller knows and a daemon does not

Cause: a call that the store holds for 20 s can go silent, and a daemon then learns a configuration only at its end, 22 s later.

The controller's answers now tell the version of the newest declarations; a daemon that is behind for 0.7 s asks anew. While no controller tells anything, declarations and endpoints are asked for with calls of 0.6 s.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -36,6 +36,9 @@
     time::{sleep, timeout},
 };
 
+/// Time for a daemon's own call to bring declarations that the controller knows. The connection on
+/// which the store holds the call may have gone silent.
+const DECLARATIONS_DELAY: Millis = Millis(700);
 /// Length of the ring between the tasks of the control thread.
 const RING_LENGTH: usize = 256;
 /// Longest time to give the controller lease up.
@@ -102,9 +105,8 @@
     let (tx, mut rx) = mpsc::channel(RING_LENGTH);
     let store_fails = Arc::new(watch::Sender::new(false));
     let follow = |table| follow(&cx, &platform, table, &store_fails, &tx);
-    // Declarations are followed for as long as the daemon runs.
-    let _declarations = follow(Table::Declarations);
     let watches = Watches {
+        declarations: follow(Table::Declarations),
         endpoints: follow(Table::Endpoints),
         owners: follow(Table::Owners),
         lease: follow(Table::Controller),
@@ -122,6 +124,8 @@
         registry: Registry::default(),
         as_of: Millis::ZERO,
         told_as_of: Millis::ZERO,
+        declarations: 0,
+        behind_since: None,
         parked: Vec::new(),
         report_sent: None,
         answered: None,
@@ -164,8 +168,9 @@
     }
 }
 
-/// The tables that are followed only at times.
+/// How the tables are followed at present.
 struct Watches {
+    declarations: Watch,
     endpoints: Watch,
     owners: Watch,
     lease: Watch,
@@ -236,6 +241,10 @@
     as_of: Millis,
     /// The same, from the controller.
     told_as_of: Millis,
+    /// Version of the newest declarations that were read.
+    declarations: u64,
+    /// Since when the controller knows newer declarations.
+    behind_since: Option<Millis>,
     /// Reports whose answers are held until owners change.
     parked: Vec<Parked>,
     /// When the report was sent that is on its way.
@@ -276,6 +285,7 @@
 
     fn take_declarations(&mut self, rows: &Rows) {
         for row in &rows.rows {
+            self.declarations = self.declarations.max(row.version);
             match self.platform.configuration(row) {
                 Some(Ok(config)) => self.configure(config),
                 Some(Err(reason)) => {
@@ -430,11 +440,23 @@
         self.watches.lease.set(if_needed(!mine && !fresh));
         self.watches.owners.set(if_needed(mine || !fresh));
         let told = answers && now.since(self.told_as_of) < ENDPOINTS_AGE;
-        self.watches.endpoints.set(if mine {
-            Need::Freshness
-        } else {
-            if_needed(!told)
+        self.watches.endpoints.set(match (mine, told) {
+            (false, true) => Need::Nothing,
+            _ => Need::Freshness,
         });
+        let is_late = |since: Millis| now.since(since) >= DECLARATIONS_DELAY;
+        let declarations = if self.behind_since.is_some_and(is_late) {
+            // The call that is held is given up; another one follows in the next step.
+            log::info!(target: "config", known = self.declarations;
+                "Controller knows newer declarations; reading them again.");
+            self.behind_since = None;
+            Need::Nothing
+        } else if told {
+            Need::Changes
+        } else {
+            Need::Freshness
+        };
+        self.watches.declarations.set(declarations);
     }
 
     fn carry_out(&self, action: Action) {
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -166,6 +166,7 @@
             daemons: self.daemons.len() as u32,
             owners: self.newer_owners(&parked.report),
             endpoints: lease.and_then(|_| self.endpoints_news(&parked, now)),
+            declarations: self.declarations,
         };
         // The daemon that asked has gone if nobody takes the answer.
         let _ = parked.reply.send(answer);
@@ -231,6 +232,8 @@
             return;
         };
         self.answered = Some(now);
+        let is_behind = answer.declarations > self.declarations;
+        self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
         if let Some(news) = answer.endpoints {
             // The answer was sent after the report had been held, and not before that.
             let as_of = sent + news.held - news.age;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -83,6 +83,8 @@
     pub owners: Vec<OwnersNews>,
     /// Endpoints that changed; `None` if the controller does not know them.
     pub endpoints: Option<EndpointsNews>,
+    /// Version of the newest declarations that the controller knows; 0 for none.
+    pub declarations: u64,
 }
 
 /// Changes of endpoints that the daemon does not know, and how fresh they are.
