Call the store less often while no controller tells of changes

Declarations were asked for anew every 0.7 s, which gives up a large answer on a slow link before it has arrived, and daemons that no controller tells anything asked for two tables every 0.6 s.

Such daemons now use calls held for 2 s, and declarations are asked for anew once in 2.5 s. A line in the log tells when the controller begins or ceases to tell.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -38,7 +38,9 @@
 
 /// Time for a daemon's own call to bring declarations that the controller knows. The connection on
 /// which the store holds the call may have gone silent.
-const DECLARATIONS_DELAY: Millis = Millis(700);
+const DECLARATIONS_DELAY: Millis = Millis(800);
+/// Time before declarations are asked for anew once more. Large ones take a while to arrive.
+const DECLARATIONS_AGAIN: Millis = Millis(2_500);
 /// Length of the ring between the tasks of the control thread.
 const RING_LENGTH: usize = 256;
 /// Longest time to give the controller lease up.
@@ -126,6 +128,8 @@
         told_as_of: Millis::ZERO,
         declarations: 0,
         behind_since: None,
+        ask_again: Millis::ZERO,
+        told: false,
         parked: Vec::new(),
         report_sent: None,
         answered: None,
@@ -245,6 +249,10 @@
     declarations: u64,
     /// Since when the controller knows newer declarations.
     behind_since: Option<Millis>,
+    /// When declarations may be asked for anew.
+    ask_again: Millis,
+    /// Whether the controller tells of endpoints.
+    told: bool,
     /// Reports whose answers are held until owners change.
     parked: Vec<Parked>,
     /// When the report was sent that is on its way.
@@ -441,20 +449,28 @@
         self.watches.owners.set(if_needed(mine || !fresh));
         let told = answers && now.since(self.told_as_of) < ENDPOINTS_AGE;
         self.watches.endpoints.set(match (mine, told) {
+            (true, _) => Need::Freshness,
             (false, true) => Need::Nothing,
-            _ => Need::Freshness,
+            (false, false) => Need::Alone,
         });
+        if std::mem::replace(&mut self.told, told) != told {
+            log::info!(target: "peer", told, answered:? = self.answered,
+                as_of:% = now.since(self.told_as_of); "Controller tells endpoints, or no longer.");
+        }
         let is_late = |since: Millis| now.since(since) >= DECLARATIONS_DELAY;
-        let declarations = if self.behind_since.is_some_and(is_late) {
+        let may_ask = now >= self.ask_again;
+        let declarations = if may_ask && self.behind_since.is_some_and(is_late) {
             // The call that is held is given up; another one follows in the next step.
             log::info!(target: "config", known = self.declarations;
                 "Controller knows newer declarations; reading them again.");
-            self.behind_since = None;
+            self.ask_again = now + DECLARATIONS_AGAIN;
             Need::Nothing
+        } else if mine {
+            Need::Freshness
         } else if told {
             Need::Changes
         } else {
-            Need::Freshness
+            Need::Alone
         };
         self.watches.declarations.set(declarations);
     }
--- a/src/gateway/feeds.rs
+++ b/src/gateway/feeds.rs
@@ -19,6 +19,8 @@
 /// The same where others rely on the news being fresh: an answer without news shows that there is
 /// none.
 const FRESH_WAIT: Duration = Duration::from_millis(600);
+/// The same where no controller tells that news was missed, as on a connection that went silent.
+const ALONE_WAIT: Duration = Duration::from_secs(2);
 /// The same after a failed call, since only an answer shows that the store serves again.
 const AFTER_FAILURE_WAIT: Duration = Duration::from_millis(1);
 /// Pause after a failed call, which doubles up to the longest pause.
@@ -49,6 +51,8 @@
     Nothing,
     /// For its changes.
     Changes,
+    /// For its changes, while no controller tells of them.
+    Alone,
     /// For its changes, and to know how fresh the news is.
     Freshness,
 }
@@ -199,6 +203,7 @@
         match need {
             _ if self.failures > 0 => AFTER_FAILURE_WAIT,
             Need::Freshness => FRESH_WAIT,
+            Need::Alone => ALONE_WAIT,
             Need::Changes | Need::Nothing => WAIT,
         }
     }
