Let a short call to the store end although its need changes; divide control

Cause: a change between "told by the controller" and "not told" gave up the call to the store that was on its way.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,15 +1,16 @@
 //! The control thread: follows the store, publishes views and runs the controller.
 
 mod actions;
+mod news;
 mod reports;
+mod watches;
 
 use super::{
     controller::{Action, Controller, Event},
-    feeds::{self, Following, Need, News},
+    feeds::News,
     heat::HeatMap,
-    model::Configuration,
-    platform::{Platform, Rows, StoredRow, Table},
-    registry::{EndpointChange, EndpointChanges, Registration, Registry},
+    platform::{Platform, Table},
+    registry::Registry,
     view::{View, ViewBuilder},
 };
 use crate::{
@@ -21,26 +22,19 @@
     },
     world::{Incarnation, ServiceName, VmName},
 };
-use actions::{decode_owners, lease_event, nobody_listens, perform};
+use actions::{nobody_listens, perform};
 use arc_swap::ArcSwap;
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::AtomicUsize},
     time::Duration,
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{sleep, timeout},
 };
+use watches::{Watches, follow};
 
-/// Time for a daemon's own call to bring declarations that the controller knows. The connection on
-/// which the store holds the call may have gone silent.
-const DECLARATIONS_DELAY: Millis = Millis(800);
-/// Time before declarations are asked for anew once more. Large ones take a while to arrive.
-const DECLARATIONS_AGAIN: Millis = Millis(2_500);
 /// Length of the ring between the tasks of the control thread.
 const RING_LENGTH: usize = 256;
 /// Longest time to give the controller lease up.
@@ -49,23 +43,6 @@
 const ACTING_STEP: Duration = Duration::from_millis(100);
 /// Time between steps of other daemons.
 const WATCHING_STEP: Duration = Duration::from_millis(250);
-/// Age of the controller's last answer at which the lease and the owners are read from the store.
-const WATCH_AFTER: Millis = Millis(900);
-/// The same for the last renewal of the lease. A controller that cannot renew it may have a
-/// successor.
-const RENEWAL_AGE: Millis = Millis(1_600);
-/// Age of what the controller tells of endpoints at which they are read from the store. A leaving
-/// endpoint must be known within 2 s.
-const ENDPOINTS_AGE: Millis = Millis(1_300);
-/// Time for which entries that vanished while the store failed are kept: the endpoints that live
-/// register again within 2 s.
-const DOUBT: Millis = Millis(2_100);
-/// Time for which entries are kept that vanished together while the store answered.
-const MASS_DOUBT: Millis = Millis(1_500);
-/// Share of a service's entries that vanish at once when the store, and not the endpoints, failed.
-const MASS_PERCENT: usize = 50;
-/// Entries that vanish at once are told from single ones from this number.
-const MASS_COUNT: usize = 3;
 
 /// What the control thread shares with the rest of the daemon.
 #[derive(Clone, Debug)]
@@ -158,61 +135,6 @@
     }
 }
 
-/// A table that is followed in the store.
-struct Watch {
-    need: watch::Sender<Need>,
-    /// Version up to which the table is known otherwise.
-    known: Arc<AtomicU64>,
-}
-
-impl Watch {
-    fn set(&self, need: Need) {
-        self.need
-            .send_if_modified(|present| std::mem::replace(present, need) != need);
-    }
-}
-
-/// How the tables are followed at present.
-struct Watches {
-    declarations: Watch,
-    endpoints: Watch,
-    owners: Watch,
-    lease: Watch,
-}
-
-fn follow<P: Platform>(
-    cx: &ControlContext,
-    platform: &P,
-    table: Table,
-    store_fails: &Arc<watch::Sender<bool>>,
-    tx: &mpsc::Sender<Input>,
-) -> Watch {
-    let (news_tx, mut news) = mpsc::channel(8);
-    let (need_tx, need) = watch::channel(Need::Changes);
-    let known = Arc::new(AtomicU64::new(0));
-    let following = Following {
-        table,
-        need,
-        known: Arc::clone(&known),
-        daemons: Arc::clone(&cx.daemons),
-        store_fails: Arc::clone(store_fails),
-        clock: cx.clock,
-    };
-    tokio::spawn(feeds::follow(platform.clone(), following, news_tx));
-    let tx = tx.clone();
-    tokio::spawn(async move {
-        while let Some(news) = news.recv().await {
-            if tx.send(Input::News(news)).await.is_err() {
-                return;
-            }
-        }
-    });
-    Watch {
-        need: need_tx,
-        known,
-    }
-}
-
 /// A daemon that reports.
 #[derive(Clone, Copy, Debug)]
 struct Reporting {
@@ -275,144 +197,6 @@
         }
     }
 
-    fn take_news(&mut self, news: &News) {
-        match news.table {
-            Table::Declarations => self.take_declarations(&news.rows),
-            Table::Endpoints => {
-                self.take_endpoints(news);
-                return;
-            }
-            Table::Owners => self.take_owners(&news.rows),
-            Table::Controller if news.is_whole || !news.rows.rows.is_empty() => {
-                self.take_lease(&news.rows);
-            }
-            Table::Controller => {}
-        }
-        self.publish();
-    }
-
-    fn take_declarations(&mut self, rows: &Rows) {
-        for row in &rows.rows {
-            self.declarations = self.declarations.max(row.version);
-            match self.platform.configuration(row) {
-                Some(Ok(config)) => self.configure(config),
-                Some(Err(reason)) => {
-                    log::error!(target: "config", row:% = row.name, version = row.version, reason;
-                        "Configuration not readable; the present one stays in force.");
-                }
-                None => {}
-            }
-        }
-    }
-
-    fn configure(&mut self, config: Configuration) {
-        let (version, routes) = (config.version, config.routes.len());
-        if !self.builder.configure(config) {
-            return;
-        }
-        log::info!(target: "config", version, routes; "Configuration in force.");
-        let keyed = self.builder.config().map_or_else(Vec::new, |config| {
-            let keyed = config.services.values().filter(|service| service.keyed);
-            keyed.map(|service| service.name.clone()).collect()
-        });
-        let now = self.cx.clock.now();
-        self.controller.handle(Event::Services(keyed), now);
-    }
-
-    fn take_endpoints(&mut self, news: &News) {
-        self.as_of = self.as_of.max(news.as_of);
-        let changes = news.rows.rows.iter().map(|row| EndpointChange {
-            name: Arc::clone(&row.name),
-            version: row.version,
-            registration: self.registration(row, news.after_failure),
-        });
-        let changes = EndpointChanges {
-            changes: changes.collect(),
-            version: news.rows.version,
-            is_whole: news.is_whole,
-            after_failure: news.after_failure,
-        };
-        self.apply_endpoints(changes);
-    }
-
-    fn registration(&self, row: &StoredRow, after_failure: bool) -> Registration {
-        if row.value.is_none() {
-            return Registration::Gone { after_failure };
-        }
-        match self.platform.endpoint(row) {
-            Ok(entry) => Registration::Present(entry),
-            Err(reason) => {
-                log::warn!(target: "health", row:% = row.name, version = row.version, reason;
-                    "Entry names no endpoint.");
-                Registration::Gone { after_failure }
-            }
-        }
-    }
-
-    /// Takes in endpoints that changed, from the store or from the controller.
-    pub(super) fn apply_endpoints(&mut self, news: EndpointChanges) {
-        let now = self.cx.clock.now();
-        let is_first = self.registry.version() == 0;
-        let changes = self.registry.apply(news);
-        let version = self.registry.version();
-        self.watches
-            .endpoints
-            .known
-            .store(version, Ordering::Relaxed);
-        if changes.is_empty() && !is_first {
-            return;
-        }
-        let mut gone: Vec<(Arc<str>, bool)> = Vec::new();
-        for change in changes {
-            match change.registration {
-                Registration::Present(entry) => {
-                    log::debug!(target: "health", endpoint:% = change.name,
-                        version = change.version, draining = entry.draining;
-                        "Endpoint registered.");
-                    self.builder.register(entry, now);
-                }
-                Registration::Gone { after_failure } => gone.push((change.name, after_failure)),
-            }
-        }
-        self.remove(&gone, now);
-        self.tell_endpoints();
-        self.publish();
-    }
-
-    /// Removes entries, some of them only after a while in which they may return.
-    fn remove(&mut self, gone: &[(Arc<str>, bool)], now: Millis) {
-        let known = self.builder.names().len();
-        let is_mass = gone.len() >= MASS_COUNT && gone.len() * 100 >= known * MASS_PERCENT;
-        for (name, after_failure) in gone {
-            let doubt = match (after_failure, is_mass) {
-                (true, _) => Some(now + DOUBT),
-                (false, true) => Some(now + MASS_DOUBT),
-                (false, false) => None,
-            };
-            log::info!(target: "health", endpoint:% = name, version = self.registry.version(),
-                doubted = doubt.is_some(); "Endpoint entry gone.");
-            self.builder.remove(name, doubt);
-        }
-    }
-
-    fn tell_endpoints(&mut self) {
-        let now = self.cx.clock.now();
-        let entries = self.builder.entries();
-        self.controller.handle(Event::Endpoints(entries), now);
-    }
-
-    fn take_owners(&mut self, rows: &Rows) {
-        for (service, version, owners) in decode_owners(&rows.rows) {
-            self.builder.own(service, version, owners);
-        }
-    }
-
-    fn take_lease(&mut self, rows: &Rows) {
-        let now = self.cx.clock.now();
-        let event = lease_event(rows);
-        self.controller.handle(event, now);
-    }
-
     fn publish(&mut self) {
         let now = self.cx.clock.now();
         if self.registry.version() == 0 {
@@ -437,44 +221,6 @@
         }
     }
 
-    /// The lease, the owners and the endpoints are read from the store only while no controller
-    /// tells them in answers to reports.
-    fn choose_watches(&mut self, now: Millis) {
-        let term = self.controller.term();
-        let mine = term.is_mine();
-        let answers = self.answered.is_some_and(|at| now.since(at) < WATCH_AFTER);
-        let fresh = answers && term.age(now) < RENEWAL_AGE;
-        let if_needed = |needed| if needed { Need::Changes } else { Need::Nothing };
-        self.watches.lease.set(if_needed(!mine && !fresh));
-        self.watches.owners.set(if_needed(mine || !fresh));
-        let told = answers && now.since(self.told_as_of) < ENDPOINTS_AGE;
-        self.watches.endpoints.set(match (mine, told) {
-            (true, _) => Need::Freshness,
-            (false, true) => Need::Nothing,
-            (false, false) => Need::Alone,
-        });
-        if std::mem::replace(&mut self.told, told) != told {
-            log::info!(target: "peer", told, answered:? = self.answered,
-                as_of:% = now.since(self.told_as_of); "Controller tells endpoints, or no longer.");
-        }
-        let is_late = |since: Millis| now.since(since) >= DECLARATIONS_DELAY;
-        let may_ask = now >= self.ask_again;
-        let declarations = if may_ask && self.behind_since.is_some_and(is_late) {
-            // The call that is held is given up; another one follows in the next step.
-            log::info!(target: "config", known = self.declarations;
-                "Controller knows newer declarations; reading them again.");
-            self.ask_again = now + DECLARATIONS_AGAIN;
-            Need::Nothing
-        } else if mine {
-            Need::Freshness
-        } else if told {
-            Need::Changes
-        } else {
-            Need::Alone
-        };
-        self.watches.declarations.set(declarations);
-    }
-
     fn carry_out(&self, action: Action) {
         let (platform, tx) = (self.platform.clone(), self.tx.clone());
         if let Action::Confirm(service, id, addr) = action {
--- a/src/gateway/feeds.rs
+++ b/src/gateway/feeds.rs
@@ -57,6 +57,14 @@
     Freshness,
 }
 
+impl Need {
+    /// Whether a call that was made for `earlier` is given up. Calls that are held for a short time
+    /// are not, since a need that changes often would otherwise leave none to be answered.
+    fn ends_call(self, earlier: Self) -> bool {
+        self == Self::Nothing || (earlier == Self::Changes && self != earlier)
+    }
+}
+
 /// News of a table.
 #[derive(Clone, Debug)]
 pub struct News {
@@ -127,7 +135,7 @@
         let asked = clock.now();
         let result = tokio::select! {
             result = follower.next(from, wait) => result,
-            changed = need.wait_for(|need| *need != present) => {
+            changed = need.wait_for(|need| need.ends_call(present)) => {
                 match changed.map(|need| *need) {
                     Err(_) => return,
                     // What changes until it is needed again is not seen here.
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -26,6 +26,7 @@
 #[derive(Default)]
 struct State {
     fails: bool,
+    latency: Duration,
     version: u64,
     rows: BTreeMap<(u8, Arc<str>), (u64, Bytes)>,
 }
@@ -75,6 +76,17 @@
         self.state.lock().expect("no panic while locked").fails = fails;
     }
 
+    /// Delays the answers of the store to reads.
+    pub fn set_latency(&self, latency: Duration) {
+        let mut state = self.state.lock().expect("no panic while locked");
+        state.latency = latency;
+    }
+
+    async fn delay(&self) {
+        let latency = self.state.lock().expect("no panic while locked").latency;
+        sleep(latency).await;
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         let fails = self.state.lock().expect("no panic while locked").fails;
         if fails {
@@ -147,6 +159,7 @@
 
 impl Platform for FakePlatform {
     async fn read(&self, table: Table) -> Result<Rows, StoreError> {
+        self.delay().await;
         self.check()?;
         Ok(self.rows_after(table, 0))
     }
@@ -157,6 +170,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
+        self.delay().await;
         let looks = wait.as_millis() / 10;
         for _ in 0..looks {
             self.check()?;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod fake_endpoint;
 mod fake_platform;
+mod feeds;
 mod owners;
 mod placement;
 mod queue;
