Have the controller ask for owners with short calls

Cause: the controller passed on the owners that its own feed had shown.

The controller asks for owners with calls held for 0.6 s, and daemons without a controller with calls of 2 s.

--- a/src/gateway/control/watches.rs
+++ b/src/gateway/control/watches.rs
@@ -89,9 +89,18 @@
         let mine = term.is_mine();
         let answers = self.answered.is_some_and(|at| now.since(at) < WATCH_AFTER);
         let fresh = answers && term.age(now) < RENEWAL_AGE;
-        let if_needed = |needed| if needed { Need::Changes } else { Need::Nothing };
-        self.watches.lease.set(if_needed(!mine && !fresh));
-        self.watches.owners.set(if_needed(mine || !fresh));
+        self.watches.lease.set(if mine || fresh {
+            Need::Nothing
+        } else {
+            Need::Changes
+        });
+        // Other daemons learn owners from the controller, so a feed that went silent must not
+        // keep it from seeing them.
+        self.watches.owners.set(match (mine, fresh) {
+            (true, _) => Need::Freshness,
+            (false, true) => Need::Nothing,
+            (false, false) => Need::Alone,
+        });
         let told = answers && now.since(self.told_as_of) < ENDPOINTS_AGE;
         self.watches.endpoints.set(match (mine, told) {
             (true, _) => Need::Freshness,
