Make one piece serve where logic stood twice

Cause: reading the whole change once more. The times for detecting a lost peer stood in http_client and in gateway::connection; the tests "free slot" and "long queue" of a load report, and "nothing changed" of news, were written out two or three times; a backend's state kept a copy of its slots. The controller encoded newer owners twice for each report, once only to see whether there were any, and searched all endpoints for each answer and all removals for each empty change.

Result: behaviour is meant to be the same.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -56,6 +56,16 @@
     pub slots: u32,
 }
 
+impl Load {
+    fn has_free_slot(self) -> bool {
+        self.running < self.slots
+    }
+
+    fn has_long_queue(self) -> bool {
+        self.waiting > self.slots * WAITING_PER_SLOT
+    }
+}
+
 /// How a request ended at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -76,7 +86,6 @@
 #[derive(Debug)]
 struct State {
     limit: Limit,
-    slots: u32,
     work_ms: f64,
     failures: f64,
     in_a_row: u32,
@@ -110,7 +119,6 @@
 impl Backend {
     /// An endpoint that is first seen at `now`.
     pub fn new(entry: EndpointEntry, queue: Arc<WaitQueue>, now: Millis) -> Self {
-        let entry_slots = entry.slots.max(1);
         let cap = entry.slots * CAP_PER_SLOT;
         Self {
             pool: Pool::new(entry.addr),
@@ -119,7 +127,6 @@
             first_seen: now,
             state: Mutex::new(State {
                 limit: Limit::new(LimitPolicy::Adaptive, cap),
-                slots: entry_slots,
                 work_ms: FIRST_WORK_MS,
                 failures: 0.0,
                 in_a_row: 0,
@@ -157,10 +164,11 @@
     pub fn give_back(&self, verdict: Verdict, load: Option<Load>, daemons: usize, now: Millis) {
         {
             let mut state = self.state();
-            let full = load.is_some_and(|load| load.waiting > load.slots * WAITING_PER_SLOT);
-            let busy = load.is_none_or(|load| load.running >= load.slots);
+            let full = load.is_some_and(Load::has_long_queue);
+            let busy = !load.is_some_and(Load::has_free_slot);
+            let daemons_per_slot = daemons as f64 / f64::from(self.entry.slots.max(1));
             state.learn(verdict, now);
-            state.adapt_spacing(verdict, load, daemons, now);
+            state.adapt_spacing(verdict, load, daemons_per_slot, now);
             if let Some(load) = load {
                 state.report = Some((load, now));
                 state.sent_since_report = 0;
@@ -277,15 +285,21 @@
 
     /// An endpoint that refuses although it has free slots fails at random, and waiting would not
     /// help; neither does a single lost connection show that it is full.
-    fn adapt_spacing(&mut self, verdict: Verdict, load: Option<Load>, daemons: usize, now: Millis) {
-        let has_room = load.is_some_and(|load| load.running < load.slots);
+    fn adapt_spacing(
+        &mut self,
+        verdict: Verdict,
+        load: Option<Load>,
+        daemons_per_slot: f64,
+        now: Millis,
+    ) {
+        let has_room = load.is_some_and(Load::has_free_slot);
         match verdict {
             Verdict::Shed if has_room => {}
             Verdict::Lost if self.in_a_row < 2 => {}
-            Verdict::Shed | Verdict::Lost => self.lengthen_spacing(2.0, daemons, now),
+            Verdict::Shed | Verdict::Lost => self.lengthen_spacing(2.0, daemons_per_slot, now),
             Verdict::Answered(_) => match load {
-                Some(load) if load.waiting > load.slots * WAITING_PER_SLOT => {
-                    self.lengthen_spacing(SPACING_GROWTH, daemons, now);
+                Some(load) if load.has_long_queue() => {
+                    self.lengthen_spacing(SPACING_GROWTH, daemons_per_slot, now);
                 }
                 Some(load) if load.waiting * 2 > load.slots => {}
                 _ if has_room => self.shorten_spacing(SPACING_KEPT_IDLE),
@@ -295,8 +309,8 @@
         }
     }
 
-    fn lengthen_spacing(&mut self, factor: f64, daemons: usize, now: Millis) {
-        let fair = self.work_ms * daemons as f64 / f64::from(self.slots);
+    fn lengthen_spacing(&mut self, factor: f64, daemons_per_slot: f64, now: Millis) {
+        let fair = self.work_ms * daemons_per_slot;
         let first = (self.work_ms / 4.0).max(fair * FIRST_SPACING_SHARE);
         self.spacing_ms = (self.spacing_ms * factor).max(first).min(MAX_SPACING_MS);
         self.pace(now);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -1,5 +1,6 @@
 //! Connections to one endpoint. Each carries one exchange at a time.
 
+use crate::http_client::{CONNECT_TIMEOUT, PEER_LOST_AFTER, PROBE_EVERY, PROBES};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
@@ -19,17 +20,10 @@
 /// The sending side of a connection.
 pub type Sender = http1::SendRequest<Full<Bytes>>;
 
-/// Time to wait for a connection; opening one takes a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle time after which a connection is closed, well before an endpoint's own idle limit.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 /// Idle connections that are kept.
 const MAX_KEPT: usize = 8;
-/// Time after which a peer that acknowledges nothing counts as lost. It does not depend on how
-/// long the endpoint takes to answer.
-const PEER_LOST_AFTER: Duration = Duration::from_millis(900);
-/// Time between probes of a connection on which an answer is awaited.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 struct Idle {
@@ -105,7 +99,8 @@
     }
 }
 
-/// Has the system report a peer that is gone without a word.
+/// Has the system report a peer that is gone without a word, whatever the time that an endpoint takes
+/// to answer.
 pub fn detect_loss(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
@@ -113,6 +108,6 @@
     let probes = TcpKeepalive::new()
         .with_time(PROBE_EVERY)
         .with_interval(PROBE_EVERY)
-        .with_retries(2);
+        .with_retries(PROBES);
     socket.set_tcp_keepalive(&probes)
 }
--- a/src/gateway/control/news.rs
+++ b/src/gateway/control/news.rs
@@ -29,18 +29,12 @@
 impl<P: Platform> Control<P> {
     pub(super) fn take_news(&mut self, news: &News) {
         match news.table {
-            Table::Declarations if !news.is_whole && news.rows.rows.is_empty() => return,
+            // They tell how fresh the endpoints are even if none changed.
+            Table::Endpoints => return self.take_endpoints(news),
+            _ if news.is_empty() => return,
             Table::Declarations => self.take_declarations(&news.rows),
-            Table::Endpoints => {
-                self.take_endpoints(news);
-                return;
-            }
-            Table::Owners if !news.is_whole && news.rows.rows.is_empty() => return,
             Table::Owners => self.take_owners(&news.rows),
-            Table::Controller if news.is_whole || !news.rows.rows.is_empty() => {
-                self.take_lease(&news.rows);
-            }
-            Table::Controller => {}
+            Table::Controller => self.take_lease(&news.rows),
         }
         self.publish();
     }
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -3,7 +3,6 @@
 use super::{Control, Input, Parked, Reporting};
 use crate::{
     clock::Millis,
-    collections::Map,
     gateway::{
         controller::Event,
         heat::{HeatReport, ServiceHeat, WorkTime},
@@ -149,7 +148,7 @@
         for parked in std::mem::take(&mut self.parked) {
             let is_due = !acts || now >= parked.until;
             let has_news = self.registry.has_after(parked.report.endpoints)
-                || !self.newer_owners(&parked.report).is_empty();
+                || self.newer_owners(&parked.report).next().is_some();
             if is_due || has_news {
                 self.send_answer(parked, now);
             } else {
@@ -164,7 +163,7 @@
         let answer = ReportReply {
             lease: lease.map(|row| (term.version(), row.clone())),
             daemons: self.daemons.len() as u32,
-            owners: self.newer_owners(&parked.report),
+            owners: self.owners_news(&parked.report),
             endpoints: lease.and_then(|_| self.endpoints_news(&parked, now)),
             declarations: self.declarations,
         };
@@ -181,17 +180,18 @@
     }
 
     /// Owners that a daemon does not know yet, because its way to the store is slow or cut.
-    fn newer_owners(&self, report: &DaemonReport) -> Vec<OwnersNews> {
-        let known: Map<&ServiceName, u64> = report
-            .owners
-            .iter()
-            .map(|(name, version)| (name, *version))
-            .collect();
-        let newer = self
-            .builder
-            .owners()
-            .filter(|(name, version, _)| known.get(name).copied().unwrap_or_default() < *version);
-        newer
+    fn newer_owners<'a>(
+        &'a self,
+        report: &'a DaemonReport,
+    ) -> impl Iterator<Item = (&'a ServiceName, u64, &'a Owners)> {
+        self.builder.owners().filter(|(service, version, _)| {
+            let mut known = report.owners.iter();
+            !known.any(|(name, known)| name == *service && known >= version)
+        })
+    }
+
+    fn owners_news(&self, report: &DaemonReport) -> Vec<OwnersNews> {
+        self.newer_owners(report)
             .filter_map(|(service, version, owners)| {
                 Some(OwnersNews {
                     service: service.clone(),
--- a/src/gateway/control/watches.rs
+++ b/src/gateway/control/watches.rs
@@ -96,17 +96,14 @@
         });
         // Other daemons learn owners from the controller, so a feed that went silent must not
         // keep it from seeing them.
-        self.watches.owners.set(match (mine, fresh) {
+        let unless = |is_told| match (mine, is_told) {
             (true, _) => Need::Freshness,
             (false, true) => Need::Nothing,
             (false, false) => Need::Alone,
-        });
+        };
+        self.watches.owners.set(unless(fresh));
         let told = answers && now.since(self.told_as_of) < ENDPOINTS_AGE;
-        self.watches.endpoints.set(match (mine, told) {
-            (true, _) => Need::Freshness,
-            (false, true) => Need::Nothing,
-            (false, false) => Need::Alone,
-        });
+        self.watches.endpoints.set(unless(told));
         if std::mem::replace(&mut self.told, told) != told {
             log::info!(target: "peer", told, answered:? = self.answered,
                 as_of:% = now.since(self.told_as_of); "Controller tells endpoints, or no longer.");
--- a/src/gateway/feeds.rs
+++ b/src/gateway/feeds.rs
@@ -80,6 +80,13 @@
     pub as_of: Millis,
 }
 
+impl News {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        !self.is_whole && self.rows.rows.is_empty()
+    }
+}
+
 /// How a table is followed.
 #[derive(Clone, Debug)]
 pub struct Following {
@@ -152,19 +159,18 @@
         match result {
             Ok(Some((rows, is_whole))) => {
                 after = Some(rows.version);
-                let is_empty = !is_whole && rows.rows.is_empty();
-                let held = clock.now().since(asked) >= Millis::from(wait);
-                let news = News {
+                let mut news = News {
                     table,
                     is_whole,
                     after_failure: follower.succeeded(),
-                    as_of: if is_empty && held {
-                        asked + Millis::from(wait)
-                    } else {
-                        asked
-                    },
+                    as_of: asked,
                     rows,
                 };
+                let is_empty = news.is_empty();
+                let was_held = clock.now().since(asked) >= Millis::from(wait);
+                if is_empty && was_held {
+                    news.as_of = asked + Millis::from(wait);
+                }
                 let is_news = !is_empty || news.after_failure || present == Need::Freshness;
                 if is_news && tx.send(news).await.is_err() {
                     return;
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -70,6 +70,14 @@
 
     /// The changes after `version`, or all endpoints if some of the changes are forgotten.
     pub fn after(&self, version: u64) -> EndpointChanges {
+        if !self.has_after(version) {
+            return EndpointChanges {
+                changes: Vec::new(),
+                version: self.version,
+                is_whole: false,
+                after_failure: false,
+            };
+        }
         let is_whole = version == 0 || version < self.forgotten;
         let changed = self.rows.iter().filter(|(_, (at, registration))| {
             let present = matches!(registration, Registration::Present(_));
@@ -118,7 +126,9 @@
             self.last_change = self.last_change.max(change.version);
         }
         self.version = self.version.max(news.version);
-        self.forget_removed();
+        if !changes.is_empty() {
+            self.forget_removed();
+        }
         changes
     }
 
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -15,13 +15,13 @@
 /// Idle connections that are kept to one address.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 /// Time to open a connection, where a loss is detected.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which data without an acknowledgement ends a connection.
-const PEER_LOST_AFTER: Duration = Duration::from_millis(900);
+pub(crate) const PEER_LOST_AFTER: Duration = Duration::from_millis(900);
 /// Time between probes of a silent connection.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
+pub(crate) const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection ends.
-const PROBES: u32 = 2;
+pub(crate) const PROBES: u32 = 2;
 
 /// Why a control request has no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
