Find free ports without opening a listener

A child process holds copies of all sockets between fork and exec, so the listener that was opened to look for a free port may still occupy it after it was closed.

--- a/standins/src/cluster/daemon.rs
+++ b/standins/src/cluster/daemon.rs
@@ -1,11 +1,11 @@
 //! An entry daemon's process and its link to the platform.
 
 use super::{TempDir, child::Child};
-use crate::{platform::Platform, proxy::ProxyLink};
+use crate::{platform::Platform, ports::free_addr, proxy::ProxyLink};
 use fireflygauge::world::{Vm, VmName, VmRole, VmState, ZoneName};
 use std::{
     io,
-    net::{IpAddr, SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
 };
 
@@ -33,7 +33,7 @@
         platform: &Platform,
         dir: &TempDir,
     ) -> io::Result<Self> {
-        let [caller, peer, operator] = free_addrs(own_ip)?;
+        let [caller, peer, operator] = [(); 3].map(|()| free_addr(own_ip));
         Ok(Self {
             name: format!("entry-{index}").as_str().into(),
             child: None,
@@ -113,12 +113,3 @@
         self.child.as_ref().expect("the daemon runs")
     }
 }
-
-/// Free ports of `ip`. The listeners are closed, so another process could take them; nobody else
-/// uses this address.
-fn free_addrs(ip: IpAddr) -> io::Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind((ip, 0));
-    let listeners = [bind()?, bind()?, bind()?];
-    let [a, b, c] = listeners.each_ref().map(TcpListener::local_addr);
-    Ok([a?, b?, c?])
-}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod local;
 pub mod platform;
+pub mod ports;
 pub mod proxy;
 pub mod recovery;
 pub mod scenario;
--- a/standins/src/load/measure/deployment.rs
+++ b/standins/src/load/measure/deployment.rs
@@ -5,6 +5,7 @@
     cluster::{Declared, TempDir, child::Child},
     load::{options::Options, report::Step, run::run},
     platform::{Counters, Faults, Platform},
+    ports::free_addr,
     target::TargetOptions,
 };
 use clap::Parser;
@@ -14,7 +15,7 @@
     world::{Vm, VmName, VmRole, VmState, ZoneName},
 };
 use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -133,7 +134,7 @@
         let index = self.entries.len();
         let name = format!("entry-{index}");
         let zone = ZONES[index % ZONES.len()];
-        let [caller, peer, operator] = free_addrs()?;
+        let [caller, peer, operator] = [(); 3].map(|()| free_addr(HOST));
         let mut args = vec![
             format!("--name={name}"),
             format!("--zone={zone}"),
@@ -236,11 +237,3 @@
     options.check().map_err(|e| eyre!(e))?;
     Ok(options)
 }
-
-/// Free ports. Another process could take one before the daemon binds it; the start fails then.
-fn free_addrs() -> Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind((HOST, 0));
-    let listeners = [bind()?, bind()?, bind()?];
-    let [a, b, c] = listeners.each_ref().map(TcpListener::local_addr);
-    Ok([a?, b?, c?])
-}
