Bound how long a leaving endpoint is used by the time of its notice

Keyed requests went to a leaving endpoint for 0.8 s after the daemon had seen the notice, which it may learn 1.7 s late; opening a connection takes up to 0.4 s more, and nothing looked at the endpoint again before the request was sent. 1.7 + 0.8 + 0.4 is over both sites' bounds.

Now an endpoint is closed at the latest 0.6 s before the end of its drain time, counted from the earliest moment at which the store can have acknowledged the notice, and the request path looks once more when the connection is open. The age at which a daemon asks the store itself follows the drain time as well.

Tests in tests/gateway/leaving.rs; 3 of 7 cases fail without the two checks.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -10,7 +10,10 @@
     collections::Map,
     routing::limit::{Ended, Limit, LimitPolicy},
 };
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
 
 /// Failures in a row after which an endpoint is set aside.
 const ASIDE_AFTER: u32 = 3;
@@ -113,6 +116,8 @@
     pub queue: Arc<WaitQueue>,
     /// When it was first seen.
     pub first_seen: Millis,
+    /// From when nothing is sent to it because it leaves, in milliseconds.
+    closes_at: AtomicU64,
     state: Mutex<State>,
 }
 
@@ -125,6 +130,7 @@
             entry,
             queue,
             first_seen: now,
+            closes_at: AtomicU64::new(u64::MAX),
             state: Mutex::new(State {
                 limit: Limit::new(LimitPolicy::Adaptive, cap),
                 work_ms: FIRST_WORK_MS,
@@ -144,6 +150,21 @@
         }
     }
 
+    /// Sends it nothing from `at` on.
+    pub fn close_at(&self, at: Millis) {
+        self.closes_at.store(at.0, Ordering::Relaxed);
+    }
+
+    /// Sends to it again, since it does not leave after all.
+    pub fn reopen(&self) {
+        self.closes_at.store(u64::MAX, Ordering::Relaxed);
+    }
+
+    /// Whether requests may be sent to it at `now`.
+    pub fn is_open(&self, now: Millis) -> bool {
+        now.0 < self.closes_at.load(Ordering::Relaxed)
+    }
+
     /// Takes room for one request if there is any at `now`.
     pub fn try_take(&self, now: Millis) -> bool {
         let mut state = self.state();
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -19,7 +19,7 @@
 /// Endpoints that keep failing are left aside while others are there, even if those are full; the
 /// request then waits. Endpoints in `tried` are used again if there are no others.
 pub fn take_room(service: &ServiceView, tried: &[EndpointRun], now: Millis) -> Option<Member> {
-    let usable = |member: &&Member| member.leaving.is_none() && !member.backend.is_replaced(now);
+    let usable = |member: &&Member| !member.is_leaving && !member.backend.is_replaced(now);
     let untried = |member: &&Member| !tried.contains(&member.backend.entry.run);
     let sound = |member: &&Member| !member.backend.is_aside(now);
     let all: Vec<&Member> = service.members.iter().filter(usable).collect();
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -61,6 +61,8 @@
     pub changed: watch::Sender<u64>,
     /// Daemons that share the retry budgets.
     pub daemons: Arc<AtomicUsize>,
+    /// Time for which a leaving endpoint goes on serving.
+    pub drain: Millis,
 }
 
 /// A report of another daemon, and where its answer goes.
--- a/src/gateway/control/news.rs
+++ b/src/gateway/control/news.rs
@@ -68,6 +68,7 @@
     }
 
     fn take_endpoints(&mut self, news: &News) {
+        let since = news.since.unwrap_or_else(|| self.known_as_of());
         self.as_of = self.as_of.max(news.as_of);
         let changes = news.rows.rows.iter().map(|row| EndpointChange {
             name: Arc::clone(&row.name),
@@ -80,7 +81,12 @@
             is_whole: news.is_whole,
             after_failure: news.after_failure,
         };
-        self.apply_endpoints(changes);
+        self.apply_endpoints(changes, since);
+    }
+
+    /// Changes of endpoints that were acknowledged before this time are known.
+    pub(super) fn known_as_of(&self) -> Millis {
+        self.as_of.max(self.told_as_of)
     }
 
     fn registration(&self, row: &StoredRow, after_failure: bool) -> Registration {
@@ -97,8 +103,9 @@
         }
     }
 
-    /// Takes in endpoints that changed, from the store or from the controller.
-    pub(super) fn apply_endpoints(&mut self, news: EndpointChanges) {
+    /// Takes in endpoints that changed, from the store or from the controller. The changes were
+    /// acknowledged after `since`.
+    pub(super) fn apply_endpoints(&mut self, news: EndpointChanges, since: Millis) {
         let now = self.cx.clock.now();
         let is_first = self.registry.version() == 0;
         let changes = self.registry.apply(news);
@@ -117,7 +124,7 @@
                     log::debug!(target: "health", endpoint:% = change.name,
                         version = change.version, draining = entry.draining;
                         "Endpoint registered.");
-                    self.builder.register(entry, now);
+                    self.builder.register(entry, since, now);
                 }
                 Registration::Gone { after_failure } => gone.push((change.name, after_failure)),
             }
@@ -139,7 +146,7 @@
             };
             log::info!(target: "health", endpoint:% = name, version = self.registry.version(),
                 doubted = doubt.is_some(); "Endpoint entry gone.");
-            self.builder.remove(name, doubt);
+            self.builder.remove(name, doubt, now);
         }
     }
 
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -237,8 +237,9 @@
         if let Some(news) = answer.endpoints {
             // The answer was sent after the report had been held, and not before that.
             let as_of = sent + news.held - news.age;
+            let since = self.known_as_of();
             self.told_as_of = self.told_as_of.max(as_of);
-            self.apply_endpoints(news.changes);
+            self.apply_endpoints(news.changes, since);
         }
         self.controller
             .handle(Event::Lease(version, Some(row)), now);
--- a/src/gateway/control/watches.rs
+++ b/src/gateway/control/watches.rs
@@ -16,9 +16,9 @@
 /// The same for the last renewal of the lease. A controller that cannot renew it may have a
 /// successor.
 const RENEWAL_AGE: Millis = Millis(1_600);
-/// Age of what the controller tells of endpoints at which they are read from the store. A leaving
-/// endpoint must be known within 2 s.
-const ENDPOINTS_AGE: Millis = Millis(1_300);
+/// Age of what the controller tells of endpoints at which they are read from the store, as a share
+/// of the time for which a leaving endpoint goes on serving, in percent.
+const ENDPOINTS_AGE_PERCENT: u64 = 65;
 /// Time for a daemon's own call to bring declarations that the controller knows. The connection on
 /// which the store holds the call may have gone silent.
 const DECLARATIONS_DELAY: Millis = Millis(800);
@@ -102,7 +102,8 @@
             (false, false) => Need::Alone,
         };
         self.watches.owners.set(unless(fresh));
-        let told = answers && now.since(self.told_as_of) < ENDPOINTS_AGE;
+        let endpoints_age = Millis(self.cx.drain.0 * ENDPOINTS_AGE_PERCENT / 100);
+        let told = answers && now.since(self.told_as_of) < endpoints_age;
         self.watches.endpoints.set(unless(told));
         if std::mem::replace(&mut self.told, told) != told {
             log::info!(target: "peer", told, answered:? = self.answered,
--- a/src/gateway/feeds.rs
+++ b/src/gateway/feeds.rs
@@ -44,6 +44,9 @@
 /// Pause after news of owners.
 const OWNERS_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for an answer of the store to arrive.
+const PROMPT_WITHIN: Millis = Millis(300);
+
 /// For what a table is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need {
@@ -78,6 +81,8 @@
     pub after_failure: bool,
     /// All changes that the store acknowledged before this time are included.
     pub as_of: Millis,
+    /// The changes were acknowledged after this time; `None` if only earlier news tell.
+    pub since: Option<Millis>,
 }
 
 impl News {
@@ -164,6 +169,7 @@
                     is_whole,
                     after_failure: follower.succeeded(),
                     as_of: asked,
+                    since: since(asked, clock.now()),
                     rows,
                 };
                 let is_empty = news.is_empty();
@@ -171,7 +177,7 @@
                 if is_empty && was_held {
                     news.as_of = asked + Millis::from(wait);
                 }
-                let is_news = !is_empty || news.after_failure || present == Need::Freshness;
+                let is_news = !is_empty || news.after_failure || present != Need::Changes;
                 if is_news && tx.send(news).await.is_err() {
                     return;
                 }
@@ -189,6 +195,13 @@
     }
 }
 
+/// Earliest time of changes that a call made at `asked` has brought. The store answers a held call
+/// as soon as there is a change.
+fn since(asked: Millis, now: Millis) -> Option<Millis> {
+    let waited = now.since(asked);
+    (waited > PROMPT_WITHIN).then(|| now - PROMPT_WITHIN)
+}
+
 fn news_pause(table: Table, need: Need, daemons: usize) -> Duration {
     match table {
         Table::Endpoints if need == Need::Freshness => PASSED_ON_PAUSE,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -264,7 +264,7 @@
         if now >= job.ends {
             return false;
         }
-        if matches!(result, Exchange::NotRun(NotRun::NotSent)) {
+        if matches!(result, Exchange::NotRun(NotRun::NotSent | NotRun::Leaving)) {
             // Nothing reached the endpoint, so nothing is repeated.
             return job.tried.len() < MAX_UNSENT;
         }
@@ -353,11 +353,7 @@
         now: Millis,
     ) -> Result<Arc<Backend>, Obstacle> {
         let queue = &service.state.queue;
-        if service
-            .members
-            .iter()
-            .all(|member| member.leaving.is_some())
-        {
+        if service.members.iter().all(|member| member.is_leaving) {
             return Err((Reason::NoEndpoint, None, None));
         }
         let is_new = turn.is_none();
@@ -367,7 +363,7 @@
         {
             return Ok(member.backend);
         }
-        let usable = service.members.iter().filter(|m| m.leaving.is_none());
+        let usable = service.members.iter().filter(|m| !m.is_leaving);
         let rate: f64 = usable.map(|m| 1.0 / m.backend.interval_ms()).sum();
         if is_new && job.would_wait_too_long(queue.ahead_of(turn) as f64 / rate, now) {
             return Err((Reason::Busy, None, Some(now)));
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -75,6 +75,8 @@
     pub ready_path: Arc<str>,
     /// The retry budget.
     pub budget: BudgetRule,
+    /// Time for which an endpoint goes on serving after the store has acknowledged that it leaves.
+    pub drain: Millis,
     /// Processor time that the process may take, in cores.
     pub cores: f64,
     /// Memory of the process, in bytes.
@@ -104,6 +106,7 @@
         view: Arc::clone(&view),
         changed,
         daemons: Arc::clone(&daemons),
+        drain: options.drain,
     };
     let names = platform.header_names().clone();
     let control = start_control(options, control, platform, stop.clone())?;
@@ -209,7 +212,7 @@
     platform: P,
     stop: watch::Receiver<bool>,
 ) -> eyre::Result<JoinHandle<()>> {
-    let builder = ViewBuilder::new(options.zone.clone(), options.budget);
+    let builder = ViewBuilder::new(options.zone.clone(), options.budget, options.drain);
     let controller = Controller::new(
         options.name.clone(),
         cx.run,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -36,6 +36,8 @@
 pub enum NotRun {
     /// No connection was made, or it was found closed before a byte was written.
     NotSent,
+    /// The endpoint was found leaving before a byte was written.
+    Leaving,
     /// The endpoint had no room, or the deadline had passed in its queue.
     Shed,
     /// The endpoint does not own the key.
@@ -85,12 +87,12 @@
         load: None,
     };
     let sent = clock.now();
-    let result = exchange(backend, out, names, left, &mut room.load).await;
+    let result = exchange(backend, out, names, left, clock, &mut room.load).await;
     room.verdict = match &result {
         Exchange::Answered(answer) if answer.status().is_server_error() => Verdict::Failed,
         Exchange::Answered(_) => Verdict::Answered(clock.now().since(sent)),
         Exchange::NotRun(NotRun::Shed) => Verdict::Shed,
-        Exchange::NotRun(NotRun::NotOwner) => Verdict::Neutral,
+        Exchange::NotRun(NotRun::NotOwner | NotRun::Leaving) => Verdict::Neutral,
         Exchange::NotRun(NotRun::OtherEndpoint) => Verdict::Replaced,
         Exchange::NotRun(NotRun::NotSent) | Exchange::MayHaveRun(_) => Verdict::Lost,
     };
@@ -118,6 +120,7 @@
     out: &Outgoing,
     names: &HeaderNames,
     left: Duration,
+    clock: Clock,
     load: &mut Option<Load>,
 ) -> Exchange {
     let started = tokio::time::Instant::now();
@@ -132,6 +135,10 @@
                 Err(_) => return Exchange::NotRun(NotRun::NotSent),
             },
         };
+        // Opening the connection took time.
+        if !backend.is_open(clock.now()) {
+            return Exchange::NotRun(NotRun::Leaving);
+        }
         let left = left.saturating_sub(started.elapsed());
         let req = to_request(backend, out, names, left);
         match sender.try_send_request(req).await {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -93,7 +93,7 @@
                 json!({
                     "endpoint": backend.entry.run.name,
                     "zone": backend.entry.zone,
-                    "leaving": member.leaving.is_some(),
+                    "leaving": member.is_leaving,
                     "aside": backend.is_aside(now),
                     "in_flight": backend.in_flight(),
                     "age_ms": now.since(backend.first_seen).0,
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -18,6 +18,9 @@
 /// Time after an endpoint was seen leaving for which requests for its keys still go there, while
 /// the keys move.
 const KEYED_LEAVING_GRACE: Millis = Millis(800);
+/// Part of the time for which a leaving endpoint goes on serving that is left for a request to
+/// reach it.
+const SENDING_MARGIN: Millis = Millis(600);
 
 /// Routes, endpoints and owners at one moment.
 #[derive(Debug, Default)]
@@ -52,8 +55,8 @@
 pub struct Member {
     /// The endpoint.
     pub backend: Arc<Backend>,
-    /// When it was first seen leaving.
-    pub leaving: Option<Millis>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
     /// Whether it is in the daemon's zone.
     pub is_near: bool,
     /// Until when it is slow after its start.
@@ -110,10 +113,7 @@
             .members
             .iter()
             .find(|member| member.backend.entry.run == range.owner)?;
-        let usable = member
-            .leaving
-            .is_none_or(|since| now.since(since) < KEYED_LEAVING_GRACE);
-        usable.then_some((range, member))
+        member.backend.is_open(now).then_some((range, member))
     }
 }
 
@@ -122,6 +122,8 @@
 pub struct ViewBuilder {
     zone: ZoneName,
     rule: BudgetRule,
+    /// Time for which a leaving endpoint goes on serving.
+    drain: Millis,
     config: Option<Arc<Configuration>>,
     routes: Arc<RouteTable>,
     endpoints: Map<Arc<str>, Registered>,
@@ -133,18 +135,38 @@
 struct Registered {
     entry: EndpointEntry,
     backend: Option<Arc<Backend>>,
-    leaving: Option<Millis>,
+    leaving: Option<Leaving>,
     warm_at: Millis,
     /// Removed at a time when the store may have lost entries of endpoints that live.
     doubted_until: Option<Millis>,
 }
 
+/// Until when a leaving endpoint is used.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    /// For requests that other endpoints can serve.
+    until: Millis,
+    /// For requests for the keys that it owns.
+    keyed_until: Millis,
+}
+
+impl Registered {
+    /// Lets requests that are on their way to it know until when they may be sent.
+    fn close(&self, at: Millis) {
+        if let Some(backend) = &self.backend {
+            backend.close_at(at);
+        }
+    }
+}
+
 impl ViewBuilder {
-    /// Starts without knowledge, for a daemon in `zone`.
-    pub fn new(zone: ZoneName, rule: BudgetRule) -> Self {
+    /// Starts without knowledge, for a daemon in `zone`. An endpoint goes on serving for `drain`
+    /// after the store has acknowledged that it leaves.
+    pub fn new(zone: ZoneName, rule: BudgetRule, drain: Millis) -> Self {
         Self {
             zone,
             rule,
+            drain,
             config: None,
             routes: Arc::default(),
             endpoints: Map::default(),
@@ -171,18 +193,21 @@
         self.config.as_ref()
     }
 
-    /// Takes in an endpoint's entry.
-    pub fn register(&mut self, entry: EndpointEntry, now: Millis) {
+    /// Takes in an endpoint's entry, which the store acknowledged after `since`.
+    pub fn register(&mut self, entry: EndpointEntry, since: Millis, now: Millis) {
         let name = Arc::clone(&entry.run.name);
         let known = self.endpoints.remove(&name);
-        let same = known.filter(|known| {
+        let (same, former): (Vec<_>, Vec<_>) = known.into_iter().partition(|known| {
             known.entry.run == entry.run
                 && known.entry.addr == entry.addr
                 && known.entry.service == entry.service
         });
+        former.iter().for_each(|former| former.close(now));
+        let same = same.into_iter().next();
+        let known_leaving = same.as_ref().and_then(|known| known.leaving);
         let leaving = entry
             .draining
-            .then(|| same.as_ref().and_then(|known| known.leaving).unwrap_or(now));
+            .then(|| known_leaving.unwrap_or_else(|| self.leaving(since, now)));
         let registered = Registered {
             backend: same.and_then(|known| known.backend),
             leaving,
@@ -194,7 +219,7 @@
     }
 
     /// Takes in that an entry is gone. With `doubt`, it is kept until then unless it returns.
-    pub fn remove(&mut self, name: &str, doubt: Option<Millis>) {
+    pub fn remove(&mut self, name: &str, doubt: Option<Millis>, now: Millis) {
         match doubt {
             Some(until) => {
                 if let Some(known) = self.endpoints.get_mut(name) {
@@ -202,16 +227,32 @@
                 }
             }
             None => {
-                self.endpoints.remove(name);
+                if let Some(known) = self.endpoints.remove(name) {
+                    known.close(now);
+                }
             }
         }
     }
 
+    /// Until when an endpoint is used that is seen leaving at `now`.
+    fn leaving(&self, since: Millis, now: Millis) -> Leaving {
+        let ends = since + self.drain - SENDING_MARGIN;
+        Leaving {
+            until: now,
+            keyed_until: (now + KEYED_LEAVING_GRACE).min(ends),
+        }
+    }
+
     /// Drops entries that did not return in time. True if any was dropped.
     pub fn drop_doubted(&mut self, now: Millis) -> bool {
         let before = self.endpoints.len();
-        self.endpoints
-            .retain(|_, known| known.doubted_until.is_none_or(|until| now < until));
+        self.endpoints.retain(|_, known| {
+            let is_kept = known.doubted_until.is_none_or(|until| now < until);
+            if !is_kept {
+                known.close(now);
+            }
+            is_kept
+        });
         self.endpoints.len() != before
     }
 
@@ -310,9 +351,14 @@
                     };
                     Arc::new(Backend::new(known.entry.clone(), queue, now))
                 });
+                match known.leaving {
+                    Some(leaving) if keyed => backend.close_at(leaving.keyed_until),
+                    Some(leaving) => backend.close_at(leaving.until),
+                    None => backend.reopen(),
+                }
                 Member {
                     backend: Arc::clone(backend),
-                    leaving: known.leaving,
+                    is_leaving: known.leaving.is_some(),
                     is_near: known.entry.zone == *zone,
                     warm_at: known.warm_at,
                 }
--- /dev/null
+++ b/tests/gateway/leaving.rs
@@ -0,0 +1,134 @@
+//! How long a leaving endpoint is used.
+
+use crate::{
+    fake_endpoint::{Answer, FakeEndpoint},
+    fake_platform,
+};
+use bytes::Bytes;
+use fireflygauge::{
+    clock::{Clock, Millis},
+    collections::Map,
+    gateway::{
+        backend::Backend,
+        budget::BudgetRule,
+        model::{Configuration, EndpointEntry, EndpointRun, KeyRange, Service},
+        owners::{OwnedRange, Owners},
+        send::{Exchange, NotRun, Outgoing, send},
+        view::{View, ViewBuilder},
+    },
+    world::ZoneName,
+};
+use http::{HeaderMap, HeaderValue, Method, Uri};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use test_case::test_case;
+
+/// Time for which a leaving endpoint goes on serving.
+const DRAIN: Millis = Millis(2_000);
+
+fn entry(draining: bool, addr: SocketAddr) -> EndpointEntry {
+    EndpointEntry {
+        run: EndpointRun {
+            name: "e".into(),
+            born_ms: 1,
+        },
+        service: "s".into(),
+        addr,
+        zone: "a".into(),
+        slots: 4,
+        draining,
+        warmup: Millis::ZERO,
+    }
+}
+
+fn local(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+/// A builder that knows a keyed service whose keys belong to one endpoint.
+fn builder() -> ViewBuilder {
+    let rule = BudgetRule {
+        ratio: 0.2,
+        extra: 50.0,
+        window: Millis(10_000),
+    };
+    let mut builder = ViewBuilder::new(ZoneName("a".into()), rule, DRAIN);
+    let service = Service {
+        name: "s".into(),
+        keyed: true,
+        max_connections: 100,
+    };
+    let services: Map<_, _> = [(service.name.clone(), service)].into_iter().collect();
+    builder.configure(Configuration {
+        version: 1,
+        services,
+        ..Configuration::default()
+    });
+    let range = OwnedRange {
+        keys: KeyRange { first: 0, last: 9 },
+        owner: entry(false, local(1)).run,
+        addr: local(1),
+        token: 1,
+        handover: None,
+    };
+    builder.own("s".into(), 1, Owners::new(vec![range]));
+    builder.register(entry(false, local(1)), Millis::ZERO, Millis::ZERO);
+    builder
+}
+
+fn has_owner(view: &View, now: Millis) -> bool {
+    view.services[&"s".into()].owner_of(5, now).is_some()
+}
+
+/// Guards against requests that reach an endpoint after the time for which it goes on serving,
+/// because its leaving was learnt late.
+#[test_case(0, 700, true; "while the keys move")]
+#[test_case(0, 900, false; "after the grace")]
+#[test_case(1_300, 1_350, true; "a moment after late news")]
+#[test_case(1_300, 1_500, false; "too late after late news")]
+#[test_case(1_700, 1_701, false; "after very late news")]
+fn a_leaving_owner_is_used_for_a_while(news_after: u64, asked_after: u64, used: bool) {
+    let mut builder = builder();
+    let noticed = Millis(10_000);
+    let seen = noticed + Millis(news_after);
+    builder.build(seen);
+    builder.register(entry(true, local(1)), noticed, seen);
+    let view = builder.build(seen);
+    assert_eq!(has_owner(&view, noticed + Millis(asked_after)), used);
+}
+
+/// Guards against an endpoint that stays closed although it did not leave after all.
+#[test]
+fn an_endpoint_that_is_ready_again_is_used_again() {
+    let mut builder = builder();
+    builder.register(entry(true, local(1)), Millis(0), Millis(5_000));
+    builder.build(Millis(5_000));
+    builder.register(entry(false, local(1)), Millis(0), Millis(6_000));
+    assert!(has_owner(&builder.build(Millis(6_000)), Millis(6_000)));
+}
+
+/// Guards against a request that was on its way to a connection when its endpoint was seen leaving,
+/// and is sent when the connection is open.
+#[tokio::test]
+async fn nothing_is_sent_to_an_endpoint_that_was_closed_meanwhile() {
+    let endpoint = FakeEndpoint::start(Answer::Ok).await;
+    let clock = Clock::start();
+    let backend = Backend::new(entry(false, endpoint.addr), Arc::default(), clock.now());
+    let out = Outgoing {
+        method: Method::GET,
+        uri: Uri::from_static("/x"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: HeaderValue::from_static("1"),
+    };
+    let names = fake_platform::names();
+    let left = Duration::from_secs(2);
+    let result = send(&backend, &out, &names, left, 1, clock).await;
+    assert!(matches!(result, Exchange::Answered(_)), "{result:?}");
+    backend.close_at(clock.now());
+    let result = send(&backend, &out, &names, left, 1, clock).await;
+    assert!(
+        matches!(result, Exchange::NotRun(NotRun::Leaving)),
+        "{result:?}"
+    );
+    assert_eq!(endpoint.arrivals(), 1);
+}
