Have a controller stop giving orders once its successor fences it

A fresh token is above all tokens of the epoch, so a second refusal in a row can only come from a later epoch. The former controller then waits until it has renewed the lease.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -280,6 +280,7 @@
                     confirmed: false,
                     unheard: true,
                     failures: 0,
+                    was_fenced: false,
                     nobody_listens: false,
                 };
                 managed.ranges.push(held);
--- a/src/gateway/controller/managed.rs
+++ b/src/gateway/controller/managed.rs
@@ -55,6 +55,8 @@
     pub unheard: bool,
     /// Orders in a row that had no answer.
     pub failures: u32,
+    /// Whether the last grant was refused because of a higher token.
+    pub was_fenced: bool,
     /// Whether the last order found that nothing listens at the owner's address.
     pub nobody_listens: bool,
 }
--- a/src/gateway/controller/orders.rs
+++ b/src/gateway/controller/orders.rs
@@ -145,6 +145,7 @@
             confirmed: false,
             unheard: false,
             failures: 0,
+            was_fenced: false,
             nobody_listens: false,
         }
     }
@@ -382,6 +383,7 @@
                 // It is needed only once, and would lengthen the row.
                 held.handover = None;
                 held.failures = 0;
+                held.was_fenced = false;
             }
             GrantOutcome::Unknown => {
                 held.ends = held.ends.max(now + lease);
@@ -399,6 +401,14 @@
                 held.token = fresh;
                 held.confirmed = false;
                 held.due = now + RETRY_PAUSE;
+                // The token was above all of this epoch, so the higher one is a successor's.
+                let again = std::mem::replace(&mut held.was_fenced, true);
+                if again && self.term.may_act(now) {
+                    log::warn!(target: "ownership", service:% = name, first = held.keys.first,
+                        token = held.token;
+                        "Fenced by a successor; no orders until the lease is renewed.");
+                    self.term.note_successor();
+                }
             }
             GrantOutcome::Refused => {
                 held.due = now + RETRY_PAUSE;
--- a/src/gateway/term.rs
+++ b/src/gateway/term.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Takes in that another daemon gives orders under a later epoch. The daemon gives none until
+    /// it has renewed the lease, which fails if there is a successor.
+    pub fn note_successor(&mut self) {
+        self.renewed = None;
+    }
+
     /// Whether the row names this run of the daemon.
     pub fn is_mine(&self) -> bool {
         self.row
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -1,6 +1,16 @@
 //! Ownership under random faults: at most one owner of a key, and recovery afterwards.
 
 use super::world::World;
+use fireflygauge::{
+    clock::Millis,
+    collections::Map,
+    gateway::{
+        controller::{Action, Controller, Event},
+        model::{EndpointEntry, EndpointRun},
+        platform::{GrantOutcome, WriteOutcome},
+    },
+    world::{Incarnation, ServiceName, VmName},
+};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -46,3 +56,62 @@
     assert_eq!(world.violation, None);
     assert_eq!(world.held_keys(), 65_536);
 }
+
+/// Steps a controller, answers its writes and grants, and returns the number of grants.
+fn drive(
+    controller: &mut Controller,
+    times: std::ops::Range<u64>,
+    written: impl Fn(u64) -> WriteOutcome,
+    granted: GrantOutcome,
+) -> usize {
+    let mut grants = 0;
+    for ms in times.step_by(50) {
+        for action in controller.step(&Map::default(), Millis(ms)) {
+            let event = match action {
+                Action::Write(id, _) => Event::Written(id, written(ms)),
+                Action::ReadOwners => Event::Owners(Vec::new()),
+                Action::Grant(service, id, _, _) => {
+                    grants += 1;
+                    Event::Granted(service, id, granted)
+                }
+                other => panic!("unexpected action {other:?}"),
+            };
+            controller.handle(event, Millis(ms));
+        }
+    }
+    grants
+}
+
+/// Guards against a controller that was replaced while it could not reach the store, and sends
+/// thousands of grants a second that its successor has fenced.
+#[test]
+fn a_fenced_controller_gives_no_more_orders() {
+    let run = Incarnation::random();
+    let addr = ([127, 0, 0, 1], 1).into();
+    let me = VmName("d".into());
+    let mut controller = Controller::new(me, run, addr, Millis(10_000), Millis::ZERO);
+    let service = ServiceName("s".into());
+    let endpoint = EndpointEntry {
+        run: EndpointRun {
+            name: "e".into(),
+            born_ms: 1,
+        },
+        service: service.clone(),
+        addr,
+        zone: "a".into(),
+        slots: 4,
+        draining: false,
+        warmup: Millis::ZERO,
+    };
+    controller.handle(Event::Lease(0, None), Millis(1));
+    controller.handle(Event::Services(vec![service]), Millis(1));
+    controller.handle(Event::Endpoints(vec![endpoint]), Millis(1));
+    let granted = GrantOutcome::Granted;
+    let served = drive(&mut controller, 50..8_000, WriteOutcome::Committed, granted);
+    assert!(served > 0, "the endpoint got its keys");
+    // The store turns the controller away, so that nothing renews the lease.
+    let refused = |_| WriteOutcome::Refused;
+    let fenced = GrantOutcome::Fenced;
+    let fenced = drive(&mut controller, 8_000..16_000, refused, fenced);
+    assert_eq!(fenced, 2, "one to learn of a higher token, one to be sure");
+}
