Keep the number of key ranges small

Cause: keys of an endpoint that leaves were cut into half as many pieces as there are endpoints, 80 each, and small ranges that a hot key had cut off stayed for ever. Each range also is granted every second.

Pieces have at least a quarter of an endpoint's mean load, and while there are more than 4 ranges an endpoint, small ones join the owner of a neighbour. At the limit, ranges still join.

--- a/src/gateway/controller/orders.rs
+++ b/src/gateway/controller/orders.rs
@@ -28,6 +28,8 @@
 /// Ranges of a service above which no more are split, so that its row keeps to the size that the
 /// store accepts.
 const MAX_RANGES: usize = 2_000;
+/// Ranges for each endpoint above which small ones join their neighbours.
+const RANGES_PER_ENDPOINT: usize = 4;
 /// Capacity of an endpoint that is still slow after its start.
 const WARMING_CAPACITY: f64 = 0.5;
 /// Work time that is assumed before any is known, in milliseconds.
@@ -163,13 +165,20 @@
                 Phase::Releasing { planned: true } | Phase::Writing
             )
         });
-        let full = managed.ranges.len() > MAX_RANGES;
-        if full || moving.count() > 0 || now < managed.next_move || heat.total() == 0.0 {
+        if moving.count() > 0 || now < managed.next_move || heat.total() == 0.0 {
             return;
         }
         managed.next_move = now + MOVE_EVERY;
         let candidates = self.candidates(name, managed, heat, now);
-        for planned in placement::rebalance(&candidates, heat) {
+        let mut moves = if managed.ranges.len() > MAX_RANGES {
+            Vec::new()
+        } else {
+            placement::rebalance(&candidates, heat)
+        };
+        if moves.is_empty() && managed.ranges.len() > candidates.len() * RANGES_PER_ENDPOINT {
+            moves = placement::join_small(&candidates, heat);
+        }
+        for planned in moves {
             self.start_move(name, managed, &planned, now);
         }
     }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -9,6 +9,13 @@
 const IDLE_KEY_RATE: f64 = 0.0005;
 /// Parts that keys without an owner are cut into, for each endpoint that could take them.
 const PARTS_PER_ENDPOINT: f64 = 0.5;
+/// Load of a piece of keys without an owner below which it is not cut further, as a share of an
+/// endpoint's mean load. Every piece is a range, which has to be granted and renewed.
+const MIN_PART: f64 = 0.25;
+/// Load of a range that may join its neighbour's owner, as a share of an endpoint's mean load.
+const SMALL_RANGE: f64 = 0.05;
+/// Ranges that join a neighbour in one round at most.
+const MAX_JOINS: usize = 16;
 /// Share of its capacity below which an endpoint keeps its keys: requests hardly wait there, and
 /// every move interrupts its keys for a moment.
 const BUSY: f64 = 0.5;
@@ -58,7 +65,8 @@
     } else {
         (candidates.len() as f64 * PARTS_PER_ENDPOINT).max(1.0)
     };
-    let part = total / parts;
+    let mean = (loads.iter().sum::<f64>() + total) / candidates.len().max(1) as f64;
+    let part = (total / parts).max(mean * MIN_PART);
     let mut moves = Vec::new();
     for keys in free {
         for piece in cut_into(*keys, part, heat) {
@@ -141,6 +149,46 @@
     moves
 }
 
+/// Moves that give small ranges to the owners of their neighbours, so that there are fewer ranges.
+pub fn join_small(candidates: &[Candidate], heat: &HeatMap) -> Vec<Move> {
+    let loads = candidates
+        .iter()
+        .map(|c| c.ranges.iter().map(|keys| load(heat, *keys)).sum::<f64>());
+    let loads: Vec<f64> = loads.collect();
+    let total: f64 = loads.iter().sum();
+    let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
+    let small = total / candidates.len().max(1) as f64 * SMALL_RANGE;
+    let mut ranges: Vec<(KeyRange, usize)> = Vec::new();
+    for (owner, candidate) in candidates.iter().enumerate() {
+        ranges.extend(candidate.ranges.iter().map(|keys| (*keys, owner)));
+    }
+    ranges.sort_unstable();
+    let has_room = |owner: usize| {
+        let own = candidates[owner].capacity;
+        loads[owner] + small <= own * BUSY.max(total / capacity)
+    };
+    let mut moves = Vec::new();
+    let mut at = 0;
+    while at + 1 < ranges.len() && moves.len() < MAX_JOINS {
+        let ((first, owner), (second, next_owner)) = (ranges[at], ranges[at + 1]);
+        at += 1;
+        let adjoin = first.last.checked_add(1) == Some(second.first) && owner != next_owner;
+        let joins = [(first, next_owner), (second, owner)];
+        let join = joins
+            .into_iter()
+            .find(|(keys, to)| has_room(*to) && load(heat, *keys) <= small);
+        if let Some((keys, to)) = join.filter(|_| adjoin) {
+            moves.push(Move {
+                keys,
+                to: candidates[to].run.clone(),
+            });
+            // The range beside it may join it in the next round.
+            at += 1;
+        }
+    }
+    moves
+}
+
 /// The loads of one round of moves as they become.
 struct Round<'a> {
     candidates: &'a [Candidate],
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -5,7 +5,7 @@
     gateway::{
         heat::{HeatMap, ServiceHeat},
         model::{EndpointRun, KeyRange},
-        placement::{Candidate, distribute, rebalance},
+        placement::{Candidate, Move, distribute, join_small, rebalance},
     },
 };
 use proptest::prelude::*;
@@ -106,3 +106,55 @@
     ];
     assert_eq!(rebalance(&candidates, &heat(&[(1, 30), (40_000, 5)])), []);
 }
+
+/// Candidates with equal shares of the keys.
+fn many(endpoints: u16) -> Vec<Candidate> {
+    let keys_each = u16::MAX / endpoints;
+    let share = |i: u16| KeyRange {
+        first: i * keys_each,
+        last: (i + 1) * keys_each - 1,
+    };
+    (0..endpoints)
+        .map(|i| candidate(i.into(), 400.0, vec![share(i)]))
+        .collect()
+}
+
+/// Guards against ranges that multiply with every endpoint that leaves: at 160 endpoints, the row
+/// of owners reached its limit after some twenty, and no keys moved any more.
+#[test]
+fn keys_of_one_endpoint_are_cut_into_few_pieces() {
+    let mut candidates = many(160);
+    let left = candidates.pop().expect("there are many");
+    let all: Vec<(u16, u32)> = (0..u16::MAX).step_by(20).map(|key| (key, 1)).collect();
+    let moves = distribute(&left.ranges, &candidates, &heat(&all));
+    assert!((2..=6).contains(&moves.len()), "{} pieces", moves.len());
+}
+
+/// Guards against small ranges that stay for ever once a hot key has cut them off.
+#[test]
+fn small_ranges_join_their_neighbours() {
+    let mut candidates = many(4);
+    let small = KeyRange {
+        first: 8_000,
+        last: 8_010,
+    };
+    candidates[0].ranges = vec![
+        KeyRange {
+            first: 0,
+            last: 7_999,
+        },
+        KeyRange {
+            first: 8_011,
+            last: 16_382,
+        },
+    ];
+    candidates[2].ranges.push(small);
+    let moves = join_small(&candidates, &heat(&[(1, 9), (9_000, 9), (40_000, 9)]));
+    let joined = Move {
+        keys: small,
+        to: candidates[0].run.clone(),
+    };
+    assert_eq!(moves, [joined]);
+    let busy = heat(&[(1, 9), (8_005, 9), (9_000, 9), (40_000, 9)]);
+    assert_eq!(join_small(&candidates, &busy), []);
+}
