Share how fast endpoints are among all daemons

Cause: on the grown sites a daemon sends an endpoint one request in 25 s, so it cannot tell fast endpoints (0.7) from slow ones (1.6), and its average mixes routes of 130 and 790 ms; its choice was a random one. Daemons now compare each answer with the usual time of its route and report it; the controller sums this up every 1.5 s and tells what changed.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod heat;
 pub mod model;
 pub mod owners;
+pub mod pace;
 pub mod placement;
 pub mod platform;
 pub mod registry;
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -4,6 +4,7 @@
     connection::Pool,
     gate::WaitQueue,
     model::{EndpointEntry, KeyRange},
+    pace::{PaceReport, UsualTimes},
 };
 use crate::{
     clock::Millis,
@@ -23,10 +24,8 @@
 const MAX_ASIDE: Millis = Millis(8_000);
 /// Weight of the newest outcome in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.1;
-/// Weight of the newest work time in the average.
-const WORK_WEIGHT: f64 = 0.15;
-/// Work time that is assumed before the first answer, in milliseconds.
-const FIRST_WORK_MS: f64 = 80.0;
+/// Weight of the newest comparison in the pace.
+const PACE_WEIGHT: f64 = 0.15;
 /// Age at which a load report no longer tells anything.
 const REPORT_AGE: Millis = Millis(600);
 /// Requests that may wait at an endpoint, as a multiple of its slots, before senders slow down.
@@ -89,7 +88,11 @@
 #[derive(Debug)]
 struct State {
     limit: Limit,
-    work_ms: f64,
+    /// Time of the endpoint's answers, as a multiple of the usual one.
+    pace: f64,
+    /// Comparisons since the last report.
+    compared: (u32, f64),
+    usual: Arc<UsualTimes>,
     failures: f64,
     in_a_row: u32,
     aside_until: Option<Millis>,
@@ -123,7 +126,12 @@
 
 impl Backend {
     /// An endpoint that is first seen at `now`.
-    pub fn new(entry: EndpointEntry, queue: Arc<WaitQueue>, now: Millis) -> Self {
+    pub fn new(
+        entry: EndpointEntry,
+        queue: Arc<WaitQueue>,
+        usual: Arc<UsualTimes>,
+        now: Millis,
+    ) -> Self {
         let cap = entry.slots * CAP_PER_SLOT;
         Self {
             pool: Pool::new(entry.addr),
@@ -133,7 +141,9 @@
             closes_at: AtomicU64::new(u64::MAX),
             state: Mutex::new(State {
                 limit: Limit::new(LimitPolicy::Adaptive, cap),
-                work_ms: FIRST_WORK_MS,
+                pace: 1.0,
+                compared: (0, 0.0),
+                usual,
                 failures: 0.0,
                 in_a_row: 0,
                 aside_until: None,
@@ -181,14 +191,21 @@
 
     /// Gives room back and learns from how the request ended.
     ///
-    /// `daemons` share the endpoint.
-    pub fn give_back(&self, verdict: Verdict, load: Option<Load>, daemons: usize, now: Millis) {
+    /// `daemons` share the endpoint; the request was one of `route`.
+    pub fn give_back(
+        &self,
+        verdict: Verdict,
+        load: Option<Load>,
+        route: &Arc<str>,
+        daemons: usize,
+        now: Millis,
+    ) {
         {
             let mut state = self.state();
             let full = load.is_some_and(Load::has_long_queue);
             let busy = !load.is_some_and(Load::has_free_slot);
             let daemons_per_slot = daemons as f64 / f64::from(self.entry.slots.max(1));
-            state.learn(verdict, now);
+            state.learn(verdict, route, now);
             state.adapt_spacing(verdict, load, daemons_per_slot, now);
             if let Some(load) = load {
                 state.report = Some((load, now));
@@ -226,13 +243,13 @@
         // A failure costs about as much as several requests.
         let failing = 1.0 + 8.0 * state.failures;
         let busy = f64::from(present.min(self.entry.slots)) / slots;
-        state.work_ms * (1.0 + 0.25 * busy + queued / slots) * failing
+        state.work_ms() * (1.0 + 0.25 * busy + queued / slots) * failing
     }
 
     /// Time between two requests that the endpoint takes from this daemon, in milliseconds.
     pub fn interval_ms(&self) -> f64 {
         let state = self.state();
-        (state.work_ms / state.limit.limit().max(1.0)).max(state.spacing_ms)
+        (state.work_ms() / state.limit.limit().max(1.0)).max(state.spacing_ms)
     }
 
     /// Time until a request gets room that has `ahead` others before it, in milliseconds.
@@ -279,19 +296,39 @@
         work
     }
 
+    /// Comparisons with the usual time since the last call, if there are any.
+    pub fn take_pace(&self) -> Option<PaceReport> {
+        let (count, sum) = std::mem::take(&mut self.state().compared);
+        (count > 0).then(|| PaceReport {
+            endpoint: Arc::clone(&self.entry.run.name),
+            count,
+            sum: sum as f32,
+        })
+    }
+
+    /// Takes in the pace that all daemons together saw.
+    pub fn set_pace(&self, pace: f32) {
+        self.state().pace = f64::from(pace);
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
+    /// Expected time of an answer, in milliseconds.
+    fn work_ms(&self) -> f64 {
+        self.usual.mean_ms() * self.pace
+    }
+
     /// Whether the endpoint reported more waiting requests than it can have finished since then.
     fn has_long_queue(&self, now: Millis) -> bool {
         let Some((load, at)) = self.report else {
             return false;
         };
         let beyond = f64::from(load.waiting.saturating_sub(load.slots * WAITING_PER_SLOT));
-        let drained_after = beyond / f64::from(load.slots) * self.work_ms;
+        let drained_after = beyond / f64::from(load.slots) * self.work_ms();
         (now.since(at).0 as f64) < drained_after.min(REPORT_AGE.0 as f64)
     }
 
@@ -331,23 +368,27 @@
     }
 
     fn lengthen_spacing(&mut self, factor: f64, daemons_per_slot: f64, now: Millis) {
-        let fair = self.work_ms * daemons_per_slot;
-        let first = (self.work_ms / 4.0).max(fair * FIRST_SPACING_SHARE);
+        let work_ms = self.work_ms();
+        let fair = work_ms * daemons_per_slot;
+        let first = (work_ms / 4.0).max(fair * FIRST_SPACING_SHARE);
         self.spacing_ms = (self.spacing_ms * factor).max(first).min(MAX_SPACING_MS);
         self.pace(now);
     }
 
     fn shorten_spacing(&mut self, kept: f64) {
         self.spacing_ms *= kept;
-        if self.spacing_ms < self.work_ms / 8.0 {
+        if self.spacing_ms < self.work_ms() / 8.0 {
             self.spacing_ms = 0.0;
         }
     }
 
-    fn learn(&mut self, verdict: Verdict, now: Millis) {
+    fn learn(&mut self, verdict: Verdict, route: &Arc<str>, now: Millis) {
         let failed = match verdict {
             Verdict::Answered(latency) => {
-                self.work_ms += WORK_WEIGHT * (latency.0.max(1) as f64 - self.work_ms);
+                let compared = self.usual.compare(route, latency);
+                self.pace += PACE_WEIGHT * (compared - self.pace);
+                self.compared.0 += 1;
+                self.compared.1 += compared;
                 false
             }
             Verdict::Failed | Verdict::Lost => true,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -10,6 +10,7 @@
     controller::{Action, Controller, Event},
     feeds::News,
     heat::HeatMap,
+    pace::Paces,
     platform::{Platform, Table},
     registry::Registry,
     view::{View, ViewBuilder},
@@ -106,6 +107,9 @@
         watches,
         registry: Registry::default(),
         owners: OwnersHistory::default(),
+        paces: Paces::default(),
+        paces_refreshed: Millis::ZERO,
+        paces_known: (0, 0),
         as_of: Millis::ZERO,
         told_as_of: Millis::ZERO,
         declarations: 0,
@@ -173,6 +177,11 @@
     /// The same, from the controller.
     told_as_of: Millis,
     owners: OwnersHistory,
+    /// Paces of endpoints, gathered while this daemon is the controller.
+    paces: Paces,
+    paces_refreshed: Millis,
+    /// Epoch and version of the paces that were told.
+    paces_known: (u64, u64),
     /// Version of the newest declarations that were read.
     declarations: u64,
     /// Since when the controller knows newer declarations.
@@ -221,6 +230,7 @@
         }
         self.report(now);
         self.choose_watches(now);
+        self.refresh_paces(now);
         self.answer_parked(now);
         for action in self.controller.step(&self.heat, now) {
             self.carry_out(action);
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -7,6 +7,7 @@
         controller::Event,
         heat::{HeatReport, ServiceHeat, WorkTime},
         owners::Owners,
+        pace::PaceNews,
         platform::Platform,
     },
     peer::{
@@ -27,6 +28,8 @@
 const HELD_REPORT: Millis = Millis(400);
 /// Time to wait for the controller's answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time between sums of what all daemons saw of the endpoints' paces.
+const PACES_EVERY: Millis = Millis(1_500);
 /// Time after its last report for which a daemon counts.
 const DAEMON_AGE: Millis = Millis(3_000);
 
@@ -43,6 +46,7 @@
             peer_addr: self.cx.peer_addr,
             owners: self.builder.owner_versions(),
             endpoints: self.registry.version(),
+            paces: self.paces_known,
             heat: self.take_heat(),
         };
         let term = self.controller.term();
@@ -98,8 +102,13 @@
                 })
                 .collect(),
         });
+        let services = services.collect();
+        let members = view.services.values().flat_map(|service| &service.members);
         HeatReport {
-            services: services.collect(),
+            services,
+            paces: members
+                .filter_map(|member| member.backend.take_pace())
+                .collect(),
         }
     }
 
@@ -123,6 +132,35 @@
             let map = self.heat.entry(heat.service.clone()).or_default();
             map.add(heat, now);
         }
+        self.paces.add(&report.heat.paces);
+    }
+
+    /// Sums up what all daemons saw of the endpoints' paces.
+    pub(super) fn refresh_paces(&mut self, now: Millis) {
+        let mine = self.controller.term().is_mine();
+        if !mine || now.since(self.paces_refreshed) < PACES_EVERY {
+            return;
+        }
+        self.paces_refreshed = now;
+        let known = self.builder.names().into_iter().collect();
+        self.paces.refresh(&known, now);
+        self.take_paces(&self.paces.after(self.epoch(), self.paces_version()));
+    }
+
+    /// Epoch of the controller lease; 0 if there is none.
+    fn epoch(&self) -> u64 {
+        self.controller.term().row().map_or(0, |row| row.epoch)
+    }
+
+    /// Version up to which the paces of the present controller are known.
+    fn paces_version(&self) -> u64 {
+        let (epoch, version) = self.paces_known;
+        if epoch == self.epoch() { version } else { 0 }
+    }
+
+    fn take_paces(&mut self, news: &PaceNews) {
+        self.builder.set_paces(&news.paces);
+        self.paces_known = (news.epoch, news.version);
     }
 
     fn set_daemons(&mut self, now: Millis) {
@@ -163,12 +201,16 @@
         let term = self.controller.term();
         let lease = term.row().filter(|_| term.may_act(now));
         let owners = self.owners.after(&parked.report.owners);
+        let epoch = self.epoch();
+        let (known_epoch, known) = parked.report.paces;
+        let known = if known_epoch == epoch { known } else { 0 };
         let answer = ReportReply {
             lease: lease.map(|row| (term.version(), row.clone())),
             daemons: self.daemons.len() as u32,
             owners,
             endpoints: lease.and_then(|_| self.endpoints_news(&parked, now)),
             declarations: self.declarations,
+            paces: self.paces.after(epoch, known),
         };
         // The daemon that asked has gone if nobody takes the answer.
         let _ = parked.reply.send(answer);
@@ -231,6 +273,7 @@
         self.answered = Some(now);
         let is_behind = answer.declarations > self.declarations;
         self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
+        self.take_paces(&answer.paces);
         if let Some(news) = answer.endpoints {
             // The answer was sent after the report had been held, and not before that.
             let as_of = sent + news.held - news.age;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -112,7 +112,7 @@
         };
         let route = &entry.route;
         let ends = arrived + self.time_for(&parts.headers, route);
-        let (outcome, service) = match self.read(&view, &parts, body, ends).await {
+        let (outcome, service) = match self.read(&view, route, &parts, body, ends).await {
             Ok((out, _memory)) => self.run(&view, &entry, &parts, out, arrived, ends).await,
             Err(reason) => (Outcome::Refused(reason), None),
         };
@@ -142,6 +142,7 @@
     async fn read(
         &self,
         view: &View,
+        route: &Route,
         parts: &Parts,
         body: Incoming,
         ends: Millis,
@@ -175,6 +176,7 @@
             headers: reply::end_to_end(&parts.headers),
             body,
             id,
+            route: Arc::clone(&route.name),
         };
         Ok((out, memory))
     }
@@ -359,7 +361,12 @@
         let is_new = turn.is_none();
         let turn = *turn.get_or_insert_with(|| queue.turn(job.route.priority));
         if !queue.is_behind(turn)
-            && let Some(member) = choice::take_room(service, &job.tried, now)
+            && let Some(member) = choice::take_room(
+                service,
+                &job.tried,
+                self.daemons.load(Ordering::Relaxed),
+                now,
+            )
         {
             return Ok(member.backend);
         }
--- a/src/gateway/heat.rs
+++ b/src/gateway/heat.rs
@@ -1,6 +1,9 @@
 //! How busy keys are and how fast endpoints work, as counted by all daemons.
 
-use super::model::{Key, KeyRange};
+use super::{
+    model::{Key, KeyRange},
+    pace::PaceReport,
+};
 use crate::{clock::Millis, collections::Map, world::ServiceName};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, sync::Arc};
@@ -15,8 +18,10 @@
 /// Requests and work times that one daemon counted since its last report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct HeatReport {
-    /// Counts by service.
+    /// Counts by keyed service.
     pub services: Vec<ServiceHeat>,
+    /// Paces of endpoints of all services.
+    pub paces: Vec<PaceReport>,
 }
 
 /// Counts of one keyed service.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use strum::Display;
 
 /// Largest body of an answer, in bytes.
@@ -28,6 +28,8 @@
     pub body: Bytes,
     /// The caller's id of the request.
     pub id: HeaderValue,
+    /// Name of its route.
+    pub route: Arc<str>,
 }
 
 /// Why a request surely did not run.
@@ -81,6 +83,7 @@
 ) -> Exchange {
     let mut room = Room {
         backend,
+        route: &out.route,
         daemons,
         clock,
         verdict: Verdict::Neutral,
@@ -102,6 +105,7 @@
 /// Gives the room at the endpoint back when the exchange ends or is cancelled.
 struct Room<'a> {
     backend: &'a Backend,
+    route: &'a Arc<str>,
     daemons: usize,
     clock: Clock,
     verdict: Verdict,
@@ -110,8 +114,13 @@
 
 impl Drop for Room<'_> {
     fn drop(&mut self) {
-        self.backend
-            .give_back(self.verdict, self.load, self.daemons, self.clock.now());
+        self.backend.give_back(
+            self.verdict,
+            self.load,
+            self.route,
+            self.daemons,
+            self.clock.now(),
+        );
     }
 }
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -6,6 +6,7 @@
     gate::WaitQueue,
     model::{CallerLimits, Configuration, EndpointEntry, EndpointRun, Key},
     owners::{OwnedRange, Owners},
+    pace::UsualTimes,
     routes::RouteTable,
 };
 use crate::{
@@ -68,6 +69,7 @@
 pub struct ServiceState {
     /// Requests that wait for any endpoint.
     pub queue: Arc<WaitQueue>,
+    usual: Arc<UsualTimes>,
     budget: Mutex<RetryBudget>,
     heat: Mutex<Map<Key, u32>>,
 }
@@ -76,6 +78,7 @@
     fn new(rule: BudgetRule) -> Self {
         Self {
             queue: Arc::default(),
+            usual: Arc::default(),
             budget: Mutex::new(RetryBudget::new(rule)),
             heat: Mutex::default(),
         }
@@ -296,6 +299,16 @@
         Some((*version, owners))
     }
 
+    /// Takes in paces of endpoints.
+    pub fn set_paces(&self, paces: &[(Arc<str>, f32)]) {
+        for (name, pace) in paces {
+            let known = self.endpoints.get(name);
+            if let Some(backend) = known.and_then(|known| known.backend.as_ref()) {
+                backend.set_pace(*pace);
+            }
+        }
+    }
+
     /// Versions of the owners' rows.
     pub fn owner_versions(&self) -> Vec<(ServiceName, u64)> {
         let versions = self.owners.iter();
@@ -348,7 +361,8 @@
                     } else {
                         Arc::clone(&state.queue)
                     };
-                    Arc::new(Backend::new(known.entry.clone(), queue, now))
+                    let usual = Arc::clone(&state.usual);
+                    Arc::new(Backend::new(known.entry.clone(), queue, usual, now))
                 });
                 match known.leaving {
                     Some(leaving) if keyed => backend.close_at(leaving.keyed_until),
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,10 @@
 use crate::{
     clock::Millis,
     config::ConfigSnapshot,
-    gateway::{heat::HeatReport, platform::Listening, registry::EndpointChanges, term::LeaseRow},
+    gateway::{
+        heat::HeatReport, pace::PaceNews, platform::Listening, registry::EndpointChanges,
+        term::LeaseRow,
+    },
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
     world::{GroupId, Incarnation, Link, ServiceName, Vm, VmName},
@@ -68,12 +71,14 @@
     pub owners: Vec<(ServiceName, u64)>,
     /// Version of the store up to which it knows the endpoints; 0 if it does not.
     pub endpoints: u64,
+    /// Epoch and version of the paces that it knows.
+    pub paces: (u64, u64),
     /// What it counted since its last report.
     pub heat: HeatReport,
 }
 
 /// What the controller of ranges tells a daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReportReply {
     /// Version of the controller lease, and its row; `None` if the daemon does not hold it.
     pub lease: Option<(u64, LeaseRow)>,
@@ -85,6 +90,8 @@
     pub endpoints: Option<EndpointsNews>,
     /// Version of the newest declarations that the controller knows; 0 for none.
     pub declarations: u64,
+    /// Paces of endpoints that changed.
+    pub paces: PaceNews,
 }
 
 /// Changes of endpoints that the daemon does not know, and how fresh they are.
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -27,12 +27,17 @@
         draining: false,
         warmup: Millis::ZERO,
     };
-    Backend::new(entry, Arc::new(WaitQueue::default()), Millis(0))
+    Backend::new(
+        entry,
+        Arc::new(WaitQueue::default()),
+        Arc::default(),
+        Millis(0),
+    )
 }
 
 fn finish(backend: &Backend, verdict: Verdict, load: Option<Load>, now: u64) {
     assert!(backend.try_take(Millis(now)));
-    backend.give_back(verdict, load, DAEMONS, Millis(now));
+    backend.give_back(verdict, load, &"r".into(), DAEMONS, Millis(now));
 }
 
 /// Guards against an endpoint that keeps getting requests although all fail.
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -112,13 +112,19 @@
 async fn nothing_is_sent_to_an_endpoint_that_was_closed_meanwhile() {
     let endpoint = FakeEndpoint::start(Answer::Ok).await;
     let clock = Clock::start();
-    let backend = Backend::new(entry(false, endpoint.addr), Arc::default(), clock.now());
+    let backend = Backend::new(
+        entry(false, endpoint.addr),
+        Arc::default(),
+        Arc::default(),
+        clock.now(),
+    );
     let out = Outgoing {
         method: Method::GET,
         uri: Uri::from_static("/x"),
         headers: HeaderMap::new(),
         body: Bytes::new(),
         id: HeaderValue::from_static("1"),
+        route: "r".into(),
     };
     let names = fake_platform::names();
     let left = Duration::from_secs(2);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod feeds;
 mod leaving;
 mod owners;
+mod pace;
 mod placement;
 mod queue;
 mod registry;
