Keep connections as long as endpoints state, and not if they are forgotten

The other way round, endpoints that forget idle connections reset whatever is sent next, and every daemon lost one request for each.

A connection is used again until 1.5 s before the stated time, 8 s at most. Two losses within 3 s on connections that were idle shorten the time for the whole service for 5 s. Daemons share the connections that an endpoint accepts.

Tests in tests/gateway/idle.rs.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -1,7 +1,7 @@
 //! What a daemon knows of one endpoint from its own requests.
 
 use super::{
-    connection::Pool,
+    connection::{IdleLimit, Pool},
     gate::WaitQueue,
     model::{EndpointEntry, KeyRange},
     pace::{PaceReport, UsualTimes},
@@ -108,6 +108,19 @@
     work_total_ms: u64,
 }
 
+/// What the endpoints of a service share.
+#[derive(Clone, Debug, Default)]
+pub struct Shared {
+    /// Requests that wait; each endpoint of a keyed service has its own queue.
+    pub queue: Arc<WaitQueue>,
+    /// Usual times of answers.
+    pub usual: Arc<UsualTimes>,
+    /// How long connections may be idle.
+    pub idle: Arc<IdleLimit>,
+    /// Connections that one endpoint accepts from all daemons.
+    pub max_connections: u32,
+}
+
 /// An endpoint, its connections and what was observed of it.
 #[derive(Debug)]
 pub struct Backend {
@@ -126,24 +139,19 @@
 
 impl Backend {
     /// An endpoint that is first seen at `now`.
-    pub fn new(
-        entry: EndpointEntry,
-        queue: Arc<WaitQueue>,
-        usual: Arc<UsualTimes>,
-        now: Millis,
-    ) -> Self {
+    pub fn new(entry: EndpointEntry, shared: Shared, now: Millis) -> Self {
         let cap = entry.slots * CAP_PER_SLOT;
         Self {
-            pool: Pool::new(entry.addr),
+            pool: Pool::new(entry.addr, shared.max_connections, shared.idle),
             entry,
-            queue,
+            queue: shared.queue,
             first_seen: now,
             closes_at: AtomicU64::new(u64::MAX),
             state: Mutex::new(State {
                 limit: Limit::new(LimitPolicy::Adaptive, cap),
                 pace: 1.0,
                 compared: (0, 0.0),
-                usual,
+                usual: shared.usual,
                 failures: 0.0,
                 in_a_row: 0,
                 aside_until: None,
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -9,7 +9,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use tokio::{
@@ -20,54 +20,151 @@
 /// The sending side of a connection.
 pub type Sender = http1::SendRequest<Full<Bytes>>;
 
-/// Idle time after which a connection is closed, well before an endpoint's own idle limit.
-const MAX_IDLE: Duration = Duration::from_secs(4);
+/// Idle time after which a connection is closed if the endpoint does not state its own limit.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Longest idle time after which a connection is used again.
+const MAX_IDLE: Duration = Duration::from_secs(8);
+/// Part of the idle time that an endpoint states which is left unused, since a request may be on
+/// its way when the endpoint closes the connection.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 /// Idle connections that are kept.
 const MAX_KEPT: usize = 8;
+/// Share of the connections that an endpoint accepts which all daemons together keep idle.
+const KEPT_SHARE: usize = 2;
+/// Shortest idle time that a lost connection can be blamed on.
+const MIN_IDLE: Duration = Duration::from_millis(100);
+/// Connections lost after an idle time, each soon after the one before, that show that endpoints
+/// forget idle connections.
+const FORGOTTEN: u32 = 2;
+/// Longest time between them.
+const FORGOTTEN_WITHIN: Duration = Duration::from_secs(3);
+/// Time for which idle connections are then used only after a shorter idle time.
+const FORGETTING: Duration = Duration::from_secs(5);
+
+/// How long connections to a service's endpoints may be idle before they are used again.
+///
+/// An endpoint may forget idle connections. A request on one is reset, and nobody knows whether it
+/// ran, so a few such losses shorten the time for all endpoints of the service.
+#[derive(Debug, Default)]
+pub struct IdleLimit {
+    losses: Mutex<Losses>,
+}
+
+#[derive(Debug, Default)]
+struct Losses {
+    count: u32,
+    last: Option<Instant>,
+    limit: Option<(Duration, Instant)>,
+}
+
+impl IdleLimit {
+    /// The longest idle time at present.
+    pub fn longest(&self) -> Duration {
+        let limit = self.losses().limit;
+        let present = limit.filter(|(_, until)| Instant::now() < *until);
+        present.map_or(MAX_IDLE, |(limit, _)| limit)
+    }
+
+    /// A connection was lost when it was used after this idle time.
+    pub fn lost_after(&self, idle: Duration) {
+        if idle < MIN_IDLE {
+            return;
+        }
+        let now = Instant::now();
+        let mut losses = self.losses();
+        let is_soon = losses
+            .last
+            .is_some_and(|last| now.duration_since(last) < FORGOTTEN_WITHIN);
+        losses.count = if is_soon { losses.count + 1 } else { 1 };
+        losses.last = Some(now);
+        if losses.count < FORGOTTEN {
+            return;
+        }
+        let present = losses.limit.filter(|(_, until)| now < *until);
+        let shorter = (idle / 2).max(MIN_IDLE);
+        let limit = present.map_or(shorter, |(limit, _)| limit.min(shorter));
+        losses.limit = Some((limit, now + FORGETTING));
+        drop(losses);
+        if present.is_none() {
+            log::info!(target: "health", idle_ms = idle.as_millis() as u64,
+                limit_ms = limit.as_millis() as u64; "Endpoints forget idle connections.");
+        }
+    }
+
+    fn losses(&self) -> MutexGuard<'_, Losses> {
+        self.losses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
 
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
     since: Instant,
+    /// Longest idle time that the endpoint allows.
+    limit: Duration,
+}
+
+/// A connection and how long it was idle; not at all if it is new.
+pub struct Taken {
+    /// The connection.
+    pub sender: Sender,
+    /// Its idle time, if it was kept.
+    pub idle: Option<Duration>,
 }
 
 /// Idle connections to one endpoint.
 #[derive(Debug)]
 pub struct Pool {
     addr: SocketAddr,
+    /// Connections that the endpoint accepts from all daemons.
+    max_connections: usize,
+    limit: Arc<IdleLimit>,
     idle: Mutex<Vec<Idle>>,
 }
 
 impl Pool {
-    /// Creates an empty pool of connections to `addr`.
-    pub fn new(addr: SocketAddr) -> Self {
+    /// Creates an empty pool of connections to `addr`, which accepts `max_connections` from all
+    /// daemons.
+    pub fn new(addr: SocketAddr, max_connections: u32, limit: Arc<IdleLimit>) -> Self {
         Self {
             addr,
+            max_connections: max_connections as usize,
+            limit,
             idle: Mutex::default(),
         }
     }
 
     /// An idle connection that is ready for an exchange.
-    pub fn take(&self) -> Option<Sender> {
+    pub fn take(&self) -> Option<Taken> {
+        let longest = self.limit.longest();
         let mut idle = self.idle();
         while let Some(kept) = idle.pop() {
-            if kept.since.elapsed() > MAX_IDLE {
+            let time = kept.since.elapsed();
+            if time > kept.limit.min(longest) {
                 // The rest has been idle for longer.
                 idle.clear();
                 return None;
             }
             if kept.sender.is_ready() {
-                return Some(kept.sender);
+                return Some(Taken {
+                    sender: kept.sender,
+                    idle: Some(time),
+                });
             }
         }
         None
     }
 
+    /// A kept connection was lost when it was used.
+    pub fn lost_after(&self, idle: Duration) {
+        self.limit.lost_after(idle);
+    }
+
     /// Opens a connection within `left`.
     ///
     /// # Errors
     /// If there is none in time. Nothing of a request was sent.
-    pub async fn connect(&self, left: Duration) -> io::Result<Sender> {
+    pub async fn connect(&self, left: Duration) -> io::Result<Taken> {
         let connecting = TcpStream::connect(self.addr);
         let stream = timeout(left.min(CONNECT_TIMEOUT), connecting).await??;
         detect_loss(&stream)?;
@@ -80,16 +177,20 @@
                 log::debug!(target: "request", error:% = e; "Endpoint connection ended.");
             }
         });
-        Ok(sender)
+        Ok(Taken { sender, idle: None })
     }
 
-    /// Keeps a connection whose exchange has ended, once it is ready for the next one.
-    pub fn keep(&self, sender: Sender) {
+    /// Keeps a connection whose exchange has ended, once it is ready for the next one. The endpoint
+    /// has stated that it closes it after `stated`, and `daemons` share the endpoint.
+    pub fn keep(&self, sender: Sender, stated: Option<Duration>, daemons: usize) {
+        let share = self.max_connections / KEPT_SHARE / daemons.max(1);
         let mut idle = self.idle();
-        if !sender.is_closed() && idle.len() < MAX_KEPT {
+        if !sender.is_closed() && idle.len() < share.clamp(1, MAX_KEPT) {
+            let stated = stated.map(|stated| stated.saturating_sub(IDLE_MARGIN));
             idle.push(Idle {
                 sender,
                 since: Instant::now(),
+                limit: stated.unwrap_or(DEFAULT_IDLE).min(MAX_IDLE),
             });
         }
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -2,16 +2,20 @@
 
 use super::{
     backend::{Backend, Load, Verdict},
+    connection::Taken,
     platform::HeaderNames,
 };
 use crate::clock::Clock;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use std::{sync::Arc, time::Duration};
 use strum::Display;
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Largest body of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -90,7 +94,7 @@
         load: None,
     };
     let sent = clock.now();
-    let result = exchange(backend, out, names, left, clock, &mut room.load).await;
+    let result = exchange(&mut room, out, names, left).await;
     room.verdict = match &result {
         Exchange::Answered(answer) if answer.status().is_server_error() => Verdict::Failed,
         Exchange::Answered(_) => Verdict::Answered(clock.now().since(sent)),
@@ -125,40 +129,44 @@
 }
 
 async fn exchange(
-    backend: &Backend,
+    room: &mut Room<'_>,
     out: &Outgoing,
     names: &HeaderNames,
     left: Duration,
-    clock: Clock,
-    load: &mut Option<Load>,
 ) -> Exchange {
+    let backend = room.backend;
     let started = tokio::time::Instant::now();
     // A kept connection may turn out closed; the request then goes out on a new one.
     let (mut sender, answer) = loop {
-        let kept = backend.pool.take();
-        let was_kept = kept.is_some();
-        let mut sender = match kept {
-            Some(sender) => sender,
+        let taken = match backend.pool.take() {
+            Some(taken) => taken,
             None => match backend.pool.connect(left).await {
-                Ok(sender) => sender,
+                Ok(taken) => taken,
                 Err(_) => return Exchange::NotRun(NotRun::NotSent),
             },
         };
+        let Taken { mut sender, idle } = taken;
         // Opening the connection took time.
-        if !backend.is_open(clock.now()) {
+        if !backend.is_open(room.clock.now()) {
             return Exchange::NotRun(NotRun::Leaving);
         }
         let left = left.saturating_sub(started.elapsed());
         let req = to_request(backend, out, names, left);
+        let sent = tokio::time::Instant::now();
         match sender.try_send_request(req).await {
             Ok(answer) => break (sender, answer),
             // hyper hands the request back only if no byte of it was written.
-            Err(e) if e.message().is_some() && was_kept => {}
+            Err(e) if e.message().is_some() && idle.is_some() => {}
             Err(e) if e.message().is_some() => return Exchange::NotRun(NotRun::NotSent),
-            Err(_) => return Exchange::MayHaveRun(MayHaveRun::ConnectionLost),
+            Err(_) => {
+                if let Some(idle) = idle.filter(|_| sent.elapsed() < FORGOTTEN_WITHIN) {
+                    backend.pool.lost_after(idle);
+                }
+                return Exchange::MayHaveRun(MayHaveRun::ConnectionLost);
+            }
         }
     };
-    *load = load_of(answer.headers(), names);
+    room.load = load_of(answer.headers(), names);
     match read(answer, out, names).await {
         Ok(answer) => {
             if !closes(answer.headers()) && !sender.is_closed() {
@@ -168,7 +176,8 @@
                     .await
                     .is_ok_and(|r| r.is_ok())
                 {
-                    backend.pool.keep(sender);
+                    let stated = idle_time_of(answer.headers());
+                    backend.pool.keep(sender, stated, room.daemons);
                 }
             }
             classify(answer, backend, names)
@@ -177,6 +186,8 @@
     }
 }
 
+/// Time in which a request on a connection that its endpoint has forgotten is reset.
+const FORGOTTEN_WITHIN: Duration = Duration::from_millis(100);
 /// Time for a connection to become ready after its exchange.
 const READY_WITHIN: Duration = Duration::from_millis(2);
 
@@ -244,6 +255,17 @@
     })
 }
 
+/// The idle time after which an endpoint closes the connection, if it states one.
+fn idle_time_of(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(&KEEP_ALIVE)?.to_str().ok()?;
+    let parameters = text.split(',').filter_map(|part| part.split_once('='));
+    let timeout = parameters
+        .into_iter()
+        .find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
+    let seconds = timeout?.1.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
 /// The load that an endpoint reports; `None` if it reports none that can be read.
 fn load_of(headers: &HeaderMap, names: &HeaderNames) -> Option<Load> {
     let text = headers.get(&names.load)?.to_str().ok()?;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,10 +1,11 @@
 //! What the request thread knows: an immutable view of routes, endpoints and owners.
 
 use super::{
-    backend::Backend,
+    backend::{Backend, Shared},
     budget::{BudgetRule, RetryBudget},
+    connection::IdleLimit,
     gate::WaitQueue,
-    model::{CallerLimits, Configuration, EndpointEntry, EndpointRun, Key},
+    model::{CallerLimits, Configuration, EndpointEntry, EndpointRun, Key, Service},
     owners::{OwnedRange, Owners},
     pace::UsualTimes,
     routes::RouteTable,
@@ -70,6 +71,7 @@
     /// Requests that wait for any endpoint.
     pub queue: Arc<WaitQueue>,
     usual: Arc<UsualTimes>,
+    idle: Arc<IdleLimit>,
     budget: Mutex<RetryBudget>,
     heat: Mutex<Map<Key, u32>>,
 }
@@ -79,6 +81,7 @@
         Self {
             queue: Arc::default(),
             usual: Arc::default(),
+            idle: Arc::default(),
             budget: Mutex::new(RetryBudget::new(rule)),
             heat: Mutex::default(),
         }
@@ -325,13 +328,7 @@
         let services = config
             .services
             .values()
-            .map(|service| {
-                let name = service.name.clone();
-                (
-                    name.clone(),
-                    Arc::new(self.service(name, service.keyed, now)),
-                )
-            })
+            .map(|service| (service.name.clone(), Arc::new(self.service(service, now))))
             .collect();
         View {
             version: config.version,
@@ -341,7 +338,9 @@
         }
     }
 
-    fn service(&mut self, name: ServiceName, keyed: bool, now: Millis) -> ServiceView {
+    fn service(&mut self, declared: &Service, now: Millis) -> ServiceView {
+        let (name, keyed) = (declared.name.clone(), declared.keyed);
+        let max_connections = declared.max_connections;
         let rule = self.rule;
         let state = self
             .states
@@ -361,8 +360,13 @@
                     } else {
                         Arc::clone(&state.queue)
                     };
-                    let usual = Arc::clone(&state.usual);
-                    Arc::new(Backend::new(known.entry.clone(), queue, usual, now))
+                    let shared = Shared {
+                        queue,
+                        usual: Arc::clone(&state.usual),
+                        idle: Arc::clone(&state.idle),
+                        max_connections,
+                    };
+                    Arc::new(Backend::new(known.entry.clone(), shared, now))
                 });
                 match known.leaving {
                     Some(leaving) if keyed => backend.close_at(leaving.keyed_until),
--- a/tests/gateway/choice.rs
+++ b/tests/gateway/choice.rs
@@ -3,12 +3,10 @@
 use fireflygauge::{
     clock::Millis,
     gateway::{
-        backend::{Backend, Load, Verdict},
-        gate::WaitQueue,
+        backend::{Backend, Load, Shared, Verdict},
         model::{EndpointEntry, EndpointRun, KeyRange},
     },
 };
-use std::sync::Arc;
 use test_case::test_case;
 
 /// Daemons that share the endpoint.
@@ -27,12 +25,7 @@
         draining: false,
         warmup: Millis::ZERO,
     };
-    Backend::new(
-        entry,
-        Arc::new(WaitQueue::default()),
-        Arc::default(),
-        Millis(0),
-    )
+    Backend::new(entry, Shared::default(), Millis(0))
 }
 
 fn finish(backend: &Backend, verdict: Verdict, load: Option<Load>, now: u64) {
--- a/tests/gateway/fake_endpoint.rs
+++ b/tests/gateway/fake_endpoint.rs
@@ -11,7 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// What the endpoint does with a request.
@@ -27,6 +27,10 @@
     Lost,
     /// Runs it and sends half of the answer.
     Half,
+    /// Runs it and answers, but drops a connection that was idle for this time when it is used.
+    Forgetful(Duration),
+    /// Runs it and answers that it closes idle connections after this many seconds.
+    KeepsAlive(u64),
     /// Runs it and answers without its signature.
     Unsigned,
     /// Refuses it and says so.
@@ -44,6 +48,7 @@
     pub addr: SocketAddr,
     runs: Arc<AtomicUsize>,
     arrivals: Arc<AtomicUsize>,
+    connections: Arc<AtomicUsize>,
 }
 
 impl FakeEndpoint {
@@ -55,6 +60,7 @@
             addr,
             runs: Arc::default(),
             arrivals: Arc::default(),
+            connections: Arc::default(),
         };
         let served = endpoint.clone();
         tokio::spawn(async move {
@@ -75,8 +81,15 @@
         self.arrivals.load(Ordering::SeqCst)
     }
 
+    /// Connections that it accepted.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     async fn serve(self, mut stream: TcpStream, answer: Answer) {
+        self.connections.fetch_add(1, Ordering::SeqCst);
         let mut buf = Vec::new();
+        let mut used = Instant::now();
         loop {
             let head = loop {
                 if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
@@ -94,6 +107,9 @@
                 .find_map(|line| line.strip_prefix("x-id: "))
                 .unwrap_or_default()
                 .to_owned();
+            if matches!(answer, Answer::Forgetful(after) if used.elapsed() >= after) {
+                return;
+            }
             self.arrivals.fetch_add(1, Ordering::SeqCst);
             if !matches!(answer, Answer::Shed | Answer::Other) {
                 self.runs.fetch_add(1, Ordering::SeqCst);
@@ -102,7 +118,11 @@
                 "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 5\r\n\r\nhello"
             );
             let text = match &answer {
-                Answer::Ok => ok,
+                Answer::Ok | Answer::Forgetful(_) => ok,
+                Answer::KeepsAlive(seconds) => ok.replace(
+                    "content-length",
+                    &format!("keep-alive: timeout={seconds}\r\ncontent-length"),
+                ),
                 Answer::Slow(time) => {
                     sleep(*time).await;
                     ok
@@ -129,6 +149,7 @@
             if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
             }
+            used = Instant::now();
         }
     }
 }
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -9,7 +9,7 @@
     clock::{Clock, Millis},
     collections::Map,
     gateway::{
-        backend::Backend,
+        backend::{Backend, Shared},
         budget::BudgetRule,
         model::{Configuration, EndpointEntry, EndpointRun, KeyRange, Service},
         owners::{OwnedRange, Owners},
@@ -19,13 +19,28 @@
     world::ZoneName,
 };
 use http::{HeaderMap, HeaderValue, Method, Uri};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 use test_case::test_case;
 
 /// Time for which a leaving endpoint goes on serving.
 const DRAIN: Millis = Millis(2_000);
 
-fn entry(draining: bool, addr: SocketAddr) -> EndpointEntry {
+/// Sends a request to `backend`, which one daemon uses.
+pub async fn send_one(backend: &Backend, clock: Clock) -> Exchange {
+    let out = Outgoing {
+        method: Method::GET,
+        uri: Uri::from_static("/x"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: HeaderValue::from_static("1"),
+        route: "r".into(),
+    };
+    let left = Duration::from_secs(2);
+    send(backend, &out, &fake_platform::names(), left, 1, clock).await
+}
+
+/// The entry of an endpoint of a keyed service.
+pub fn entry(draining: bool, addr: SocketAddr) -> EndpointEntry {
     EndpointEntry {
         run: EndpointRun {
             name: "e".into(),
@@ -112,26 +127,11 @@
 async fn nothing_is_sent_to_an_endpoint_that_was_closed_meanwhile() {
     let endpoint = FakeEndpoint::start(Answer::Ok).await;
     let clock = Clock::start();
-    let backend = Backend::new(
-        entry(false, endpoint.addr),
-        Arc::default(),
-        Arc::default(),
-        clock.now(),
-    );
-    let out = Outgoing {
-        method: Method::GET,
-        uri: Uri::from_static("/x"),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        id: HeaderValue::from_static("1"),
-        route: "r".into(),
-    };
-    let names = fake_platform::names();
-    let left = Duration::from_secs(2);
-    let result = send(&backend, &out, &names, left, 1, clock).await;
+    let backend = Backend::new(entry(false, endpoint.addr), Shared::default(), clock.now());
+    let result = send_one(&backend, clock).await;
     assert!(matches!(result, Exchange::Answered(_)), "{result:?}");
     backend.close_at(clock.now());
-    let result = send(&backend, &out, &names, left, 1, clock).await;
+    let result = send_one(&backend, clock).await;
     assert!(
         matches!(result, Exchange::NotRun(NotRun::Leaving)),
         "{result:?}"
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod fake_endpoint;
 mod fake_platform;
 mod feeds;
+mod idle;
 mod leaving;
 mod owners;
 mod pace;
