Steady the capacity of endpoints, and plan moves while others are on their way

An endpoint's work time followed the last report, which mostly holds one request, so its capacity was estimated between 2.9 and 33 requests a second instead of 8 to 18.

Work times are summed over 8 s, with four average requests assumed at each endpoint. Moves are planned unless more ranges are moving than an eighth of the endpoints; ranges that are being released count for nobody.

Test: work_times_are_averaged_over_many_reports.

--- a/src/gateway/controller/orders.rs
+++ b/src/gateway/controller/orders.rs
@@ -28,6 +28,8 @@
 /// Ranges of a service above which no more are split, so that its row keeps to the size that the
 /// store accepts.
 const MAX_RANGES: usize = 2_000;
+/// No moves are planned while more ranges are moving than endpoints divided by this.
+const MOVING_DIVISOR: usize = 8;
 /// Ranges for each endpoint above which small ones join their neighbours.
 const RANGES_PER_ENDPOINT: usize = 4;
 /// Capacity of an endpoint that is still slow after its start.
@@ -58,6 +60,7 @@
         heat: &HeatMap,
         now: Millis,
     ) -> Vec<Candidate> {
+        let mean_ms = heat.mean_work_ms().unwrap_or(DEFAULT_WORK_MS);
         let mut candidates: Vec<Candidate> = self
             .endpoints
             .values()
@@ -65,7 +68,7 @@
             .map(|entry| {
                 let avoided = self.avoided.get(&entry.run);
                 let failing = avoided.is_some_and(|avoided| now < avoided.until);
-                let work_ms = heat.work_ms(&entry.run.name).unwrap_or(DEFAULT_WORK_MS);
+                let work_ms = heat.work_ms(&entry.run.name, mean_ms);
                 let speed = f64::from(entry.slots) * 1_000.0 / work_ms.max(1.0);
                 let warm = if entry.warmup > Millis::ZERO {
                     WARMING_CAPACITY
@@ -79,7 +82,7 @@
                         .ranges
                         .iter()
                         .filter(|held| held.owner.as_ref() == Some(&entry.run))
-                        .filter(|held| held.phase != Phase::Free)
+                        .filter(|held| matches!(held.phase, Phase::Held | Phase::Writing))
                         .map(|held| held.keys)
                         .collect(),
                 }
@@ -165,7 +168,8 @@
                 Phase::Releasing { planned: true } | Phase::Writing
             )
         });
-        if moving.count() > 0 || now < managed.next_move || heat.total() == 0.0 {
+        let is_moving = moving.count() > self.endpoints.len() / MOVING_DIVISOR;
+        if is_moving || now < managed.next_move || heat.total() == 0.0 {
             return;
         }
         managed.next_move = now + MOVE_EVERY;
--- a/src/gateway/heat.rs
+++ b/src/gateway/heat.rs
@@ -12,8 +12,11 @@
 const MEMORY_MS: f64 = 1_500.0;
 /// Rate below which a key is forgotten, in requests a second.
 const FORGET_BELOW: f64 = 0.01;
-/// Weight of a report's work time in the average.
-const WORK_WEIGHT: f64 = 0.3;
+/// Time after which a past work time counts 1/e of a present one. Each daemon reports a few
+/// requests at a time, whose work times differ widely.
+const WORK_MEMORY_MS: f64 = 8_000.0;
+/// Requests with the average work time that are assumed at every endpoint.
+const ASSUMED_REQUESTS: f64 = 4.0;
 
 /// Requests and work times that one daemon counted since its last report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -50,10 +53,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct HeatMap {
     rates: BTreeMap<Key, f64>,
-    work_ms: Map<Arc<str>, f64>,
+    work: Map<Arc<str>, Work>,
     decayed: Millis,
 }
 
+/// Requests that found a free slot, and their time together, with the past fading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    requests: f64,
+    total_ms: f64,
+}
+
 impl HeatMap {
     /// Takes in what one daemon counted.
     pub fn add(&mut self, heat: &ServiceHeat, now: Millis) {
@@ -62,19 +72,23 @@
             // A steady rate r adds r * dt every dt, and decays to r with this scale.
             *self.rates.entry(*key).or_default() += f64::from(*count) * 1_000.0 / MEMORY_MS;
         }
-        for work in heat.work.iter().filter(|work| work.requests > 0) {
-            let mean = work.total_ms as f64 / f64::from(work.requests);
-            let known = self
-                .work_ms
-                .entry(Arc::clone(&work.endpoint))
-                .or_insert(mean);
-            *known += WORK_WEIGHT * (mean - *known);
+        for report in &heat.work {
+            let work = self.work.entry(Arc::clone(&report.endpoint)).or_default();
+            work.requests += f64::from(report.requests);
+            work.total_ms += report.total_ms as f64;
         }
     }
 
     /// Lets past requests fade.
     pub fn decay(&mut self, now: Millis) {
-        let share = (-(now.since(self.decayed).0 as f64) / MEMORY_MS).exp();
+        let past = now.since(self.decayed).0 as f64;
+        let share = (-past / MEMORY_MS).exp();
+        let work_share = (-past / WORK_MEMORY_MS).exp();
+        self.work.retain(|_, work| {
+            work.requests *= work_share;
+            work.total_ms *= work_share;
+            work.requests > FORGET_BELOW
+        });
         self.decayed = now;
         self.rates.retain(|_, rate| {
             *rate *= share;
@@ -102,13 +116,16 @@
         self.rates.values().sum()
     }
 
-    /// Average work time at an endpoint, in milliseconds; that of all endpoints if this one's is
-    /// not known, and `None` if nothing is known.
-    pub fn work_ms(&self, endpoint: &str) -> Option<f64> {
-        let known = self.work_ms.get(endpoint).copied();
-        known.or_else(|| {
-            let count = self.work_ms.len();
-            (count > 0).then(|| self.work_ms.values().sum::<f64>() / count as f64)
-        })
+    /// Average work time at all endpoints, in milliseconds; `None` if none is known.
+    pub fn mean_work_ms(&self) -> Option<f64> {
+        let requests: f64 = self.work.values().map(|work| work.requests).sum();
+        let total_ms: f64 = self.work.values().map(|work| work.total_ms).sum();
+        (requests > 0.0).then(|| total_ms / requests)
+    }
+
+    /// Average work time at an endpoint, in milliseconds, where that at all endpoints is `mean_ms`.
+    pub fn work_ms(&self, endpoint: &str, mean_ms: f64) -> f64 {
+        let known = self.work.get(endpoint).copied().unwrap_or_default();
+        (known.total_ms + ASSUMED_REQUESTS * mean_ms) / (known.requests + ASSUMED_REQUESTS)
     }
 }
--- a/tests/gateway/placement.rs
+++ b/tests/gateway/placement.rs
@@ -3,7 +3,7 @@
 use fireflygauge::{
     clock::Millis,
     gateway::{
-        heat::{HeatMap, ServiceHeat},
+        heat::{HeatMap, ServiceHeat, WorkTime},
         model::{EndpointRun, KeyRange},
         placement::{Candidate, Move, distribute, join_small, rebalance},
     },
@@ -158,3 +158,31 @@
     let busy = heat(&[(1, 9), (8_005, 9), (9_000, 9), (40_000, 9)]);
     assert_eq!(join_small(&candidates, &busy), []);
 }
+
+/// Guards against a capacity that follows the last request's work time: many daemons report one
+/// request at a time, and work times of one endpoint differ several times over.
+#[test]
+fn work_times_are_averaged_over_many_reports() {
+    let mut map = HeatMap::default();
+    for i in 0..200 {
+        let work = |endpoint: &str, total_ms| WorkTime {
+            endpoint: endpoint.into(),
+            requests: 1,
+            total_ms,
+        };
+        let report = ServiceHeat {
+            service: "rounds".into(),
+            keys: Vec::new(),
+            work: vec![
+                work("varied", if i % 10 == 9 { 1_200 } else { 200 }),
+                work("steady", 100),
+            ],
+        };
+        map.add(&report, Millis(i * 20));
+    }
+    let mean = map.mean_work_ms().expect("it is known");
+    assert!((mean - 200.0).abs() < 20.0, "{mean}");
+    let varied = map.work_ms("varied", mean);
+    assert!((varied - 300.0).abs() < 30.0, "{varied}");
+    assert_eq!(map.work_ms("unknown", mean), mean);
+}
