Give daemons of the gateway tests ports that nobody else takes

Cause: without_a_configuration_everything_is_refused failed once with a refused connection. Its daemon had ended, since its port was taken: each test looked for ports among those that the system gives to outgoing connections and to other tests. 8 copies of the daemon tests side by side, 25 times each, failed 14 of 200 runs; with ports of standins::ports none of 200. The test also waits until the daemon listens instead of 300 ms, and says if the daemon has ended.

--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -16,8 +16,9 @@
 };
 use http::{Request, Response};
 use http_body_util::Full;
+use standins::ports::free_addr;
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -27,6 +28,7 @@
     time::{Instant, sleep},
 };
 
+const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const PATIENCE: Duration = Duration::from_secs(10);
 
 struct Daemon {
@@ -37,19 +39,14 @@
     http: HttpClient,
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("it is bound")
-}
-
 impl Daemon {
     fn start(platform: &FakePlatform) -> Self {
         let options = Options {
             name: VmName("d".into()),
             zone: ZoneName("a".into()),
-            caller_addr: free_addr(),
-            status_addr: free_addr(),
-            peer_addr: free_addr(),
+            caller_addr: free_addr(HOST),
+            status_addr: free_addr(HOST),
+            peer_addr: free_addr(HOST),
             ready_path: "/ready".into(),
             budget: BudgetRule {
                 ratio: 0.2,
@@ -74,6 +71,19 @@
         }
     }
 
+    /// Waits until the daemon answers checks; it does not have to be ready.
+    async fn wait_listening(&self) {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            assert!(!self.thread.is_finished(), "the daemon has ended");
+            if self.get(self.status, "/ready").await.is_ok() {
+                return;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        panic!("the daemon does not listen");
+    }
+
     async fn wait_ready(&self) {
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end {
@@ -201,7 +211,7 @@
 async fn without_a_configuration_everything_is_refused() {
     let platform = FakePlatform::new();
     let daemon = Daemon::start(&platform);
-    sleep(Duration::from_millis(300)).await;
+    daemon.wait_listening().await;
     assert_eq!(daemon.ask("/safe/1").await.status(), 503);
     let ready = daemon
         .get(daemon.status, "/ready")
