Call the store less: own owners, takeovers and writes of owners

The controller takes its owners in when they are written; nobody tries to take the lease over while the store fails to answer it; owners are written every 100 ms at most.

Tests: nobody_takes_the_lease_over_while_the_store_fails, written_owners_are_known_at_once.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -96,6 +96,7 @@
         lease: follow(Table::Controller),
     };
     let mut control = Control {
+        store_fails: store_fails.subscribe(),
         peers: PeerClient::default(),
         cx,
         platform,
@@ -170,6 +171,8 @@
     peers: PeerClient,
     tx: mpsc::Sender<Input>,
     watches: Watches,
+    /// Whether the store fails to answer this daemon.
+    store_fails: watch::Receiver<bool>,
     /// The endpoints as the store or the controller showed them.
     registry: Registry,
     /// Changes of endpoints that were acknowledged before this time are known, from the store.
@@ -206,6 +209,10 @@
             Input::News(news) => self.take_news(&news),
             Input::Controller(event) => {
                 let now = self.cx.clock.now();
+                // The controller alone writes owners and need not read them again.
+                if let Event::Owners(rows) = &event {
+                    self.take_written(rows.clone());
+                }
                 self.controller.handle(event, now);
             }
             Input::Answer(answer) => self.take_answer(answer),
@@ -224,10 +231,14 @@
 
     fn step(&mut self) {
         let now = self.cx.clock.now();
+        let fails = *self.store_fails.borrow();
+        self.controller.note_store(fails);
         if self.builder.next_doubt().is_some_and(|at| now >= at) && self.builder.drop_doubted(now) {
             self.tell_endpoints();
             self.publish();
         }
+        let written = self.controller.take_written();
+        self.take_written(written);
         self.report(now);
         self.choose_watches(now);
         self.refresh_paces(now);
--- a/src/gateway/control/news.rs
+++ b/src/gateway/control/news.rs
@@ -164,6 +164,17 @@
         }
     }
 
+    /// Takes in owners that this daemon wrote or read as the controller.
+    pub(super) fn take_written(&mut self, written: Vec<(ServiceName, u64, Owners)>) {
+        let mut is_newer = false;
+        for (service, version, owners) in written {
+            is_newer |= self.own(service, version, owners);
+        }
+        if is_newer {
+            self.publish();
+        }
+    }
+
     /// Takes in owners. True if they are newer than the known ones.
     pub(super) fn own(&mut self, service: ServiceName, version: u64, owners: Owners) -> bool {
         let is_newer = self.builder.own(service.clone(), version, owners);
--- a/src/gateway/control/watches.rs
+++ b/src/gateway/control/watches.rs
@@ -94,14 +94,17 @@
         } else {
             Need::Changes
         });
-        // Other daemons learn owners from the controller, so a feed that went silent must not
-        // keep it from seeing them.
         let unless = |is_told| match (mine, is_told) {
             (true, _) => Need::Freshness,
             (false, true) => Need::Nothing,
             (false, false) => Need::Alone,
         };
-        self.watches.owners.set(unless(fresh));
+        let writes_owners = mine && term.may_act(now);
+        self.watches.owners.set(if writes_owners {
+            Need::Nothing
+        } else {
+            unless(fresh)
+        });
         let endpoints_age = Millis(self.cx.drain.0 * ENDPOINTS_AGE_PERCENT / 100);
         let told = answers && now.since(self.told_as_of) < endpoints_age;
         self.watches.endpoints.set(unless(told));
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -106,6 +106,12 @@
     former_name: Option<VmName>,
     last_token: u64,
     last_id: u64,
+    /// Owners that were written and not taken in yet.
+    written: Vec<(ServiceName, u64, Owners)>,
+    /// When owners may be written next.
+    next_owners: Millis,
+    /// Whether the store fails to answer this daemon.
+    store_fails: bool,
 }
 
 impl Controller {
@@ -136,6 +142,9 @@
             former_name: None,
             last_token: 0,
             last_id: 0,
+            written: Vec::new(),
+            next_owners: Millis::ZERO,
+            store_fails: false,
         }
     }
 
@@ -150,6 +159,12 @@
         (self.former_name.as_ref() == Some(name)).then_some(former)
     }
 
+    /// Takes in whether the store fails to answer this daemon. It does not try to take the lease
+    /// over then, since calls that fail cost as much as others.
+    pub fn note_store(&mut self, fails: bool) {
+        self.store_fails = fails;
+    }
+
     /// Gives the lease up as soon as possible.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/gateway/controller/writing.rs
+++ b/src/gateway/controller/writing.rs
@@ -4,6 +4,7 @@
 use crate::{
     clock::Millis,
     gateway::{
+        owners::Owners,
         platform::{RowWrite, Table, WriteOutcome},
         term::LeaseRow,
     },
@@ -18,6 +19,10 @@
 /// Pause after a takeover that the store refused or did not answer. All daemons try at such times.
 const TAKEOVER_PAUSE: Millis = Millis(700);
 
+/// Least time between writes of owners. Moves end one by one, and each write holds all owners of a
+/// service.
+const OWNERS_EVERY: Millis = Millis(100);
+
 /// A write whose outcome is not known yet.
 #[derive(Clone, Debug)]
 pub(super) struct PendingWrite {
@@ -25,6 +30,8 @@
     writes: Vec<RowWrite>,
     /// Ranges that it writes, by service.
     ranges: Vec<(ServiceName, Vec<RangeId>)>,
+    /// Owners that it writes, by service.
+    owners: Vec<(ServiceName, Owners)>,
     takes_over: bool,
     sent: Millis,
     on_its_way: bool,
@@ -51,13 +58,16 @@
             });
             return;
         }
-        let takes_over = !self.stopping && self.term.can_take_over(now);
-        let unwritten = self.loaded && self.services.values().any(|m| m.has_unwritten());
+        let takes_over = !self.stopping && !self.store_fails && self.term.can_take_over(now);
+        let unwritten = self.loaded
+            && now >= self.next_owners
+            && self.services.values().any(|m| m.has_unwritten());
         let renews = self.term.is_due(now) || (unwritten && self.term.may_act(now));
         let gives_up = self.stopping && self.term.is_mine();
         if takes_over || renews || gives_up {
             if unwritten {
                 self.join_ranges(now);
+                self.next_owners = now + OWNERS_EVERY;
             }
             let pending = self.next_write(takes_over, gives_up, now);
             actions.push(Action::Write(pending.row.write_id, pending.writes.clone()));
@@ -84,23 +94,26 @@
             expected: Some(self.term.version()),
             value: row.encode().ok(),
         }];
-        let mut ranges = Vec::new();
+        let (mut ranges, mut owners) = (Vec::new(), Vec::new());
         let with_owners = !takes_over && !gives_up && self.loaded && self.term.may_act(now);
         let unwritten = self.services.iter().filter(|(_, m)| m.has_unwritten());
         for (name, managed) in unwritten.filter(|_| with_owners) {
             let ids = managed.ranges.iter().filter(|h| h.phase == Phase::Writing);
             ranges.push((name.clone(), ids.map(|held| held.id).collect()));
+            let written = managed.owners(&self.addrs);
             writes.push(RowWrite {
                 table: Table::Owners,
                 name: Arc::clone(&name.0),
                 expected: Some(managed.version),
-                value: managed.owners(&self.addrs).encode().ok(),
+                value: written.encode().ok(),
             });
+            owners.push((name.clone(), written));
         }
         PendingWrite {
             row,
             writes,
             ranges,
+            owners,
             takes_over,
             sent: now,
             on_its_way: true,
@@ -173,11 +186,19 @@
             log::info!(target: "ownership", service:% = name, version,
                 ranges = managed.ranges.len(); "Owners written.");
         }
+        let written = pending.owners.into_iter();
+        self.written
+            .extend(written.map(|(name, owners)| (name, version, owners)));
         if self.stopping {
             self.drop_services();
         }
     }
 
+    /// Owners that were written since the last call, with the versions of their rows.
+    pub fn take_written(&mut self) -> Vec<(ServiceName, u64, Owners)> {
+        std::mem::take(&mut self.written)
+    }
+
     /// Settles the pending write by the lease row that was read. True if it is settled as done.
     pub(super) fn settle_by_lease(
         &mut self,
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -82,13 +82,11 @@
     grants
 }
 
-/// Guards against a controller that was replaced while it could not reach the store, and sends
-/// thousands of grants a second that its successor has fenced.
-#[test]
-fn a_fenced_controller_gives_no_more_orders() {
-    let run = Incarnation::random();
+/// A controller of one service with one endpoint, which has seen that nobody holds the lease.
+fn controller() -> Controller {
     let addr = ([127, 0, 0, 1], 1).into();
     let me = VmName("d".into());
+    let run = Incarnation::random();
     let mut controller = Controller::new(me, run, addr, Millis(10_000), Millis::ZERO);
     let service = ServiceName("s".into());
     let endpoint = EndpointEntry {
@@ -106,6 +104,14 @@
     controller.handle(Event::Lease(0, None), Millis(1));
     controller.handle(Event::Services(vec![service]), Millis(1));
     controller.handle(Event::Endpoints(vec![endpoint]), Millis(1));
+    controller
+}
+
+/// Guards against a controller that was replaced while it could not reach the store, and sends
+/// thousands of grants a second that its successor has fenced.
+#[test]
+fn a_fenced_controller_gives_no_more_orders() {
+    let mut controller = controller();
     let granted = GrantOutcome::Granted;
     let served = drive(&mut controller, 50..8_000, WriteOutcome::Committed, granted);
     assert!(served > 0, "the endpoint got its keys");
@@ -115,3 +121,32 @@
     let fenced = drive(&mut controller, 8_000..16_000, refused, fenced);
     assert_eq!(fenced, 2, "one to learn of a higher token, one to be sure");
 }
+
+/// Guards against daemons that all try to take the lease over, again and again, while the store
+/// fails: every call is paid for.
+#[test]
+fn nobody_takes_the_lease_over_while_the_store_fails() {
+    let mut controller = controller();
+    controller.note_store(true);
+    assert_eq!(controller.step(&Map::default(), Millis(5_000)), []);
+    controller.note_store(false);
+    let actions = controller.step(&Map::default(), Millis(5_100));
+    assert!(
+        matches!(actions[..], [Action::Write(..)]),
+        "it takes the lease over: {actions:?}"
+    );
+}
+
+/// Guards against a controller that learns the owners that it wrote only from the store.
+#[test]
+fn written_owners_are_known_at_once() {
+    let mut controller = controller();
+    let granted = GrantOutcome::Granted;
+    drive(&mut controller, 50..8_000, WriteOutcome::Committed, granted);
+    let written = controller.take_written();
+    let (service, version, owners) = written.last().expect("owners were written");
+    assert_eq!(&*service.0, "s");
+    assert!(*version > 0);
+    assert_eq!(owners.ranges().len(), 1);
+    assert_eq!(controller.take_written(), []);
+}
