--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod forward;
 pub mod gate;
 pub mod heat;
+pub mod idle;
 pub mod model;
 pub mod owners;
 pub mod pace;
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -1,8 +1,9 @@
 //! What a daemon knows of one endpoint from its own requests.
 
 use super::{
-    connection::{IdleLimit, Pool},
+    connection::Pool,
     gate::WaitQueue,
+    idle::IdleLimit,
     model::{EndpointEntry, KeyRange},
     pace::{PaceReport, UsualTimes},
 };
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod news;
 mod owners_history;
+mod paces;
 mod reports;
 mod watches;
 
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -7,7 +7,6 @@
         controller::Event,
         heat::{HeatReport, ServiceHeat, WorkTime},
         owners::Owners,
-        pace::PaceNews,
         platform::Platform,
     },
     peer::{
@@ -28,8 +27,6 @@
 const HELD_REPORT: Millis = Millis(400);
 /// Time to wait for the controller's answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time between sums of what all daemons saw of the endpoints' paces.
-const PACES_EVERY: Millis = Millis(1_500);
 /// Time after its last report for which a daemon counts.
 const DAEMON_AGE: Millis = Millis(3_000);
 
@@ -135,34 +132,6 @@
         self.paces.add(&report.heat.paces);
     }
 
-    /// Sums up what all daemons saw of the endpoints' paces.
-    pub(super) fn refresh_paces(&mut self, now: Millis) {
-        let mine = self.controller.term().is_mine();
-        if !mine || now.since(self.paces_refreshed) < PACES_EVERY {
-            return;
-        }
-        self.paces_refreshed = now;
-        let known = self.builder.names().into_iter().collect();
-        self.paces.refresh(&known, now);
-        self.take_paces(&self.paces.after(self.epoch(), self.paces_version()));
-    }
-
-    /// Epoch of the controller lease; 0 if there is none.
-    fn epoch(&self) -> u64 {
-        self.controller.term().row().map_or(0, |row| row.epoch)
-    }
-
-    /// Version up to which the paces of the present controller are known.
-    fn paces_version(&self) -> u64 {
-        let (epoch, version) = self.paces_known;
-        if epoch == self.epoch() { version } else { 0 }
-    }
-
-    fn take_paces(&mut self, news: &PaceNews) {
-        self.builder.set_paces(&news.paces);
-        self.paces_known = (news.epoch, news.version);
-    }
-
     fn set_daemons(&mut self, now: Millis) {
         self.daemons
             .retain(|_, daemon| now.since(daemon.at) < DAEMON_AGE);
@@ -201,16 +170,13 @@
         let term = self.controller.term();
         let lease = term.row().filter(|_| term.may_act(now));
         let owners = self.owners.after(&parked.report.owners);
-        let epoch = self.epoch();
-        let (known_epoch, known) = parked.report.paces;
-        let known = if known_epoch == epoch { known } else { 0 };
         let answer = ReportReply {
             lease: lease.map(|row| (term.version(), row.clone())),
             daemons: self.daemons.len() as u32,
             owners,
             endpoints: lease.and_then(|_| self.endpoints_news(&parked, now)),
             declarations: self.declarations,
-            paces: self.paces.after(epoch, known),
+            paces: self.paces_news(parked.report.paces),
         };
         // The daemon that asked has gone if nobody takes the answer.
         let _ = parked.reply.send(answer);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -3,8 +3,8 @@
 use super::{
     backend::{Backend, Shared},
     budget::{BudgetRule, RetryBudget},
-    connection::IdleLimit,
     gate::WaitQueue,
+    idle::IdleLimit,
     model::{CallerLimits, Configuration, EndpointEntry, EndpointRun, Key, Service},
     owners::{OwnedRange, Owners},
     pace::UsualTimes,
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -59,8 +59,8 @@
     ([127, 0, 0, 1], port).into()
 }
 
-/// A builder that knows a keyed service whose keys belong to one endpoint.
-fn builder() -> ViewBuilder {
+/// A builder that knows a service without endpoints, for a daemon in zone `a`.
+pub fn builder_with(service: &str, keyed: bool) -> ViewBuilder {
     let rule = BudgetRule {
         ratio: 0.2,
         extra: 50.0,
@@ -68,8 +68,8 @@
     };
     let mut builder = ViewBuilder::new(ZoneName("a".into()), rule, DRAIN);
     let service = Service {
-        name: "s".into(),
-        keyed: true,
+        name: service.into(),
+        keyed,
         max_connections: 100,
     };
     let services: Map<_, _> = [(service.name.clone(), service)].into_iter().collect();
@@ -78,6 +78,12 @@
         services,
         ..Configuration::default()
     });
+    builder
+}
+
+/// A builder that knows a keyed service whose keys belong to one endpoint.
+fn builder() -> ViewBuilder {
+    let mut builder = builder_with("s", true);
     let range = OwnedRange {
         keys: KeyRange { first: 0, last: 9 },
         owner: entry(false, local(1)).run,
--- a/tests/gateway/pace.rs
+++ b/tests/gateway/pace.rs
@@ -1,17 +1,16 @@
 //! Paces of endpoints, gathered from what all daemons see.
 
+use crate::leaving::builder_with;
 use fireflygauge::{
     clock::Millis,
-    collections::{Map, Set},
+    collections::Set,
     gateway::{
         backend::Verdict,
-        budget::BudgetRule,
         choice::take_room,
-        model::{Configuration, EndpointEntry, EndpointRun, Service},
+        model::{EndpointEntry, EndpointRun},
         pace::{PaceReport, Paces, UsualTimes},
         view::{ServiceView, ViewBuilder},
     },
-    world::ZoneName,
 };
 use std::sync::Arc;
 use test_case::test_case;
@@ -84,24 +83,7 @@
 
 /// A service whose endpoints are near, every third of them slow.
 fn service() -> (ViewBuilder, Arc<ServiceView>) {
-    let rule = BudgetRule {
-        ratio: 0.2,
-        extra: 50.0,
-        window: Millis(10_000),
-    };
-    let zone = ZoneName("a".into());
-    let mut builder = ViewBuilder::new(zone.clone(), rule, Millis(2_000));
-    let service = Service {
-        name: "s".into(),
-        keyed: false,
-        max_connections: 100,
-    };
-    let services: Map<_, _> = [(service.name.clone(), service)].into_iter().collect();
-    builder.configure(Configuration {
-        version: 1,
-        services,
-        ..Configuration::default()
-    });
+    let mut builder = builder_with("s", false);
     for i in 0..ENDPOINTS {
         let entry = EndpointEntry {
             run: EndpointRun {
@@ -110,7 +92,7 @@
             },
             service: "s".into(),
             addr: ([127, 0, 0, 1], i as u16).into(),
-            zone: zone.clone(),
+            zone: "a".into(),
             slots: 4,
             draining: false,
             warmup: Millis::ZERO,
