Let stopping daemons follow the store; drop entries that the controller does not miss

The control thread now runs until the last request has been served; the controller lease is given up at once as before.

The controller's answers now say whether it expects entries back; if not, and it knows as much of the store, they are dropped.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -35,14 +35,14 @@
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{sleep, timeout},
+    time::sleep,
 };
 use watches::{Watches, follow};
 
 /// Length of the ring between the tasks of the control thread.
 const RING_LENGTH: usize = 256;
 /// Longest time to give the controller lease up.
-const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+const STOP_TIMEOUT: Millis = Millis(2_000);
 /// Time between steps of a daemon that holds the controller lease.
 const ACTING_STEP: Duration = Duration::from_millis(100);
 /// Time between steps of other daemons.
@@ -78,14 +78,24 @@
     Answer(Option<ReportReply>),
 }
 
-/// Runs until `stop` turns true and the controller lease is given up.
+/// When the control thread ends.
+#[derive(Clone, Debug)]
+pub struct Lifetime {
+    /// Turns true when the daemon is to stop.
+    pub stop: watch::Receiver<bool>,
+    /// Turns true when its last request has been served.
+    pub served: watch::Receiver<bool>,
+}
+
+/// Runs until the last request has been served after a stop, and the controller lease is given up.
+/// Until then the requests in flight need to know which endpoints leave.
 pub async fn run<P: Platform>(
     cx: ControlContext,
     platform: P,
     builder: ViewBuilder,
     controller: Controller,
     mut reports: mpsc::Receiver<ReportSent>,
-    mut stop: watch::Receiver<bool>,
+    lifetime: Lifetime,
 ) {
     let (tx, mut rx) = mpsc::channel(RING_LENGTH);
     let store_fails = Arc::new(watch::Sender::new(false));
@@ -123,10 +133,16 @@
         answered: None,
         reported: Millis::ZERO,
         number: 0,
+        stopping_since: None,
     };
     loop {
         let acting = control.controller.term().is_mine();
-        let pause = if acting { ACTING_STEP } else { WATCHING_STEP };
+        let stopping = control.stopping_since.is_some();
+        let pause = if acting || stopping {
+            ACTING_STEP
+        } else {
+            WATCHING_STEP
+        };
         tokio::select! {
             Some(input) = rx.recv() => {
                 control.take(input);
@@ -136,13 +152,13 @@
                 }
             }
             Some((report, reply)) = reports.recv() => control.answer(report, reply),
-            Ok(_) = stop.wait_for(|stop| *stop) => {
-                control.stop(&mut rx).await;
-                return;
-            }
             () = sleep(pause) => {}
         }
         control.step();
+        let stopping = *lifetime.stop.borrow();
+        if control.has_ended(stopping, *lifetime.served.borrow()) {
+            return;
+        }
     }
 }
 
@@ -202,6 +218,8 @@
     answered: Option<Millis>,
     reported: Millis,
     number: u64,
+    /// Since when the daemon stops.
+    stopping_since: Option<Millis>,
 }
 
 impl<P: Platform> Control<P> {
@@ -249,6 +267,27 @@
         }
     }
 
+    /// Whether the thread may end. A stop has the controller lease given up at once.
+    fn has_ended(&mut self, stopping: bool, served: bool) -> bool {
+        if !stopping {
+            return false;
+        }
+        let now = self.cx.clock.now();
+        let since = *self.stopping_since.get_or_insert(now);
+        if since == now {
+            self.controller.stop();
+        }
+        if !served {
+            return false;
+        }
+        let given_up = self.controller.has_stopped();
+        let is_late = now.since(since) >= STOP_TIMEOUT;
+        if is_late && !given_up {
+            log::warn!(target: "ownership", "Controller lease not given up; it will end.");
+        }
+        given_up || is_late
+    }
+
     fn carry_out(&self, action: Action) {
         let (platform, tx) = (self.platform.clone(), self.tx.clone());
         if let Action::Confirm(service, id, addr) = action {
@@ -270,27 +309,4 @@
             let _ = tx.send(Input::Controller(event)).await;
         });
     }
-
-    /// Gives the controller lease up.
-    async fn stop(&mut self, rx: &mut mpsc::Receiver<Input>) {
-        self.controller.stop();
-        let giving_up = async {
-            loop {
-                let now = self.cx.clock.now();
-                for action in self.controller.step(&self.heat, now) {
-                    self.carry_out(action);
-                }
-                if self.controller.has_stopped() {
-                    return;
-                }
-                tokio::select! {
-                    Some(input) = rx.recv() => self.take(input),
-                    () = sleep(ACTING_STEP) => {}
-                }
-            }
-        };
-        if timeout(STOP_TIMEOUT, giving_up).await.is_err() {
-            log::warn!(target: "ownership", "Controller lease not given up; it will end.");
-        }
-    }
 }
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -187,6 +187,7 @@
             changes: self.registry.after(parked.report.endpoints),
             age: now.since(self.as_of),
             held: now.since(parked.received),
+            has_doubts: self.builder.next_doubt().is_some(),
         })
     }
 
@@ -245,7 +246,15 @@
             let as_of = sent + news.held - news.age;
             let since = self.known_as_of();
             self.told_as_of = self.told_as_of.max(as_of);
+            let version = news.changes.version;
             self.apply_endpoints(news.changes, since);
+            // The store failed for this daemon alone, so the entries that vanished are gone.
+            let is_complete = version >= self.registry.version();
+            if is_complete && !news.has_doubts && self.builder.drop_all_doubted(now) {
+                log::info!(target: "health", version; "Controller has no doubts; entries dropped.");
+                self.tell_endpoints();
+                self.publish();
+            }
         }
         self.controller
             .handle(Event::Lease(version, Some(row)), now);
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -2,7 +2,7 @@
 
 use super::{
     budget::BudgetRule,
-    control::{self, ControlContext, ReportSent},
+    control::{self, ControlContext, Lifetime, ReportSent},
     controller::Controller,
     forward::Forwarder,
     platform::Platform,
@@ -109,7 +109,12 @@
         drain: options.drain,
     };
     let names = platform.header_names().clone();
-    let control = start_control(options, control, platform, stop.clone())?;
+    let (served, is_served) = watch::channel(false);
+    let lifetime = Lifetime {
+        stop: stop.clone(),
+        served: is_served,
+    };
+    let control = start_control(options, control, platform, lifetime)?;
 
     let metrics = Metrics::default();
     let stopping = Arc::new(AtomicBool::new(false));
@@ -132,12 +137,13 @@
         body_memory: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
     };
     let runtime = current_thread()?;
-    let served = runtime.block_on(serve(options, forwarder, status, stopping, stop));
+    let ended = runtime.block_on(serve(options, forwarder, status, stopping, stop));
+    served.send_replace(true);
     if control.join().is_err() {
         log::error!(target: "entry", "The control thread panicked.");
     }
     log::info!(target: "entry", uptime:% = clock.now().since(Millis::ZERO); "Stopped.");
-    served
+    ended
 }
 
 fn current_thread() -> eyre::Result<Runtime> {
@@ -210,7 +216,7 @@
     options: &Options,
     cx: ControlContext,
     platform: P,
-    stop: watch::Receiver<bool>,
+    lifetime: Lifetime,
 ) -> eyre::Result<JoinHandle<()>> {
     let builder = ViewBuilder::new(options.zone.clone(), options.budget, options.drain);
     let controller = Controller::new(
@@ -228,8 +234,8 @@
             runtime.block_on(async move {
                 let (tx, reports) = mpsc::channel(REPORT_RING);
                 let handler = peer_handler(tx, platform.clone());
-                tokio::spawn(peer_server::serve(listener, handler, stop.clone()));
-                control::run(cx, platform, builder, controller, reports, stop).await;
+                tokio::spawn(peer_server::serve(listener, handler, lifetime.stop.clone()));
+                control::run(cx, platform, builder, controller, reports, lifetime).await;
             });
         })?;
     Ok(thread)
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -251,9 +251,18 @@
 
     /// Drops entries that did not return in time. True if any was dropped.
     pub fn drop_doubted(&mut self, now: Millis) -> bool {
+        self.drop_if(|until| until <= now, now)
+    }
+
+    /// Drops all entries that were to return. True if any was dropped.
+    pub fn drop_all_doubted(&mut self, now: Millis) -> bool {
+        self.drop_if(|_| true, now)
+    }
+
+    fn drop_if(&mut self, is_over: impl Fn(Millis) -> bool, now: Millis) -> bool {
         let before = self.endpoints.len();
         self.endpoints.retain(|_, known| {
-            let is_kept = known.doubted_until.is_none_or(|until| now < until);
+            let is_kept = !known.doubted_until.is_some_and(&is_over);
             if !is_kept {
                 known.close(now);
             }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -103,6 +103,8 @@
     pub age: Millis,
     /// Time for which the report was held before the answer was sent.
     pub held: Millis,
+    /// Whether the controller expects entries back that vanished when the store failed.
+    pub has_doubts: bool,
 }
 
 /// The owners of a service's keys, or what changed in them.
--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -279,6 +279,29 @@
     }
 }
 
+/// Guards against a daemon that no longer learns of leaving endpoints and configurations while it
+/// serves the last requests before its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_daemon_follows_the_store() {
+    let platform = FakePlatform::new();
+    platform.declare(1);
+    let daemon = Daemon::start(&platform);
+    daemon.wait_ready().await;
+    daemon.stop.send_replace(true);
+    sleep(Duration::from_millis(300)).await;
+    platform.declare(2);
+    let end = Instant::now() + Duration::from_millis(1_500);
+    loop {
+        let metrics = daemon.get(daemon.status, "/metrics").await;
+        let metrics = metrics.expect("it serves");
+        if String::from_utf8_lossy(metrics.body()).contains("fireflygauge_config_version 2\n") {
+            break;
+        }
+        assert!(Instant::now() < end, "it knows no new configuration");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Guards against a stop that cuts off requests in flight, and against one that never ends.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_finishes_requests_in_flight() {
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -127,6 +127,24 @@
     assert!(has_owner(&builder.build(Millis(6_000)), Millis(6_000)));
 }
 
+/// Guards against endpoints that have left and are used for 2 s more, as entries that the store may
+/// have lost, although the controller knows that it has not: the daemon alone was cut off.
+#[test]
+fn entries_that_nobody_else_expects_back_are_dropped() {
+    let mut builder = builder();
+    let (now, later) = (Millis(5_000), Millis(5_100));
+    builder.build(now);
+    builder.remove("e", Some(Millis(7_100)), now);
+    let view = builder.build(now);
+    assert!(has_owner(&view, now), "it may return");
+    assert!(builder.drop_all_doubted(later));
+    assert!(
+        !has_owner(&view, later),
+        "requests on their way are not sent"
+    );
+    assert!(!has_owner(&builder.build(later), later));
+}
+
 /// Guards against a request that was on its way to a connection when its endpoint was seen leaving,
 /// and is sent when the connection is open.
 #[tokio::test]
