Use one fading mean and one sum of loads; simplify the stop and the register

Work times of endpoints and their paces were each a count and a sum that fade, with some usual samples assumed; the load of all candidates was summed up in three places; asking whether the control thread has ended also started the stop; an entry's former registration was told apart by way of two lists; two constants of different length had one name.

Change: FadingMean and placement::loads serve all of them, begin_stop and has_given_up are apart. Behaviour is meant to be the same.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod connection;
 pub mod control;
 pub mod controller;
+pub mod fading;
 pub mod feeds;
 pub mod forward;
 pub mod gate;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -155,8 +155,10 @@
             () = sleep(pause) => {}
         }
         control.step();
-        let stopping = *lifetime.stop.borrow();
-        if control.has_ended(stopping, *lifetime.served.borrow()) {
+        if *lifetime.stop.borrow() {
+            control.begin_stop();
+        }
+        if *lifetime.served.borrow() && control.has_given_up() {
             return;
         }
     }
@@ -267,21 +269,19 @@
         }
     }
 
-    /// Whether the thread may end. A stop has the controller lease given up at once.
-    fn has_ended(&mut self, stopping: bool, served: bool) -> bool {
-        if !stopping {
-            return false;
-        }
-        let now = self.cx.clock.now();
-        let since = *self.stopping_since.get_or_insert(now);
-        if since == now {
-            self.controller.stop();
-        }
-        if !served {
+    /// Has the controller lease given up.
+    fn begin_stop(&mut self) {
+        self.controller.stop();
+        self.stopping_since.get_or_insert(self.cx.clock.now());
+    }
+
+    /// Whether a stop has come and the controller lease is given up, or has not been in time.
+    fn has_given_up(&self) -> bool {
+        let Some(since) = self.stopping_since else {
             return false;
-        }
+        };
         let given_up = self.controller.has_stopped();
-        let is_late = now.since(since) >= STOP_TIMEOUT;
+        let is_late = self.cx.clock.now().since(since) >= STOP_TIMEOUT;
         if is_late && !given_up {
             log::warn!(target: "ownership", "Controller lease not given up; it will end.");
         }
--- a/src/gateway/heat.rs
+++ b/src/gateway/heat.rs
@@ -1,6 +1,7 @@
 //! How busy keys are and how fast endpoints work, as counted by all daemons.
 
 use super::{
+    fading::FadingMean,
     model::{Key, KeyRange},
     pace::PaceReport,
 };
@@ -53,17 +54,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct HeatMap {
     rates: BTreeMap<Key, f64>,
-    work: Map<Arc<str>, Work>,
+    /// Work times of requests that found a free slot, by endpoint.
+    work: Map<Arc<str>, FadingMean>,
     decayed: Millis,
 }
 
-/// Requests that found a free slot, and their time together, with the past fading.
-#[derive(Clone, Copy, Debug, Default)]
-struct Work {
-    requests: f64,
-    total_ms: f64,
-}
-
 impl HeatMap {
     /// Takes in what one daemon counted.
     pub fn add(&mut self, heat: &ServiceHeat, now: Millis) {
@@ -74,8 +69,7 @@
         }
         for report in &heat.work {
             let work = self.work.entry(Arc::clone(&report.endpoint)).or_default();
-            work.requests += f64::from(report.requests);
-            work.total_ms += report.total_ms as f64;
+            work.add(report.requests, report.total_ms as f64);
         }
     }
 
@@ -85,9 +79,8 @@
         let share = (-past / MEMORY_MS).exp();
         let work_share = (-past / WORK_MEMORY_MS).exp();
         self.work.retain(|_, work| {
-            work.requests *= work_share;
-            work.total_ms *= work_share;
-            work.requests > FORGET_BELOW
+            work.fade(work_share);
+            work.count > FORGET_BELOW
         });
         self.decayed = now;
         self.rates.retain(|_, rate| {
@@ -118,14 +111,14 @@
 
     /// Average work time at all endpoints, in milliseconds; `None` if none is known.
     pub fn mean_work_ms(&self) -> Option<f64> {
-        let requests: f64 = self.work.values().map(|work| work.requests).sum();
-        let total_ms: f64 = self.work.values().map(|work| work.total_ms).sum();
+        let requests: f64 = self.work.values().map(|work| work.count).sum();
+        let total_ms: f64 = self.work.values().map(|work| work.sum).sum();
         (requests > 0.0).then(|| total_ms / requests)
     }
 
     /// Average work time at an endpoint, in milliseconds, where that at all endpoints is `mean_ms`.
     pub fn work_ms(&self, endpoint: &str, mean_ms: f64) -> f64 {
         let known = self.work.get(endpoint).copied().unwrap_or_default();
-        (known.total_ms + ASSUMED_REQUESTS * mean_ms) / (known.requests + ASSUMED_REQUESTS)
+        known.mean(ASSUMED_REQUESTS, mean_ms)
     }
 }
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -4,6 +4,7 @@
 //! few requests each to an endpoint, so the controller gathers what all of them saw and tells the
 //! result.
 
+use super::fading::FadingMean;
 use crate::{
     clock::Millis,
     collections::{Map, Set},
@@ -101,24 +102,12 @@
 /// Paces of all endpoints, as the controller gathers them.
 #[derive(Debug, Default)]
 pub struct Paces {
-    gathered: Map<Arc<str>, Gathered>,
+    gathered: Map<Arc<str>, FadingMean>,
     told: Map<Arc<str>, (u64, f32)>,
     version: u64,
     decayed: Millis,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Gathered {
-    count: f64,
-    sum: f64,
-}
-
-impl Gathered {
-    fn pace(self) -> f32 {
-        ((self.sum + ASSUMED) / (self.count + ASSUMED)) as f32
-    }
-}
-
 impl Paces {
     /// Takes in what a daemon saw.
     pub fn add(&mut self, reports: &[PaceReport]) {
@@ -127,8 +116,7 @@
                 .gathered
                 .entry(Arc::clone(&report.endpoint))
                 .or_default();
-            gathered.count += f64::from(report.count);
-            gathered.sum += f64::from(report.sum);
+            gathered.add(report.count, f64::from(report.sum));
         }
     }
 
@@ -137,14 +125,13 @@
         let share = (-(now.since(self.decayed).0 as f64) / MEMORY_MS).exp();
         self.decayed = now;
         self.gathered.retain(|name, gathered| {
-            gathered.count *= share;
-            gathered.sum *= share;
+            gathered.fade(share);
             known.contains(name)
         });
         self.told.retain(|name, _| known.contains(name));
         let next = self.version + 1;
         for (name, gathered) in &self.gathered {
-            let pace = gathered.pace();
+            let pace = gathered.mean(ASSUMED, 1.0) as f32;
             // Daemons may know a pace from another controller, so every endpoint is told once.
             let is_news = self.told.get(name).is_none_or(|(_, told)| {
                 f64::from((pace - told).abs()) > f64::from(*told) * TOLD_CHANGE
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -52,12 +52,15 @@
     heat.rate(keys) + f64::from(keys.len()) * IDLE_KEY_RATE
 }
 
+/// Load of the keys that each candidate owns.
+fn loads(candidates: &[Candidate], heat: &HeatMap) -> Vec<f64> {
+    let of_one = |c: &Candidate| c.ranges.iter().map(|keys| load(heat, *keys)).sum();
+    candidates.iter().map(of_one).collect()
+}
+
 /// Distributes keys without an owner. Empty if there is no candidate.
 pub fn distribute(free: &[KeyRange], candidates: &[Candidate], heat: &HeatMap) -> Vec<Move> {
-    let mut loads: Vec<f64> = candidates
-        .iter()
-        .map(|c| c.ranges.iter().map(|keys| load(heat, *keys)).sum())
-        .collect();
+    let mut loads = loads(candidates, heat);
     let total: f64 = free.iter().map(|keys| load(heat, *keys)).sum();
     let unowned = loads.iter().all(|load| *load == 0.0);
     let parts = if unowned {
@@ -151,10 +154,7 @@
 
 /// Moves that give small ranges to the owners of their neighbours, so that there are fewer ranges.
 pub fn join_small(candidates: &[Candidate], heat: &HeatMap) -> Vec<Move> {
-    let loads = candidates
-        .iter()
-        .map(|c| c.ranges.iter().map(|keys| load(heat, *keys)).sum::<f64>());
-    let loads: Vec<f64> = loads.collect();
+    let loads = loads(candidates, heat);
     let total: f64 = loads.iter().sum();
     let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
     let small = total / candidates.len().max(1) as f64 * SMALL_RANGE;
@@ -204,10 +204,7 @@
 impl<'a> Round<'a> {
     fn new(candidates: &'a [Candidate], heat: &'a HeatMap) -> Self {
         let ranges: Vec<Vec<KeyRange>> = candidates.iter().map(|c| c.ranges.clone()).collect();
-        let loads: Vec<f64> = ranges
-            .iter()
-            .map(|ranges| ranges.iter().map(|keys| load(heat, *keys)).sum())
-            .collect();
+        let loads = loads(candidates, heat);
         Self {
             candidates,
             heat,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -159,7 +159,7 @@
             Err(e) if e.message().is_some() && idle.is_some() => {}
             Err(e) if e.message().is_some() => return Exchange::NotRun(NotRun::NotSent),
             Err(_) => {
-                if let Some(idle) = idle.filter(|_| sent.elapsed() < FORGOTTEN_WITHIN) {
+                if let Some(idle) = idle.filter(|_| sent.elapsed() < RESET_WITHIN) {
                     backend.pool.lost_after(idle);
                 }
                 return Exchange::MayHaveRun(MayHaveRun::ConnectionLost);
@@ -187,7 +187,7 @@
 }
 
 /// Time in which a request on a connection that its endpoint has forgotten is reset.
-const FORGOTTEN_WITHIN: Duration = Duration::from_millis(100);
+const RESET_WITHIN: Duration = Duration::from_millis(100);
 /// Time for a connection to become ready after its exchange.
 const READY_WITHIN: Duration = Duration::from_millis(2);
 
@@ -258,10 +258,8 @@
 /// The idle time after which an endpoint closes the connection, if it states one.
 fn idle_time_of(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(&KEEP_ALIVE)?.to_str().ok()?;
-    let parameters = text.split(',').filter_map(|part| part.split_once('='));
-    let timeout = parameters
-        .into_iter()
-        .find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
+    let mut parameters = text.split(',').filter_map(|part| part.split_once('='));
+    let timeout = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
     let seconds = timeout?.1.trim().parse().ok()?;
     Some(Duration::from_secs(seconds))
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -203,13 +203,19 @@
     pub fn register(&mut self, entry: EndpointEntry, since: Millis, now: Millis) {
         let name = Arc::clone(&entry.run.name);
         let known = self.endpoints.remove(&name);
-        let (same, former): (Vec<_>, Vec<_>) = known.into_iter().partition(|known| {
+        let is_same = |known: &Registered| {
             known.entry.run == entry.run
                 && known.entry.addr == entry.addr
                 && known.entry.service == entry.service
-        });
-        former.iter().for_each(|former| former.close(now));
-        let same = same.into_iter().next();
+        };
+        let same = match known {
+            Some(known) if is_same(&known) => Some(known),
+            Some(former) => {
+                former.close(now);
+                None
+            }
+            None => None,
+        };
         let known_leaving = same.as_ref().and_then(|known| known.leaving);
         let leaving = entry
             .draining
