Keep the controller of a large fleet able to answer all daemons

Cause: with 195 daemons, each report that arrived cost a whole step of the controller, each step compared every range with every endpoint, and each report decayed the rates of all keys. The controller's data grew older than daemons accept, and 195 of them read the store instead, at every renewal of the lease row. Watches that had been off resumed where they stood 20 s ago, lost that history, and read all endpoints.

Change: all reports that have arrived are handled before a step; the status of an owner is found by its address; rates are decayed by a common weight. The lease goes to a daemon with at least twice the processor time. A watch resumes from what another source supplied. Owners are read from the store only if a new lease row is known and its holder does not reply; the lease row at a pace that falls with the number of daemons. A released lease is told to all daemons. Missing endpoints are logged as one line an update.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: watches the store, publishes views, and runs the controller.
 
 mod actions;
+pub mod handover;
 mod owners_history;
 mod relative_latencies;
 mod reports;
@@ -67,6 +68,8 @@
     pub daemons: Arc<AtomicUsize>,
     /// Time for which a leaving endpoint continues to serve.
     pub drain_time: Millis,
+    /// Processor time that the daemon may use, in cores.
+    pub cores: f64,
 }
 
 /// A report from another daemon, and the channel for its reply.
@@ -136,9 +139,12 @@
         held_reports: Vec::new(),
         report_sent_at: None,
         last_reply_at: None,
+        replied_lease: 0,
+        newer_lease_since: None,
         last_report_at: Millis::ZERO,
         view_number: 0,
         stopping_since: None,
+        holder_since: None,
     };
     loop {
         let is_holder = control.controller.lease_state().is_holder();
@@ -156,7 +162,12 @@
                     control.handle(input);
                 }
             }
-            Some((report, reply)) = reports.recv() => control.handle_report(report, reply),
+            Some((report, reply)) = reports.recv() => {
+                control.handle_report(report, reply);
+                while let Ok((report, reply)) = reports.try_recv() {
+                    control.handle_report(report, reply);
+                }
+            }
             () = sleep(pause) => {}
         }
         control.step();
@@ -175,6 +186,7 @@
     last_report_at: Millis,
     incarnation: Incarnation,
     peer_addr: SocketAddr,
+    controller_cores: f64,
 }
 
 /// A long-polled report, whose reply is held until there are changes or it is due.
@@ -224,11 +236,17 @@
     report_sent_at: Option<Millis>,
     /// When the controller last replied to a report.
     last_reply_at: Option<Millis>,
+    /// Version of the lease row in the last reply.
+    replied_lease: u64,
+    /// Since when a lease row has been known that is newer than that of the last reply.
+    newer_lease_since: Option<Millis>,
     last_report_at: Millis,
     /// Number of the last published view.
     view_number: u64,
     /// When the daemon began to stop.
     stopping_since: Option<Millis>,
+    /// Since when the daemon has held the controller lease.
+    holder_since: Option<Millis>,
 }
 
 impl<P: Platform> Control<P> {
@@ -273,6 +291,7 @@
         let written = self.controller.take_written_owners();
         self.apply_owners(written);
         self.report(now);
+        self.consider_handover(now);
         self.choose_watches(now);
         self.refresh_relative_latencies(now);
         self.reply_to_held_reports(now);
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -46,6 +46,7 @@
             owners: self.builder.owner_versions(),
             endpoints: self.registry.version(),
             relative_latencies: self.latencies_known,
+            controller_cores: self.controller_cores() as f32,
             load: self.take_load(),
         };
         let lease = self.controller.lease_state();
@@ -119,6 +120,7 @@
             last_report_at: now,
             incarnation: report.incarnation,
             peer_addr: report.peer_addr,
+            controller_cores: f64::from(report.controller_cores),
         };
         let before = self.daemons.insert(report.name.clone(), reporting);
         let replaced = before.filter(|before| before.incarnation != report.incarnation);
@@ -180,9 +182,14 @@
     fn send_reply(&mut self, held: HeldReport, now: Millis) {
         let lease = self.controller.lease_state();
         let active_row = lease.row().filter(|_| lease.may_issue_commands(now));
+        let released_row = lease
+            .row()
+            .filter(|row| row.released && row.holder == self.cx.name);
         let owners = self.owners.changes_after(&held.report.owners);
         let reply = ReportReply {
-            lease: active_row.map(|row| (lease.version(), row.clone())),
+            lease: active_row
+                .or(released_row)
+                .map(|row| (lease.version(), row.clone())),
             daemons: self.daemons.len() as u32,
             owners,
             endpoints: active_row.and_then(|_| self.endpoints_update(&held, now)),
@@ -256,7 +263,15 @@
             self.last_reply_at = None;
             return;
         };
+        if row.released {
+            self.controller
+                .handle(Event::Lease(version, Some(row)), now);
+            self.last_report_at = now;
+            self.last_reply_at = None;
+            return;
+        }
         self.last_reply_at = Some(now);
+        self.replied_lease = self.replied_lease.max(version);
         let is_behind = reply.declarations > self.declarations;
         self.behind_since = is_behind.then(|| self.behind_since.unwrap_or(now));
         self.apply_latencies(&reply.relative_latencies);
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -145,14 +145,20 @@
         let known = self.builder.confirmed_names().len();
         let is_mass = removed.len() >= MIN_MASS_REMOVAL
             && removed.len() * 100 >= known * MASS_REMOVAL_PERCENT;
+        if let Some((first, _)) = removed.first() {
+            let deferred = removed
+                .iter()
+                .filter(|(_, after_failure)| is_mass || *after_failure);
+            log::info!(target: "health", first:% = first, count = removed.len(),
+                deferred = deferred.count(), known, version = self.registry.version();
+                "Endpoint entries are missing.");
+        }
         for (name, after_failure) in removed {
             let defer_until = match (after_failure, is_mass) {
                 (true, _) => Some(now + REMOVAL_DELAY),
                 (false, true) => Some(now + MASS_REMOVAL_DELAY),
                 (false, false) => None,
             };
-            log::info!(target: "health", endpoint:% = name, version = self.registry.version(),
-                doubted = defer_until.is_some(); "Endpoint entry is missing.");
             self.builder.remove(name, defer_until, now);
         }
     }
--- a/src/gateway/control/watches.rs
+++ b/src/gateway/control/watches.rs
@@ -9,7 +9,10 @@
         table_watch::{self, WatchMode, WatchOptions},
     },
 };
-use std::sync::{Arc, atomic::AtomicU64};
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
 use tokio::sync::{mpsc, watch};
 
 /// Age of the controller's last reply from which the lease and the owners are watched in the store.
@@ -97,6 +100,10 @@
             .last_reply_at
             .is_some_and(|at| now.since(at) < MAX_REPLY_AGE);
         let is_fresh = replies && lease.age(now) < MAX_RENEWAL_AGE;
+        self.watches
+            .lease
+            .known
+            .store(lease.version(), Ordering::Relaxed);
         self.watches.lease.set(if is_holder || is_fresh {
             WatchMode::Off
         } else {
@@ -108,10 +115,16 @@
             (false, false) => WatchMode::NoController,
         };
         let writes_owners = is_holder && lease.may_issue_commands(now);
+        // Owners are written only together with the lease row, so they are unchanged while it is.
+        let has_newer = lease.version() > self.replied_lease;
+        self.newer_lease_since = has_newer.then(|| self.newer_lease_since.unwrap_or(now));
+        let is_unanswered = self
+            .newer_lease_since
+            .is_some_and(|since| now.since(since) >= MAX_REPLY_AGE);
         self.watches.owners.set(if writes_owners {
             WatchMode::Off
         } else {
-            mode_unless(is_fresh)
+            mode_unless(replies || !is_unanswered)
         });
         let max_age = Millis(self.cx.drain_time.0 * MAX_ENDPOINTS_AGE_PERCENT / 100);
         let supplied = replies && now.since(self.controller_as_of) < max_age;
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -43,6 +43,9 @@
 /// Delay before the keys of a new service are first assigned, so that its endpoints can register.
 const INITIAL_PLACEMENT_WAIT: Millis = Millis(2_000);
 
+/// Time for which a daemon that released the controller lease for another one attempts no takeover.
+const YIELD_PAUSE: Millis = Millis(3_000);
+
 /// Identifies a key range within one controller; it is not persistent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RangeId(pub u64);
@@ -99,6 +102,9 @@
     declared: Vec<ServiceName>,
     endpoints: Map<Arc<str>, EndpointEntry>,
     addrs: Map<EndpointInstance, SocketAddr>,
+    /// Start time of the latest registered instance at each address, in milliseconds since the Unix
+    /// epoch.
+    latest_starts: Map<SocketAddr, u64>,
     /// Present and past backoffs by endpoint.
     backoffs: Map<EndpointInstance, GrantBackoff>,
     /// Whether the owners have been read in this epoch.
@@ -106,6 +112,10 @@
     /// Whether a read of the owners is in flight.
     reading: bool,
     stopping: bool,
+    /// Whether the lease is being released for the benefit of another daemon.
+    yielding: bool,
+    /// Until when this daemon attempts no takeover, so that another one can.
+    takeover_paused_until: Millis,
     pending: Option<PendingWrite>,
     /// When the next write may be issued.
     next_write_at: Millis,
@@ -141,10 +151,13 @@
             declared: Vec::new(),
             endpoints: Map::default(),
             addrs: Map::default(),
+            latest_starts: Map::default(),
             backoffs: Map::default(),
             loaded: false,
             reading: false,
             stopping: false,
+            yielding: false,
+            takeover_paused_until: Millis::ZERO,
             pending: None,
             next_write_at: Millis::ZERO,
             grace_end: Millis::ZERO,
@@ -185,6 +198,13 @@
         self.stopping = true;
     }
 
+    /// Releases the controller lease as soon as possible, so that another daemon can take it over.
+    /// Commands stop at once, since the successor may start as soon as the release is committed.
+    pub fn yield_lease(&mut self, now: Millis) {
+        self.yielding = self.controller_lease.is_holder();
+        self.takeover_paused_until = now + YIELD_PAUSE;
+    }
+
     /// Whether a stop was requested, the lease is not held and no write is pending.
     pub fn has_stopped(&self) -> bool {
         self.stopping && !self.controller_lease.is_holder() && self.pending.is_none()
@@ -218,7 +238,8 @@
             self.reading = true;
             actions.push(Action::ReadOwners);
         }
-        if self.loaded && self.controller_lease.may_issue_commands(now) && !self.stopping {
+        let may_issue_commands = self.controller_lease.may_issue_commands(now);
+        if self.loaded && may_issue_commands && !self.stopping && !self.yielding {
             self.add_declared_services(now);
             self.place_keys(stats, now);
             self.issue_commands(now, &mut actions);
@@ -235,6 +256,7 @@
         let epoch_before = self.controller_lease.row().map(|row| row.epoch);
         self.controller_lease.observe(version, row, now);
         if was_holder && !self.controller_lease.is_holder() {
+            self.yielding = false;
             log::warn!(target: "ownership", version;
                 "Controller lease lost to another daemon; control stops.");
             self.drop_services();
@@ -346,8 +368,11 @@
             .into_iter()
             .map(|entry| (Arc::clone(&entry.instance.name), entry))
             .collect();
+        self.latest_starts.clear();
         for entry in self.endpoints.values() {
             self.addrs.insert(entry.instance.clone(), entry.addr);
+            let latest = self.latest_starts.entry(entry.addr).or_default();
+            *latest = entry.instance.started_at_ms.max(*latest);
         }
         let owned: crate::collections::Set<EndpointInstance> = self
             .services
@@ -367,12 +392,8 @@
     /// Status of an endpoint instance that owns keys.
     fn owner_status(&self, instance: &EndpointInstance) -> OwnerStatus {
         let addr = self.addrs.get(instance);
-        let replaced = addr.is_some_and(|addr| {
-            self.endpoints
-                .values()
-                .any(|e| e.addr == *addr && e.instance.started_at_ms > instance.started_at_ms)
-        });
-        if replaced {
+        let latest_start = addr.and_then(|addr| self.latest_starts.get(addr));
+        if latest_start.is_some_and(|started| *started > instance.started_at_ms) {
             return OwnerStatus::Replaced;
         }
         if let Some(entry) = self.endpoints.get(&instance.name) {
--- a/src/gateway/controller/writes.rs
+++ b/src/gateway/controller/writes.rs
@@ -62,14 +62,16 @@
             });
             return;
         }
-        let takes_over =
-            !self.stopping && !self.store_failing && self.controller_lease.can_take_over(now);
+        let takes_over = !self.stopping
+            && !self.store_failing
+            && now >= self.takeover_paused_until
+            && self.controller_lease.can_take_over(now);
         let unwritten = self.loaded
             && now >= self.next_owners_write_at
             && self.services.values().any(|m| m.has_unwritten());
         let renews = self.controller_lease.is_renewal_due(now)
             || (unwritten && self.controller_lease.may_issue_commands(now));
-        let releases = self.stopping && self.controller_lease.is_holder();
+        let releases = (self.stopping || self.yielding) && self.controller_lease.is_holder();
         if takes_over || renews || releases {
             if unwritten {
                 self.merge_ranges(now);
@@ -209,7 +211,8 @@
         let written = pending.owners.into_iter();
         self.written_owners
             .extend(written.map(|(name, owners)| (name, version, owners)));
-        if self.stopping {
+        if !self.controller_lease.is_holder() {
+            self.yielding = false;
             self.drop_services();
         }
     }
--- a/src/gateway/load_stats.rs
+++ b/src/gateway/load_stats.rs
@@ -12,6 +12,8 @@
 
 /// Time constant of the request rates: a request's weight falls to 1/e in this time.
 const RATE_TIME_CONSTANT_MS: f64 = 1_500.0;
+/// Shortest time between two decays. Reports of hundreds of daemons arrive within milliseconds.
+const DECAY_INTERVAL: Millis = Millis(50);
 /// Value at or below which an entry is removed: a key's rate in requests per second, or an
 /// endpoint's decayed number of requests.
 const REMOVAL_THRESHOLD: f64 = 0.01;
@@ -53,16 +55,36 @@
     pub total_ms: u64,
 }
 
+/// Weight of a new count, relative to the first one, above which all rates are scaled down.
+const MAX_COUNT_WEIGHT: f64 = 1e6;
+
 /// Request rates by key and processing times by endpoint of one service, both decayed
 /// exponentially.
-#[derive(Clone, Debug, Default)]
+///
+/// Rates are not decayed one by one with each report. A new count is added with a weight that grows
+/// with time instead, so the work for a report depends on its size and not on the number of keys.
+#[derive(Clone, Debug)]
 pub struct LoadStats {
+    /// Rates by key, to be divided by `count_weight`.
     rates: BTreeMap<Key, f64>,
+    /// Weight of a count that is added now.
+    count_weight: f64,
     /// Processing times of requests that found a free slot, by endpoint.
     processing: Map<Arc<str>, DecayingMean>,
     last_decay: Millis,
 }
 
+impl Default for LoadStats {
+    fn default() -> Self {
+        Self {
+            rates: BTreeMap::new(),
+            count_weight: 1.0,
+            processing: Map::default(),
+            last_decay: Millis::ZERO,
+        }
+    }
+}
+
 impl LoadStats {
     /// Adds what one daemon measured.
     pub fn add(&mut self, load: &ServiceLoad, now: Millis) {
@@ -70,7 +92,7 @@
         for (key, count) in &load.keys {
             // Dividing by the time constant makes a steady request rate converge to its own value.
             *self.rates.entry(*key).or_default() +=
-                f64::from(*count) * 1_000.0 / RATE_TIME_CONSTANT_MS;
+                f64::from(*count) * self.count_weight * 1_000.0 / RATE_TIME_CONSTANT_MS;
         }
         for report in &load.processing {
             let processing = self
@@ -83,38 +105,52 @@
 
     /// Decays past requests and processing times, and removes entries that have become negligible.
     pub fn decay(&mut self, now: Millis) {
-        let elapsed_ms = now.since(self.last_decay).0 as f64;
-        let rate_factor = (-elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
+        let elapsed = now.since(self.last_decay);
+        if elapsed < DECAY_INTERVAL {
+            return;
+        }
+        self.last_decay = now;
+        let elapsed_ms = elapsed.0 as f64;
         let processing_factor = (-elapsed_ms / PROCESSING_TIME_CONSTANT_MS).exp();
         self.processing.retain(|_, processing| {
             processing.decay(processing_factor);
             processing.count > REMOVAL_THRESHOLD
         });
-        self.last_decay = now;
+        self.count_weight *= (elapsed_ms / RATE_TIME_CONSTANT_MS).exp();
+        if self.count_weight > MAX_COUNT_WEIGHT {
+            self.rescale_rates();
+        }
+    }
+
+    /// Divides all rates by the present weight, and removes those that have become negligible.
+    fn rescale_rates(&mut self) {
+        let weight = std::mem::replace(&mut self.count_weight, 1.0);
         self.rates.retain(|_, rate| {
-            *rate *= rate_factor;
+            *rate /= weight;
             *rate > REMOVAL_THRESHOLD
         });
     }
 
     /// Total rate of `keys`, in requests per second.
     pub fn rate(&self, keys: KeyRange) -> f64 {
-        self.rates
+        let weighted: f64 = self
+            .rates
             .range(keys.first..=keys.last)
             .map(|(_, rate)| rate)
-            .sum()
+            .sum();
+        weighted / self.count_weight
     }
 
     /// Keys in `keys` that have a measured rate, in ascending order, with their rates.
     pub fn keys(&self, keys: KeyRange) -> impl DoubleEndedIterator<Item = (Key, f64)> + '_ {
         self.rates
             .range(keys.first..=keys.last)
-            .map(|(key, rate)| (*key, *rate))
+            .map(|(key, rate)| (*key, rate / self.count_weight))
     }
 
     /// Total rate of all keys, in requests per second.
     pub fn total(&self) -> f64 {
-        self.rates.values().sum()
+        self.rates.values().sum::<f64>() / self.count_weight
     }
 
     /// Mean processing time at all endpoints, in milliseconds; `None` without samples.
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -40,8 +40,9 @@
     time::sleep,
 };
 
-/// Capacity of the channel for other daemons' reports to the control thread.
-const REPORT_CHANNEL_CAPACITY: usize = 64;
+/// Capacity of the channel for other daemons' reports to the control thread. After a change, the
+/// reports of all daemons arrive together, and a daemon whose report is rejected reads the store.
+const REPORT_CHANNEL_CAPACITY: usize = 4_096;
 /// Time limit for a request head on the status address.
 const STATUS_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, for example when file descriptors run out.
@@ -110,6 +111,7 @@
         changed,
         daemons: Arc::clone(&daemons),
         drain_time: options.drain_time,
+        cores: options.cores,
     };
     let names = platform.header_names().clone();
     let (drained_tx, drained) = watch::channel(false);
--- a/src/gateway/table_watch.rs
+++ b/src/gateway/table_watch.rs
@@ -46,6 +46,12 @@
 /// Pause after an update of owners.
 const OWNERS_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause after an update of the controller lease, for each daemon that may watch it. Every renewal
+/// changes the row, and a daemon that cannot reach the controller needs few of them.
+const LEASE_PAUSE_PER_DAEMON: Duration = Duration::from_millis(10);
+/// Longest pause after an update of the controller lease.
+const MAX_LEASE_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Time within which a response of the store arrives after a change.
 const RESPONSE_TIME: Millis = Millis(300);
 
@@ -134,8 +140,11 @@
         table,
         failures: 0,
     };
-    let mut position = None;
+    let mut position = Position::Unknown;
     loop {
+        if *mode.borrow() == WatchMode::Off {
+            position.forget();
+        }
         let Ok(current_mode) = mode
             .wait_for(|mode| *mode != WatchMode::Off)
             .await
@@ -152,10 +161,7 @@
         {
             return;
         }
-        let from = position.or_else(|| match known.load(Ordering::Relaxed) {
-            0 => None,
-            version => Some(version),
-        });
+        let from = position.next_call_from(known.load(Ordering::Relaxed));
         let hold_time = watcher.hold_time(current_mode);
         let called_at = clock.now();
         let result = tokio::select! {
@@ -163,12 +169,8 @@
             changed = mode.wait_for(|mode| mode.cancels_call(current_mode)) => {
                 match changed.map(|mode| *mode) {
                     Err(_) => return,
-                    // Changes while the watch is off are missed; the next call starts from
-                    // `known` or reads a snapshot.
-                    Ok(WatchMode::Off) => position = None,
-                    Ok(_) => {}
+                    Ok(_) => continue,
                 }
-                continue;
             }
         };
         if table == Table::Declarations {
@@ -179,7 +181,7 @@
         }
         match result {
             Ok(Some((rows, is_snapshot))) => {
-                position = Some(rows.version);
+                position = Position::After(rows.version);
                 let mut update = TableUpdate {
                     table,
                     is_snapshot,
@@ -203,15 +205,42 @@
                     sleep(update_pause(table, current_mode, daemons)).await;
                 }
             }
-            Ok(None) => {
-                position = None;
-                known.store(0, Ordering::Relaxed);
-            }
+            Ok(None) => position = Position::HistoryLost,
             Err(e) => sleep(watcher.record_failure(&e, daemons.load(Ordering::Relaxed))).await,
         }
     }
 }
 
+/// Where the next call of a watch starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Position {
+    /// The watch has read nothing since it was last off.
+    Unknown,
+    /// The table was read up to this version.
+    After(u64),
+    /// The store has dropped the changes since the last position.
+    HistoryLost,
+}
+
+impl Position {
+    /// Records that the watch is off. Changes are missed meanwhile, and the store may drop them.
+    fn forget(&mut self) {
+        if matches!(self, Self::After(_)) {
+            *self = Self::Unknown;
+        }
+    }
+
+    /// Version after which the changes are read, where another source knows the table up to
+    /// `known`, or 0; `None` if the whole table is read.
+    fn next_call_from(self, known: u64) -> Option<u64> {
+        match self {
+            Self::Unknown => (known > 0).then_some(known),
+            Self::After(version) => Some(version.max(known)),
+            Self::HistoryLost => None,
+        }
+    }
+}
+
 /// Lower bound of the time of the changes in a response to a call made at `called_at`. The store
 /// responds to a held call as soon as there is a change, so a late response bounds their time.
 fn earliest_change(called_at: Millis, now: Millis) -> Option<Millis> {
@@ -227,7 +256,7 @@
         }
         Table::Declarations => DECLARATIONS_PAUSE,
         Table::Owners => OWNERS_PAUSE,
-        Table::Controller => Duration::ZERO,
+        Table::Controller => per_daemon(LEASE_PAUSE_PER_DAEMON, daemons).min(MAX_LEASE_PAUSE),
     }
 }
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -122,10 +122,10 @@
     /// requests at `now`.
     pub fn owner_of(&self, key: Key, now: Millis) -> Option<(&OwnedRange, &Member)> {
         let range = self.owners.range_of(key)?;
-        let member = self
+        let at = self
             .members
-            .iter()
-            .find(|member| member.backend.entry.instance == range.owner)?;
+            .binary_search_by(|member| instance_of(member).cmp(&range.owner));
+        let member = &self.members[at.ok()?];
         member.backend.is_open(now).then_some((range, member))
     }
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -16,7 +16,7 @@
 
 /// Protocol version, the first byte of every frame. Frames of other versions are answered with an
 /// error.
-pub const PROTOCOL_VERSION: u8 = 2;
+pub const PROTOCOL_VERSION: u8 = 3;
 
 /// A request from one daemon to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -74,6 +74,9 @@
     pub endpoints: u64,
     /// Epoch and version of the relative latencies that it has.
     pub relative_latencies: (u64, u64),
+    /// Processor time that it could use as the controller, in cores; 0 if it cannot take the
+    /// controller lease over now.
+    pub controller_cores: f32,
     /// What it measured since its last report.
     pub load: LoadReport,
 }
@@ -81,8 +84,8 @@
 /// The range controller's reply to a [`DaemonReport`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReportReply {
-    /// Version and content of the controller lease's row; `None` if the replying daemon does not
-    /// hold the lease.
+    /// Version and content of the controller lease's row; `None` if the replying daemon neither
+    /// holds the lease nor was the one to release it.
     pub lease: Option<(u64, LeaseRow)>,
     /// Number of daemons that currently report.
     pub daemons: u32,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod fake_endpoint;
 mod fake_platform;
+mod handover;
 mod idle;
 mod leaving;
 mod owners;
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -230,7 +230,7 @@
             self.rng.random_range(0..DAEMONS),
             self.rng.random_range(0..ENDPOINTS),
         );
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..10) {
             0 => self.store_up = !self.store_up,
             1 => self.daemons[d].reaches_store = !self.daemons[d].reaches_store,
             2 => self.daemons[d].reaches_endpoints = !self.daemons[d].reaches_endpoints,
@@ -253,6 +253,13 @@
                     self.daemons[i].reaches_store = false;
                 }
             }
+            8 => {
+                if let Some(i) = (0..DAEMONS).find(|i| self.is_active(*i)) {
+                    self.trace(format!("d{i} yields"));
+                    let now = Millis(self.now);
+                    self.daemons[i].controller.yield_lease(now);
+                }
+            }
             _ => {
                 if let Some(i) = (0..DAEMONS).find(|i| self.is_active(*i)) {
                     self.daemons[i].up = false;
--- a/tests/gateway/table_watch.rs
+++ b/tests/gateway/table_watch.rs
@@ -9,9 +9,10 @@
     },
 };
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -53,3 +54,40 @@
         .expect("the watch goes on");
     assert_eq!(update.rows.rows.len(), 1);
 }
+
+/// Guards against a watch that resumes where it stood long ago, although another source has supplied
+/// the table meanwhile: the store may no longer have those changes, and all daemons then read the
+/// whole table at once.
+#[tokio::test]
+async fn a_watch_resumes_from_what_is_known() {
+    let platform = FakePlatform::new();
+    let (mode_tx, mode) = watch::channel(WatchMode::Changes);
+    let (tx, mut updates) = mpsc::channel(8);
+    let known = Arc::new(AtomicU64::new(0));
+    let options = WatchOptions {
+        table: Table::Endpoints,
+        mode,
+        known: Arc::clone(&known),
+        daemons: Arc::new(AtomicUsize::new(1)),
+        store_fails: Arc::new(watch::Sender::new(false)),
+        clock: Clock::start(),
+    };
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    platform.register("e1", "plain", addr);
+    tokio::spawn(table_watch::watch_table(platform.clone(), options, tx));
+    let first = updates.recv().await.expect("a snapshot");
+    assert!(first.is_snapshot);
+    // The watch pauses after an update; meanwhile, another source takes over.
+    mode_tx.send_replace(WatchMode::Off);
+    platform.register("e2", "plain", addr);
+    known.store(first.rows.version + 1, Ordering::Relaxed);
+    sleep(Duration::from_millis(700)).await;
+    mode_tx.send_replace(WatchMode::NoController);
+    platform.register("e3", "plain", addr);
+    let update = timeout(Duration::from_secs(5), updates.recv()).await;
+    let update = update
+        .expect("an update in time")
+        .expect("the watch goes on");
+    let names: Vec<&str> = update.rows.rows.iter().map(|row| &*row.name).collect();
+    assert_eq!((names, update.is_snapshot), (vec!["e3"], false));
+}
