Assign keys of ended endpoints at once where another service took the address

Change: an endpoint of a service without keys takes no grants, so a later instance of such a service at the address proves that the owner has ended and that nothing has to be released. Times and loads that other processes supply saturate. A daemon whose control thread ends stops, and is started anew, instead of serving with what it knew last. Decoders of peers' messages and the store's rows are tested with generated and mutated bytes.

Measured: keys_of_a_replaced_endpoint_are_assigned_anew (service without keys) fails with the former rule; any_reported_load_is_usable fails with the former sum (overflow). 120 tests of tests/gateway pass.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -27,15 +27,19 @@
 
     /// This duration plus `percent` of it, rounded up.
     pub fn plus_percent(self, percent: u64) -> Self {
-        Self(self.0 + (self.0 * percent).div_ceil(100))
+        Self(
+            self.0
+                .saturating_add(self.0.saturating_mul(percent).div_ceil(100)),
+        )
     }
 }
 
 impl Add for Millis {
     type Output = Self;
 
+    /// Saturates, because other processes supply some of the times.
     fn add(self, other: Self) -> Self {
-        Self(self.0 + other.0)
+        Self(self.0.saturating_add(other.0))
     }
 }
 
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -69,7 +69,7 @@
     }
 
     fn has_long_queue(self) -> bool {
-        self.waiting > self.slots * MAX_WAITING_PER_SLOT
+        self.waiting > self.slots.saturating_mul(MAX_WAITING_PER_SLOT)
     }
 }
 
@@ -252,7 +252,10 @@
         let slots = f64::from(self.entry.slots.max(1));
         let occupied = match state.last_report {
             Some((load, at)) if now.since(at) < MAX_REPORT_AGE => {
-                (load.running + load.waiting + state.sent_since_last_report).max(in_flight)
+                let reported = load.running.saturating_add(load.waiting);
+                reported
+                    .saturating_add(state.sent_since_last_report)
+                    .max(in_flight)
             }
             _ => in_flight,
         };
@@ -350,7 +353,7 @@
         };
         let excess = f64::from(
             load.waiting
-                .saturating_sub(load.slots * MAX_WAITING_PER_SLOT),
+                .saturating_sub(load.slots.saturating_mul(MAX_WAITING_PER_SLOT)),
         );
         let drain_ms = excess / f64::from(load.slots) * self.base_latency_ms();
         (now.since(at).0 as f64) < drain_ms.min(MAX_REPORT_AGE.0 as f64)
@@ -386,7 +389,7 @@
                 Some(load) if load.has_long_queue() => {
                     self.lengthen_interval(INTERVAL_GROWTH, daemons_per_slot, now);
                 }
-                Some(load) if load.waiting * 2 > load.slots => {}
+                Some(load) if load.waiting > load.slots / 2 => {}
                 _ if has_free_slot => self.shorten_interval(INTERVAL_DECAY_IDLE),
                 _ => self.shorten_interval(INTERVAL_DECAY),
             },
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -102,9 +102,8 @@
     declared: Vec<ServiceName>,
     endpoints: Map<Arc<str>, EndpointEntry>,
     addrs: Map<EndpointInstance, SocketAddr>,
-    /// Start time of the latest registered instance at each address, in milliseconds since the Unix
-    /// epoch.
-    latest_starts: Map<SocketAddr, u64>,
+    /// The latest registered instance at each address.
+    latest_at: Map<SocketAddr, LatestInstance>,
     /// Present and past backoffs by endpoint.
     backoffs: Map<EndpointInstance, GrantBackoff>,
     /// Whether the owners have been read in this epoch.
@@ -151,7 +150,7 @@
             declared: Vec::new(),
             endpoints: Map::default(),
             addrs: Map::default(),
-            latest_starts: Map::default(),
+            latest_at: Map::default(),
             backoffs: Map::default(),
             loaded: false,
             reading: false,
@@ -368,11 +367,17 @@
             .into_iter()
             .map(|entry| (Arc::clone(&entry.instance.name), entry))
             .collect();
-        self.latest_starts.clear();
+        self.latest_at.clear();
         for entry in self.endpoints.values() {
             self.addrs.insert(entry.instance.clone(), entry.addr);
-            let latest = self.latest_starts.entry(entry.addr).or_default();
-            *latest = entry.instance.started_at_ms.max(*latest);
+            let latest = LatestInstance {
+                started_at_ms: entry.instance.started_at_ms,
+                service: entry.service.clone(),
+            };
+            let known = self.latest_at.get(&entry.addr);
+            if known.is_none_or(|known| known.started_at_ms < latest.started_at_ms) {
+                self.latest_at.insert(entry.addr, latest);
+            }
         }
         let owned: crate::collections::Set<EndpointInstance> = self
             .services
@@ -389,12 +394,23 @@
         });
     }
 
-    /// Status of an endpoint instance that owns keys.
-    fn owner_status(&self, instance: &EndpointInstance) -> OwnerStatus {
-        let addr = self.addrs.get(instance);
-        let latest_start = addr.and_then(|addr| self.latest_starts.get(addr));
-        if latest_start.is_some_and(|started| *started > instance.started_at_ms) {
-            return OwnerStatus::Replaced;
+    /// Status of an endpoint instance that owns keys of `service`.
+    fn owner_status(&self, service: &ServiceName, instance: &EndpointInstance) -> OwnerStatus {
+        let latest = self
+            .addrs
+            .get(instance)
+            .and_then(|addr| self.latest_at.get(addr))
+            .filter(|latest| latest.started_at_ms > instance.started_at_ms);
+        if let Some(latest) = latest {
+            // An endpoint of a service without keys refuses grants, so it has taken none for the
+            // earlier instance.
+            let may_own_keys =
+                latest.service == *service || self.declared.contains(&latest.service);
+            return if may_own_keys {
+                OwnerStatus::Replaced
+            } else {
+                OwnerStatus::Ended
+            };
         }
         if let Some(entry) = self.endpoints.get(&instance.name) {
             if entry.instance.started_at_ms > instance.started_at_ms {
@@ -420,6 +436,14 @@
     count: u32,
 }
 
+/// The latest registered instance at an address.
+#[derive(Clone, Debug)]
+struct LatestInstance {
+    /// Wall-clock start time, in milliseconds since the Unix epoch.
+    started_at_ms: u64,
+    service: ServiceName,
+}
+
 /// Status of an endpoint that owns keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OwnerStatus {
--- a/src/gateway/controller/commands.rs
+++ b/src/gateway/controller/commands.rs
@@ -274,7 +274,7 @@
         if range.in_flight || matches!(range.phase, Phase::Free | Phase::Writing) {
             return None;
         }
-        let status = self.owner_status(&owner);
+        let status = self.owner_status(name, &owner);
         self.advance_phase(name, range, status, now);
         if range.phase == Phase::Free || now < range.next_command_at {
             return None;
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -118,7 +118,7 @@
         stop: stop.clone(),
         drained,
     };
-    let control = start_control(options, control, platform, shutdown)?;
+    let (control, control_ended) = start_control(options, control, platform, shutdown)?;
 
     let metrics = Metrics::default();
     let stopping = Arc::new(AtomicBool::new(false));
@@ -140,7 +140,13 @@
         body_memory: BodyMemory::of_process(options.memory_bytes),
     };
     let runtime = current_thread()?;
-    let ended = runtime.block_on(serve(options, forwarder, status, stopping, stop));
+    let ended = runtime.block_on(async {
+        tokio::select! {
+            ended = serve(options, forwarder, status, stopping, stop) => ended,
+            // Without it, endpoints that leave and new declarations would remain unknown.
+            _ = control_ended => Err(eyre::eyre!("the control thread ended before the last request")),
+        }
+    });
     drained_tx.send_replace(true);
     if control.join().is_err() {
         log::error!(target: "entry", "The control thread panicked.");
@@ -215,12 +221,13 @@
 }
 
 /// Starts the control thread, which watches the store and assigns keys while it is the controller.
+/// The receiver completes when the thread ends, for whatever reason.
 fn start_control<P: Platform>(
     options: &Options,
     cx: ControlContext,
     platform: P,
     shutdown: Shutdown,
-) -> eyre::Result<JoinHandle<()>> {
+) -> eyre::Result<(JoinHandle<()>, oneshot::Receiver<()>)> {
     let builder = ViewBuilder::new(options.zone.clone(), options.budget, options.drain_time);
     let controller = Controller::new(
         options.name.clone(),
@@ -231,9 +238,12 @@
     );
     let runtime = current_thread()?;
     let listener = runtime.block_on(bind(options.peer_addr))?;
+    let (ended_tx, ended) = oneshot::channel();
     let thread = thread::Builder::new()
         .name("control".into())
         .spawn(move || {
+            // Dropped when the thread ends, also by a panic.
+            let _ended_tx = ended_tx;
             runtime.block_on(async move {
                 let (tx, reports) = mpsc::channel(REPORT_CHANNEL_CAPACITY);
                 let handler = peer_handler(tx, platform.clone());
@@ -241,7 +251,7 @@
                 control::run(cx, platform, builder, controller, reports, shutdown).await;
             });
         })?;
-    Ok(thread)
+    Ok((thread, ended))
 }
 
 /// Delay of a controller takeover, so that daemons rarely race and those with enough processor time
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -7,7 +7,7 @@
     gateway::{
         controller::{Action, Controller, Event},
         model::{EndpointEntry, EndpointInstance},
-        platform::{GrantOutcome, WriteOutcome},
+        platform::{GrantOutcome, ReleaseOutcome, WriteOutcome},
     },
     world::{Incarnation, ServiceName, VmName},
 };
@@ -140,6 +140,63 @@
     );
 }
 
+/// Guards against keys that stay unserved until the last possible lease of a lost predecessor ends,
+/// although the address of their owner belongs to an endpoint of a service without keys, which
+/// answers no release.
+#[test_case("plain", true; "service without keys")]
+#[test_case("s", false; "same service")]
+fn keys_of_a_replaced_endpoint_are_assigned_anew(service: &str, at_once: bool) {
+    let addr = ([127, 0, 0, 1], 1).into();
+    let entry = |name: &str, service: &str, port: u16, started_at_ms: u64| EndpointEntry {
+        instance: EndpointInstance {
+            name: name.into(),
+            started_at_ms,
+        },
+        service: service.into(),
+        addr: ([127, 0, 0, 1], port).into(),
+        zone: "a".into(),
+        slots: 4,
+        draining: false,
+        remaining_warmup: Millis::ZERO,
+    };
+    let mut controller = controller();
+    let granted = GrantOutcome::Granted;
+    step_through(&mut controller, 50..4_000, WriteOutcome::Committed, granted);
+    let (_, version, owners) = controller
+        .take_written_owners()
+        .pop()
+        .expect("owners were written");
+    // A successor that does not know whether its predecessor has ended.
+    let me = VmName("d2".into());
+    let incarnation = Incarnation::random();
+    let mut successor = Controller::new(me, incarnation, addr, Millis(10_000), Millis::ZERO);
+    let state = controller.lease_state();
+    let row = state.row().cloned();
+    successor.handle(Event::Lease(state.version(), row), Millis(4_000));
+    successor.handle(Event::Services(vec!["s".into()]), Millis(4_000));
+    let replaced = vec![entry("e2", service, 1, 2), entry("e3", "s", 3, 1)];
+    successor.handle(Event::Endpoints(replaced), Millis(4_000));
+    let mut granted_to = Vec::new();
+    for ms in (6_500..8_000).step_by(50) {
+        for action in successor.step(&Map::default(), Millis(ms)) {
+            let event = match action {
+                Action::Write(id, _) => Event::Written(id, WriteOutcome::Committed(version + ms)),
+                Action::ReadOwners => Event::Owners(vec![("s".into(), version, owners.clone())]),
+                Action::Grant(service, id, addr, _) => {
+                    granted_to.push(addr.port());
+                    Event::Granted(service, id, GrantOutcome::Granted)
+                }
+                Action::Release(service, id, _, _, _) => {
+                    Event::Released(service, id, ReleaseOutcome::Unknown)
+                }
+                other => panic!("unexpected action {other:?}"),
+            };
+            successor.handle(event, Millis(ms));
+        }
+    }
+    assert_eq!(granted_to.contains(&3), at_once, "{granted_to:?}");
+}
+
 /// Guards against daemons that repeatedly attempt a takeover while the store fails: every call is
 /// billed.
 #[test]
--- /dev/null
+++ b/tests/gateway/decoders.rs
@@ -0,0 +1,90 @@
+//! Guards against messages of peers and rows of the store that cause a panic or an overflow: one such
+//! message must cost no more than itself.
+
+use fireflygauge::{
+    clock::Millis,
+    gateway::{
+        backend::{Backend, ExchangeOutcome, Load, Shared},
+        controller_lease::LeaseRow,
+        load_stats::LoadReport,
+        model::{EndpointEntry, EndpointInstance},
+        owners::{Owners, OwnersChange},
+    },
+    peer::{
+        codec,
+        message::{DaemonReport, PROTOCOL_VERSION, PeerReply, PeerRequest},
+    },
+    world::{Incarnation, VmName},
+};
+use proptest::prelude::*;
+
+fn report() -> PeerRequest {
+    PeerRequest::Report(DaemonReport {
+        name: VmName("d".into()),
+        incarnation: Incarnation::random(),
+        peer_addr: ([127, 0, 0, 1], 1).into(),
+        owners: vec![("s".into(), 3)],
+        endpoints: 4,
+        relative_latencies: (1, 2),
+        controller_cores: 0.5,
+        load: LoadReport::default(),
+    })
+}
+
+/// Decodes `frame` as each type that a daemon reads from others or from the store.
+fn decode_all(frame: &[u8]) {
+    // Only panics matter here, not the results.
+    let _ = codec::decode::<PeerRequest>(frame);
+    let _ = codec::decode::<PeerReply>(frame);
+    let _ = codec::decode::<OwnersChange>(frame).map(|change| Owners::default().with(change));
+    let _ = LeaseRow::decode(frame);
+    let _ = Owners::decode(frame);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn generated_bytes_cause_no_panic(mut frame in prop::collection::vec(any::<u8>(), 0..400)) {
+        decode_all(&frame);
+        if let Some(version) = frame.first_mut() {
+            *version = PROTOCOL_VERSION;
+        }
+        decode_all(&frame);
+    }
+
+    #[test]
+    fn mutated_reports_cause_no_panic(
+        changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut frame: Vec<u8> = codec::encode(&report()).expect("it is small").to_vec();
+        for (at, value) in changes {
+            let at = at.index(frame.len() - 1) + 1;
+            frame[at] = value;
+        }
+        decode_all(&frame);
+        decode_all(&frame[..cut.index(frame.len())]);
+    }
+
+    #[test]
+    fn any_reported_load_is_usable(running: u32, waiting: u32, slots in 1..=u32::MAX, at: u64) {
+        let entry = EndpointEntry {
+            instance: EndpointInstance { name: "e".into(), started_at_ms: 1 },
+            service: "s".into(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            zone: "a".into(),
+            slots: 4,
+            draining: false,
+            remaining_warmup: Millis(u64::MAX),
+        };
+        let backend = Backend::new(entry, Shared::default(), Millis(at));
+        let load = Load { running, waiting, slots };
+        let route = "r".into();
+        prop_assert!(backend.try_acquire(Millis(at)));
+        backend.release(ExchangeOutcome::Answered(Millis(5)), Some(load), &route, 1, Millis(at));
+        let latency = backend.estimated_latency_ms(Millis(at));
+        prop_assert!(latency.is_finite() && latency >= 0.0);
+        backend.try_acquire(Millis(at) + Millis(u64::MAX));
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod controller;
 mod daemon;
+mod decoders;
 mod endless;
 mod fake_endpoint;
 mod fake_platform;
