--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -105,6 +105,11 @@
         panic!("the daemon is not ready");
     }
 
+    /// Sends the stop signal.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
     async fn get(&self, addr: SocketAddr, path: &str) -> Result<Response<Bytes>, HttpError> {
         let req = Request::get(format!("http://{addr}{path}"))
             .header("host", "h")
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,5 +17,6 @@
 mod relative_latency;
 mod routes;
 mod simulation;
+mod stop;
 mod table_watch;
 mod wait_queue;
