--- a/src/gateway/owners.rs
+++ b/src/gateway/owners.rs
@@ -10,6 +10,9 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
 
+/// Largest row with handovers, in bytes. The store accepts rows of 64 KiB in base64.
+pub const MAX_ROW_BYTES: usize = 48 * 1024;
+
 /// Keys that one endpoint owns under one fencing token.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnedRange {
@@ -57,12 +60,20 @@
         range.keys.contains(key).then_some(range)
     }
 
-    /// Encodes the row for the store, in which each owner is listed once.
+    /// Encodes the row for the store, in which each owner is listed once. Handovers are left out if
+    /// the row would exceed [`MAX_ROW_BYTES`]: without them keys are slow at first, but a row that
+    /// the store rejects would end all moves.
     ///
     /// # Errors
-    /// [`CodecError::TooLarge`] if the row exceeds the size limit.
+    /// [`CodecError::TooLarge`] if the row exceeds the size limit of messages.
     pub fn encode(&self) -> Result<Bytes, CodecError> {
-        codec::encode(&OwnersRow::new(self.ranges.iter(), true))
+        let row = codec::encode(&OwnersRow::new(self.ranges.iter(), true))?;
+        if row.len() <= MAX_ROW_BYTES {
+            return Ok(row);
+        }
+        log::info!(target: "ownership", ranges = self.ranges.len(), bytes = row.len();
+            "Owners row is too large; it is written without handovers.");
+        codec::encode(&OwnersRow::new(self.ranges.iter(), false))
     }
 
     /// Decodes a row from the store.
--- a/tests/gateway/owners.rs
+++ b/tests/gateway/owners.rs
@@ -3,7 +3,7 @@
 use fireflygauge::{
     gateway::{
         model::{EndpointInstance, KeyRange},
-        owners::{OwnedRange, Owners},
+        owners::{MAX_ROW_BYTES, OwnedRange, Owners},
     },
     peer::codec,
 };
@@ -34,6 +34,24 @@
     assert_eq!(owners.range_of(key).map(|r| &*r.owner.name), owner);
 }
 
+/// Guards against a row that the store rejects as too large: after many endpoints have left, most
+/// ranges carry a handover.
+#[test_case(500, true; "few ranges")]
+#[test_case(2_400, false; "many ranges")]
+fn large_rows_are_written_without_handovers(ranges: u16, with_handovers: bool) {
+    let owned = (0..ranges).map(|i| OwnedRange {
+        token: 5 << 24,
+        handover: Some("5c0e7a21d94b36f8".into()),
+        ..range(i * 27, i * 27 + 26, &format!("i-{:010}", i % 268))
+    });
+    let row = Owners::new(owned.collect()).encode().expect("it is small");
+    assert!(row.len() <= MAX_ROW_BYTES, "{} bytes", row.len());
+    let decoded = Owners::decode(&row).expect("valid");
+    assert_eq!(decoded.ranges().len(), usize::from(ranges));
+    let handovers = decoded.ranges().iter().filter(|r| r.handover.is_some());
+    assert_eq!(handovers.count() > 0, with_handovers);
+}
+
 /// Guards against a row that loses or confuses owners when it is encoded and decoded.
 #[test]
 fn row_is_decoded_as_encoded() {
