Log and show the limits that endpoints name

The adapter now reads the header, and a daemon logs the start, the changes and the end of a limit with source, age and the number of requests that it sent meanwhile; the status page and a metric show it. Requests are sent as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 pub mod pause;
 pub mod placement;
 pub mod platform;
+pub mod rate_limit;
 pub mod registry;
 pub mod relative_latency;
 pub mod reply;
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -9,6 +9,7 @@
     leaving::{life::Life, run::LeavingRun},
     model::{EndpointEntry, KeyRange},
     pause::Pause,
+    rate_limit::RateLimit,
     relative_latency::{RelativeLatencyReport, RouteLatencies},
     wait_queue::WaitQueue,
 };
@@ -79,6 +80,8 @@
     pub idle: Arc<IdleLimit>,
     /// Pause that the endpoint requested. Each life has a pause of its own.
     pub pause: Arc<Pause>,
+    /// Limit that the endpoint named. Each life has one of its own.
+    pub rate_limit: Arc<RateLimit>,
     /// Connections that one endpoint accepts from all daemons together.
     pub max_connections: u32,
     /// Notices that this life of the endpoint leaves.
@@ -98,6 +101,8 @@
     pub queue: Arc<WaitQueue>,
     /// Pause that the endpoint requested.
     pub pause: Arc<Pause>,
+    /// Limit that the endpoint named.
+    pub rate_limit: Arc<RateLimit>,
     /// When the daemon first saw the endpoint.
     pub first_seen: Millis,
     /// Notices that this life of the endpoint leaves.
@@ -118,6 +123,7 @@
             entry,
             queue: shared.queue,
             pause: shared.pause,
+            rate_limit: shared.rate_limit,
             first_seen: now,
             leaving: shared.leaving,
             leaving_run: shared.leaving_run,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -313,6 +313,7 @@
         }
         self.apply_leaving(now);
         self.builder.step_pauses(now);
+        self.builder.rate_limits().step(now);
         if self.controller.lease_state().is_holder() {
             let missing = self.pauses.missing_shares(self.daemons.len(), now);
             self.controller.set_pauses(missing);
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -172,6 +172,8 @@
     pub endpoint: HeaderName,
     /// `1` in the responses of an endpoint that is about to shut down.
     pub leaving: HeaderName,
+    /// Requests per second that the endpoint takes from all daemons together.
+    pub rate_limit: HeaderName,
 }
 
 /// Operations of a platform, implemented by an adapter.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,6 +6,7 @@
     connection::PooledConnection,
     leaving, pause,
     platform::HeaderNames,
+    rate_limit,
 };
 use crate::clock::{Clock, Millis};
 use bytes::Bytes;
@@ -220,6 +221,7 @@
         if !backend.pause.admit(&mut is_probe, now) {
             return Exchange::NotRun(NotRun::Paused);
         }
+        backend.rate_limit.count_sent();
         let left = left.saturating_sub(started.elapsed());
         let mut req = to_request(backend, out, names, left);
         let too_many_informational = limit_informational(&mut req);
@@ -357,6 +359,9 @@
     if let Some(says_leaving) = leaving::says_leaving(&parts.headers, names, instance) {
         backend.record_leaving(says_leaving, sent_at, cx.clock.now());
     }
+    let announcement = rate_limit::announced(&parts.headers, names, instance);
+    let limit = &backend.rate_limit;
+    limit.record(announcement, sent_at, cx.clock.now());
     let limit = cx.body_memory.max_response_bytes();
     let body = cx.body_memory.collect(body, limit).await;
     let body = body.map_err(|e| match e {
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -106,6 +106,15 @@
                 text,
                 "fireflygauge_endpoints_paused{{service=\"{name}\"}} {paused}"
             );
+            let limited = service
+                .members
+                .iter()
+                .filter(|member| member.backend.rate_limit.current().is_some())
+                .count();
+            let _ = writeln!(
+                text,
+                "fireflygauge_endpoints_limited{{service=\"{name}\"}} {limited}"
+            );
             let waiting = service.state.queue.len();
             let _ = writeln!(text, "fireflygauge_waiting{{service=\"{name}\"}} {waiting}");
         }
@@ -134,6 +143,7 @@
                     "leaving_notice": leaving_notice(member, now),
                     "aside": backend.is_ejected(now),
                     "paused_ms": backend.pause.end(now).map_or(0, |end| end.since(now).0),
+                    "request_limit": request_limit(member, now),
                     "in_flight": backend.in_flight(),
                     "age_ms": now.since(backend.first_seen).0,
                 })
@@ -162,6 +172,18 @@
     }
 }
 
+/// The limit that an endpoint named, and how many requests of this daemon counted against it.
+fn request_limit(member: &Member, now: Millis) -> Option<Value> {
+    let rate_limit = &member.backend.rate_limit;
+    let limit = rate_limit.current()?;
+    Some(json!({
+        "per_second": limit.rate.per_second(),
+        "source": limit.source.to_string(),
+        "age_ms": now.since(limit.since).0,
+        "sent": rate_limit.sent(),
+    }))
+}
+
 /// The earliest notice that an endpoint leaves, and how long it is still used.
 fn leaving_notice(member: &Member, now: Millis) -> Option<Value> {
     let notice = explain::leaving(member, now)?;
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -16,6 +16,7 @@
         model::{Configuration, EndpointEntry, Service},
         owners::Owners,
         pause::{PauseReport, Pauses},
+        rate_limit::RateLimits,
         routes::RouteTable,
     },
     world::{ServiceName, ZoneName},
@@ -37,6 +38,7 @@
     owners: Map<ServiceName, (u64, Arc<Owners>)>,
     states: Map<ServiceName, Arc<ServiceState>>,
     pauses: Pauses,
+    rate_limits: RateLimits,
 }
 
 #[derive(Debug)]
@@ -78,6 +80,7 @@
             owners: Map::default(),
             states: Map::default(),
             pauses: Pauses::default(),
+            rate_limits: RateLimits::default(),
         }
     }
 
@@ -283,6 +286,11 @@
             .collect()
     }
 
+    /// The limits that endpoints named.
+    pub fn rate_limits(&mut self) -> &mut RateLimits {
+        &mut self.rate_limits
+    }
+
     /// Logs the requested pauses that have ended by `now`.
     pub fn step_pauses(&mut self, now: Millis) {
         self.pauses.step(now);
@@ -316,6 +324,7 @@
         let max_connections = declared.max_connections;
         let state = self.state_of(&name);
         let (zone, pauses) = (&self.zone, &mut self.pauses);
+        let rate_limits = &mut self.rate_limits;
         let endpoints_of_service = self
             .endpoints
             .values_mut()
@@ -333,6 +342,7 @@
                         route_latencies: Arc::clone(&state.route_latencies),
                         idle: Arc::clone(&state.idle),
                         pause: pauses.of(&known.entry.instance, &name, &state.pause_count),
+                        rate_limit: rate_limits.of(&known.entry.instance),
                         max_connections,
                         leaving: Arc::clone(&known.life),
                         leaving_run: Arc::clone(&known.leaving_run),
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -56,6 +56,7 @@
         key: HeaderName::from_static("x-key"),
         endpoint: HeaderName::from_static("x-instance"),
         leaving: HeaderName::from_static("x-leaving"),
+        rate_limit: HeaderName::from_static("x-limit"),
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod paused_daemons;
 mod paused_owner;
 mod placement;
+mod rate_limit;
 mod receivers;
 mod registry;
 mod relative_latency;
