--- a/tests/gateway/fake_endpoint.rs
+++ b/tests/gateway/fake_endpoint.rs
@@ -80,6 +80,8 @@
     arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
     connections: Arc<AtomicUsize>,
     is_leaving: Arc<AtomicBool>,
+    /// Limit that the responses name.
+    limit: Arc<Mutex<Option<String>>>,
     /// Ends the endpoint.
     stop: watch::Sender<bool>,
 }
@@ -100,6 +102,7 @@
             arrivals: Arc::default(),
             connections: Arc::default(),
             is_leaving: Arc::default(),
+            limit: Arc::default(),
             stop: watch::Sender::new(false),
         };
         let (served, mut stopped) = (endpoint.clone(), endpoint.stop.subscribe());
@@ -170,6 +173,12 @@
         self.is_leaving.store(is_leaving, Ordering::SeqCst);
     }
 
+    /// Sets the requests per second that responses name as the limit.
+    pub fn set_limit(&self, per_second: Option<&str>) {
+        let mut limit = self.limit.lock().expect("no panic while locked");
+        *limit = per_second.map(str::to_owned);
+    }
+
     async fn serve(self, mut stream: TcpStream, behavior: Behavior) {
         self.connections.fetch_add(1, Ordering::SeqCst);
         let mut buf = Vec::new();
@@ -282,13 +291,18 @@
         }
     }
 
-    /// The response with the header that says that the endpoint leaves, if it does.
+    /// The response with the headers that say that the endpoint leaves and what its limit is, as far
+    /// as it does and has one.
     fn with_notice(&self, response: &str) -> String {
+        let mut text = response.to_owned();
         if self.is_leaving.load(Ordering::SeqCst) {
-            response.replacen("\r\n", "\r\nx-leaving: 1\r\n", 1)
-        } else {
-            response.to_owned()
+            text = text.replacen("\r\n", "\r\nx-leaving: 1\r\n", 1);
+        }
+        let limit = self.limit.lock().expect("no panic while locked");
+        if let Some(limit) = &*limit {
+            text = text.replacen("\r\n", &format!("\r\nx-limit: {limit}\r\n"), 1);
         }
+        text
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod leaving_notices;
 mod leaving_outage;
 mod leaving_restart;
+mod limited_daemons;
 mod lives;
 mod lives_observed;
 mod owners;
