Keep the limit that an endpoint names over all daemons

Callers of an endpoint in need saw it overloaded: it named 7.5 requests a second and went on getting 21 to 24, from daemons that it had told.

Cause: a total over all daemons was bounded by no one. No daemon read the header, and what paces requests does so for each daemon alone.

Change: while a limit is in force, a request is sent only under a permit. The controller issues as many as the limit allows, each for one request within 0.5 s, to the daemon that asks and has got the fewest lately (max-min fair by demand). Daemons report limits with their age; the controller's replies tell all others at once. Without a controller a daemon sends a third of its equal part. Keyed requests beyond the limit are rejected at once if the permits come too late, and callers are told times one permit apart. Placement counts a limited endpoint with its limit.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -176,22 +176,28 @@
         begins
     }
 
-    /// Acquires a slot for one request; false if the concurrency limit, the queue, the pacing or a
-    /// requested pause of the endpoint does not allow it at `now`.
+    /// Acquires a slot for one request; false if the concurrency limit, the queue, the pacing, a
+    /// requested pause or a named limit of the endpoint does not allow it at `now`.
     pub fn try_acquire(&self, now: Millis) -> bool {
         let pause_end = self.pause.end(now);
         let mut state = self.state();
         if pause_end.is_some() {
             // Probes are not paced: there are few, and pacing starts at the end of the pause.
-            let allowed = self.pause.blocked_until(now).is_none() && state.limit.try_acquire(now);
-            state.sent_since_last_report += u32::from(allowed);
+            let allowed = self.pause.blocked_until(now).is_none()
+                && self.rate_limit.may_send(now)
+                && state.limit.try_acquire(now);
+            if allowed {
+                self.rate_limit.take_permit(now);
+                state.sent_since_last_report += 1;
+            }
             return allowed;
         }
         if state.has_long_queue(now) || now < state.next_slot_at {
             return false;
         }
-        let acquired = state.limit.try_acquire(now);
+        let acquired = self.rate_limit.may_send(now) && state.limit.try_acquire(now);
         if acquired {
+            self.rate_limit.take_permit(now);
             state.schedule_next(now);
             state.sent_since_last_report += 1;
         }
@@ -274,14 +280,18 @@
 
     /// Expected time between two slots that this daemon acquires, in milliseconds.
     pub fn interval_ms(&self) -> f64 {
+        let named_ms = self.rate_limit.interval().map_or(0.0, |i| i.0 as f64);
         let state = self.state();
-        (state.base_latency_ms() / state.limit.limit().max(1.0)).max(state.min_interval_ms)
+        let observed_ms = state.base_latency_ms() / state.limit.limit().max(1.0);
+        observed_ms.max(state.min_interval_ms).max(named_ms)
     }
 
     /// Estimated time in the queue for a request behind `ahead` others, in milliseconds.
     pub fn wait_ms(&self, ahead: usize, now: Millis) -> f64 {
         let until_next_slot = self.state().next_slot_at.since(now);
-        until_next_slot.0 as f64 + ahead as f64 * self.interval_ms()
+        let by_slots = until_next_slot.0 as f64 + ahead as f64 * self.interval_ms();
+        let by_limit = self.rate_limit.expected_wait(ahead, now);
+        by_limit.map_or(by_slots, |wait| by_slots.max(wait.0 as f64))
     }
 
     /// Whether the endpoint is ejected at `now` because it keeps failing.
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -4,6 +4,7 @@
 pub mod handover;
 mod leaving;
 mod owners_history;
+mod permits;
 mod relative_latencies;
 mod reports;
 mod updates;
@@ -17,6 +18,10 @@
     model::EndpointInstance,
     pause::ReportedPauses,
     platform::{Platform, Table},
+    rate_limit::{
+        PermitReply, PermitRequest,
+        issuer::{AskId, PermitIssuer},
+    },
     registry::Registry,
     relative_latency::RelativeLatencies,
     table_watch::TableUpdate,
@@ -34,6 +39,7 @@
 use actions::perform;
 use arc_swap::ArcSwap;
 use owners_history::OwnersHistory;
+use permits::PermitReceiver;
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::AtomicUsize},
@@ -77,8 +83,14 @@
     pub cores: f64,
 }
 
-/// A report from another daemon, and the channel for its reply.
-pub type IncomingReport = (DaemonReport, oneshot::Sender<ReportReply>);
+/// A call of another daemon, and the channel for its reply.
+#[derive(Debug)]
+pub enum IncomingCall {
+    /// A report.
+    Report(DaemonReport, oneshot::Sender<ReportReply>),
+    /// A request for permits, and the daemon that asks for them.
+    Permits(VmName, PermitRequest, oneshot::Sender<PermitReply>),
+}
 
 /// An input of the main loop.
 enum Input {
@@ -88,6 +100,8 @@
     Controller(Event),
     /// The controller's reply to this daemon's report; `None` if there was none.
     Reply(Option<ReportReply>),
+    /// The controller's reply to this daemon's request for permits of a life; `None` if there was none.
+    Permits(EndpointInstance, Option<PermitReply>),
 }
 
 /// Signals that end the control thread.
@@ -107,7 +121,7 @@
     platform: P,
     builder: ViewBuilder,
     controller: Controller,
-    mut reports: mpsc::Receiver<IncomingReport>,
+    mut calls: mpsc::Receiver<IncomingCall>,
     shutdown: Shutdown,
 ) {
     let (tx, mut rx) = mpsc::channel(CHANNEL_CAPACITY);
@@ -136,6 +150,8 @@
         owners: OwnersHistory::default(),
         relative_latencies: RelativeLatencies::default(),
         pauses: ReportedPauses::default(),
+        permits: PermitIssuer::default(),
+        held_permit_requests: Map::default(),
         latencies_refreshed_at: Millis::ZERO,
         latencies_known: (0, 0),
         store_as_of: Millis::ZERO,
@@ -157,11 +173,12 @@
         holder_since: None,
     };
     let leaving_changed = control.builder.lives().changed();
+    let issuing = Arc::clone(control.builder.rate_limits().issuing());
     loop {
         let is_holder = control.controller.lease_state().is_holder();
         let stopping = control.stopping_since.is_some();
         let pause = if is_holder || stopping {
-            HOLDER_STEP
+            HOLDER_STEP.min(control.until_next_permit())
         } else {
             OTHER_STEP
         };
@@ -173,13 +190,14 @@
                     control.handle(input);
                 }
             }
-            Some((report, reply)) = reports.recv() => {
-                control.handle_report(report, reply);
-                while let Ok((report, reply)) = reports.try_recv() {
-                    control.handle_report(report, reply);
+            Some(call) = calls.recv() => {
+                control.handle_call(call);
+                while let Ok(call) = calls.try_recv() {
+                    control.handle_call(call);
                 }
             }
             () = leaving_changed.notified() => {}
+            () = issuing.wanted() => {}
             () = sleep(pause) => {}
         }
         control.step();
@@ -237,6 +255,10 @@
     relative_latencies: RelativeLatencies,
     /// Pauses of endpoints, as all daemons report them while this one is the controller.
     pauses: ReportedPauses,
+    /// Issues permits while this daemon is the controller.
+    permits: PermitIssuer,
+    /// Requests for permits that the issuer has not replied to.
+    held_permit_requests: Map<AskId, PermitReceiver>,
     latencies_refreshed_at: Millis,
     /// Epoch and version of the relative latencies that were last applied.
     latencies_known: (u64, u64),
@@ -285,6 +307,16 @@
                 self.controller.handle(event, now);
             }
             Input::Reply(reply) => self.handle_reply(reply),
+            Input::Permits(life, reply) => self.handle_permits(&life, reply),
+        }
+    }
+
+    fn handle_call(&mut self, call: IncomingCall) {
+        match call {
+            IncomingCall::Report(report, reply) => self.handle_report(report, reply),
+            IncomingCall::Permits(daemon, request, reply) => {
+                self.handle_permit_request(&daemon, &request, PermitReceiver::Other(reply));
+            }
         }
     }
 
@@ -317,7 +349,11 @@
         if self.controller.lease_state().is_holder() {
             let missing = self.pauses.missing_shares(self.daemons.len(), now);
             self.controller.set_pauses(missing);
+            let limits = self.builder.rate_limits().in_force();
+            self.controller.set_rate_limits(limits);
         }
+        self.request_permits(now);
+        self.issue_permits(now);
         let written = self.controller.take_written_owners();
         self.apply_owners(written);
         self.report(now);
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -10,6 +10,7 @@
         load_stats::{LoadReport, ProcessingTime, ServiceLoad},
         owners::Owners,
         platform::Platform,
+        rate_limit::{LimitReport, is_urgent, not_known},
     },
     peer::{
         codec::{self, CodecError},
@@ -53,6 +54,7 @@
             load: self.take_load(),
             leaving: self.builder.lives().to_report(now),
             pauses: self.builder.pause_reports(now),
+            limits: self.builder.rate_limits().reports(now),
         };
         let lease = self.controller.lease_state();
         if lease.is_holder() {
@@ -96,7 +98,7 @@
     }
 
     /// Address of the controller; `None` if there is none, or if it is this daemon.
-    fn controller_addr(&self) -> Option<SocketAddr> {
+    pub(super) fn controller_addr(&self) -> Option<SocketAddr> {
         let row = self.controller.lease_state().row()?;
         let is_other = !row.released && row.peer_addr != self.cx.peer_addr;
         is_other.then_some(row.peer_addr)
@@ -159,6 +161,10 @@
         self.relative_latencies.add(&report.load.relative_latencies);
         self.record_reported_leaving(report, now);
         self.pauses.record(&report.name, &report.pauses, now);
+        if report.name != self.cx.name {
+            let limits = self.builder.rate_limits();
+            limits.record_heard(&report.limits, Millis::ZERO, now);
+        }
     }
 
     fn update_daemon_count(&mut self, now: Millis) {
@@ -203,23 +209,36 @@
         } else {
             Vec::new()
         };
+        let limits = if is_active {
+            self.builder.rate_limits().reports(now)
+        } else {
+            Vec::new()
+        };
         for held in std::mem::take(&mut self.held_reports) {
+            let lacking_limits = not_known(&limits, &held.report.limits);
+            let lacks_limits = is_urgent(&lacking_limits, &held.report.limits);
             let is_due = !is_active || now >= held.due_at;
             let has_changes = self.registry.has_changes_after(held.report.endpoints)
                 || self.owners.has_changes_after(&held.report.owners);
             let unknown = || not_reported(&leaving, &held.report.leaving);
             // Later notices can wait for the next reply, which comes well before the endpoint must
             // not be used any more.
-            if is_due || has_changes || (held.is_first && !unknown().is_empty()) {
+            if is_due || has_changes || lacks_limits || (held.is_first && !unknown().is_empty()) {
                 let unknown = unknown();
-                self.send_reply(held, unknown, now);
+                self.send_reply(held, unknown, lacking_limits, now);
             } else {
                 self.held_reports.push(held);
             }
         }
     }
 
-    fn send_reply(&mut self, held: HeldReport, leaving: Vec<LeavingLife>, now: Millis) {
+    fn send_reply(
+        &mut self,
+        held: HeldReport,
+        leaving: Vec<LeavingLife>,
+        limits: Vec<LimitReport>,
+        now: Millis,
+    ) {
         let lease = self.controller.lease_state();
         let active_row = lease.row().filter(|_| lease.may_issue_commands(now));
         let released_row = lease
@@ -237,6 +256,7 @@
             declarations: self.declarations,
             relative_latencies: self.latencies_update(held.report.relative_latencies),
             leaving,
+            limits,
         };
         // Sending fails if the reporting daemon has closed the call.
         let _ = held.reply.send(reply);
@@ -303,6 +323,9 @@
         self.builder
             .lives()
             .record_reply(&reply.leaving, replied_at, now);
+        let transit = now.since(replied_at);
+        let limits = self.builder.rate_limits();
+        limits.record_heard(&reply.limits, transit, now);
         self.apply_owners_updates(reply.owners);
         let Some((version, row)) = reply.lease else {
             self.last_report_at = Some(now);
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -25,6 +25,7 @@
     model::{EndpointEntry, EndpointInstance, KeyRange},
     owners::Owners,
     platform::{GrantCommand, GrantOutcome, ReleaseOutcome, RowWrite, WriteOutcome},
+    rate_limit::Rate,
 };
 use crate::{
     clock::Millis,
@@ -107,6 +108,8 @@
     latest_at: Map<SocketAddr, LatestInstance>,
     /// Share of its capacity that each endpoint lacks because it asked daemons for a pause.
     paused: Map<EndpointInstance, f64>,
+    /// Limits that endpoints named.
+    rate_limits: Map<EndpointInstance, Rate>,
     /// Present and past backoffs by endpoint.
     backoffs: Map<EndpointInstance, GrantBackoff>,
     /// Whether the owners have been read in this epoch.
@@ -155,6 +158,7 @@
             addrs: Map::default(),
             latest_at: Map::default(),
             paused: Map::default(),
+            rate_limits: Map::default(),
             backoffs: Map::default(),
             loaded: false,
             reading: false,
@@ -207,6 +211,11 @@
         self.paused = missing_shares;
     }
 
+    /// Sets the limits that endpoints named.
+    pub fn set_rate_limits(&mut self, rate_limits: Map<EndpointInstance, Rate>) {
+        self.rate_limits = rate_limits;
+    }
+
     /// Releases the controller lease as soon as possible, and prevents takeovers.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/gateway/controller/assigning.rs
+++ b/src/gateway/controller/assigning.rs
@@ -23,9 +23,9 @@
 const RANGES_PER_ENDPOINT: usize = 4;
 /// Fraction of its capacity that an endpoint has while it warms up.
 const WARMUP_CAPACITY: f64 = 0.5;
-/// Least fraction of its capacity that an endpoint in a requested pause counts with. Without any it
-/// would not be considered, and would keep its keys.
-const MIN_PAUSED_CAPACITY: f64 = 0.02;
+/// Least fraction of its capacity that an endpoint in a requested pause or with a limit counts with.
+/// Without any it would not be considered, and would keep its keys.
+const MIN_CAPACITY: f64 = 0.02;
 /// Largest share of its capacity that an endpoint may lack because of a requested pause and still be
 /// given keys.
 const MAX_MISSING_SHARE: f64 = 0.2;
@@ -72,13 +72,16 @@
                     1.0
                 };
                 let missing = self.paused.get(&entry.instance).copied().unwrap_or(0.0);
-                let paused_factor = (1.0 - missing).max(MIN_PAUSED_CAPACITY);
+                let paused_factor = (1.0 - missing).max(MIN_CAPACITY);
+                let limit = self.rate_limits.get(&entry.instance);
+                let least = full_capacity * MIN_CAPACITY;
+                let limit = limit.map_or(f64::MAX, |rate| rate.per_second().max(least));
                 Candidate {
                     instance: entry.instance.clone(),
                     capacity: if backs_off {
                         0.0
                     } else {
-                        full_capacity * warmup_factor * paused_factor
+                        (full_capacity * warmup_factor * paused_factor).min(limit)
                     },
                     receives: missing <= MAX_MISSING_SHARE,
                     ranges: managed
--- a/src/gateway/forward/acquire.rs
+++ b/src/gateway/forward/acquire.rs
@@ -178,9 +178,13 @@
         if !queue.has_earlier(ticket) && backend.try_acquire(now) {
             return Ok(Arc::clone(backend));
         }
+        let reason = match backend.rate_limit.current() {
+            Some(_) => RejectionReason::Limited,
+            None => RejectionReason::Busy,
+        };
         if is_new && request.exceeds_queue_time(backend.wait_ms(queue.ahead_of(ticket), now), now) {
-            return Err((RejectionReason::Busy, None, Some(now)));
+            return Err((reason, None, Some(now)));
         }
-        Err((RejectionReason::Busy, Some(Arc::clone(queue)), None))
+        Err((reason, Some(Arc::clone(queue)), None))
     }
 }
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -16,6 +16,8 @@
 
 /// Shortest `Retry-After` of a rejected request, in milliseconds, unless its deadline is near.
 const MIN_RETRY_AFTER_MS: u64 = 120;
+/// Part of the time that a caller has left, as a divisor, up to which it honours `Retry-After`.
+const HONOURED_DIVISOR: u64 = 3;
 /// Longest `Retry-After` of a rejected request, in milliseconds.
 const MAX_RETRY_AFTER_MS: u64 = 500;
 /// Longest delay added to a `Retry-After` that names the end of a move, in milliseconds, so that
@@ -37,6 +39,23 @@
         Some((moved_by.since(now) + jitter).into())
     }
 
+    /// Time until the key's owner can be sent the request, as far as the limit that it named decides;
+    /// `None` if it names none, or if the caller would not wait.
+    fn wait_for_permit(
+        &self,
+        service: &ServiceName,
+        headers: &HeaderMap,
+        left: Millis,
+        now: Millis,
+    ) -> Option<Duration> {
+        let (view, key) = (self.view.load(), self.requested_key(headers)?);
+        let (_, owner) = view.services.get(service)?.member_of(key)?;
+        let longest = Millis(left.0 / HONOURED_DIVISOR);
+        let rate_limit = &owner.backend.rate_limit;
+        let returns_at = rate_limit.next_return(now + longest, now)?;
+        (longest > Millis::ZERO).then(|| returns_at.since(now).into())
+    }
+
     pub(super) fn reject(
         &self,
         parts: &Parts,
@@ -51,6 +70,11 @@
             RejectionReason::NoOwner => service
                 .and_then(|service| self.wait_for_owner(service, &parts.headers, now))
                 .or_else(|| retry_after(deadline.since(now))),
+            RejectionReason::Limited => service
+                .and_then(|service| {
+                    self.wait_for_permit(service, &parts.headers, deadline.since(now), now)
+                })
+                .or_else(|| retry_after(deadline.since(now))),
             _ => retry_after(deadline.since(now)),
         };
         let response = reply::rejection(reason, retry_after);
@@ -79,7 +103,7 @@
 /// `Retry-After` of a rejected request with `left` until its deadline. Callers honour at most a
 /// third of the time that they have left.
 fn retry_after(left: Millis) -> Option<Duration> {
-    let longest = (left.0 / 3).min(MAX_RETRY_AFTER_MS);
+    let longest = (left.0 / HONOURED_DIVISOR).min(MAX_RETRY_AFTER_MS);
     if longest == 0 {
         return None;
     }
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -46,6 +46,8 @@
         /// When the first of them may be sent requests again.
         until: Millis,
     },
+    /// The limit that the key's owner named allows no further request in time.
+    Limited,
     /// The request did not run, and no retry was possible.
     Shed,
     /// The deadline passed before the request was sent.
@@ -72,6 +74,7 @@
             | Self::NoOwner
             | Self::Busy
             | Self::Paused { .. }
+            | Self::Limited
             | Self::Shed
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -3,10 +3,11 @@
 use super::{
     body_memory::BodyMemory,
     budget::BudgetRule,
-    control::{self, ControlContext, IncomingReport, Shutdown},
+    control::{self, ControlContext, IncomingCall, Shutdown},
     controller::Controller,
     forward::Forwarder,
     platform::Platform,
+    rate_limit::PermitRequest,
     server,
     status::Status,
     view::ViewBuilder,
@@ -41,9 +42,9 @@
     time::sleep,
 };
 
-/// Capacity of the channel for other daemons' reports to the control thread. After a change, the
+/// Capacity of the channel for other daemons' calls to the control thread. After a change, the
 /// reports of all daemons arrive together, and a daemon whose report is rejected reads the store.
-const REPORT_CHANNEL_CAPACITY: usize = 4_096;
+const CALL_CHANNEL_CAPACITY: usize = 4_096;
 /// Time limit for a request head on the status address.
 const STATUS_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept, for example when file descriptors run out.
@@ -245,10 +246,10 @@
             // Dropped when the thread ends, also by a panic.
             let _ended_tx = ended_tx;
             runtime.block_on(async move {
-                let (tx, reports) = mpsc::channel(REPORT_CHANNEL_CAPACITY);
+                let (tx, calls) = mpsc::channel(CALL_CHANNEL_CAPACITY);
                 let handler = peer_handler(tx);
                 tokio::spawn(peer_server::serve(listener, handler, shutdown.stop.clone()));
-                control::run(cx, platform, builder, controller, reports, shutdown).await;
+                control::run(cx, platform, builder, controller, calls, shutdown).await;
             });
         })?;
     Ok((thread, ended))
@@ -263,12 +264,15 @@
 }
 
 /// Returns the handler of other daemons' requests.
-fn peer_handler(tx: mpsc::Sender<IncomingReport>) -> Handler<PeerRequest, PeerReply> {
+fn peer_handler(tx: mpsc::Sender<IncomingCall>) -> Handler<PeerRequest, PeerReply> {
     Arc::new(move |request| -> BoxFuture<PeerReply> {
         let tx = tx.clone();
         Box::pin(async move {
             match request {
                 PeerRequest::Report(report) => forward_report(&tx, report).await,
+                PeerRequest::Permits(daemon, request) => {
+                    forward_permit_request(&tx, daemon, request).await
+                }
                 _ => PeerReply::Error(
                     "request not supported: this daemon assigns key ranges, not partitions".into(),
                 ),
@@ -278,9 +282,10 @@
 }
 
 /// Sends a report to the control thread and waits for its reply.
-async fn forward_report(tx: &mpsc::Sender<IncomingReport>, report: DaemonReport) -> PeerReply {
+async fn forward_report(tx: &mpsc::Sender<IncomingCall>, report: DaemonReport) -> PeerReply {
     let (reply_tx, reply) = oneshot::channel();
-    if tx.try_send((report, reply_tx)).is_err() {
+    let call = IncomingCall::Report(report, reply_tx);
+    if tx.try_send(call).is_err() {
         return PeerReply::Error("report rejected: the daemon is overloaded or stopping".into());
     }
     match reply.await {
@@ -288,3 +293,20 @@
         Err(_) => PeerReply::Error("report not processed: the daemon is stopping".into()),
     }
 }
+
+/// Sends a request for permits to the control thread and waits for its reply.
+async fn forward_permit_request(
+    tx: &mpsc::Sender<IncomingCall>,
+    daemon: VmName,
+    request: PermitRequest,
+) -> PeerReply {
+    let (reply_tx, reply) = oneshot::channel();
+    let call = IncomingCall::Permits(daemon, request, reply_tx);
+    if tx.try_send(call).is_err() {
+        return PeerReply::Error("request rejected: the daemon is overloaded or stopping".into());
+    }
+    match reply.await {
+        Ok(reply) => PeerReply::Permits(reply),
+        Err(_) => PeerReply::Error("request not processed: the daemon issues no permits".into()),
+    }
+}
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -221,7 +221,6 @@
         if !backend.pause.admit(&mut is_probe, now) {
             return Exchange::NotRun(NotRun::Paused);
         }
-        backend.rate_limit.count_sent();
         let left = left.saturating_sub(started.elapsed());
         let mut req = to_request(backend, out, names, left);
         let too_many_informational = limit_informational(&mut req);
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -107,6 +107,7 @@
     pub fn register(&mut self, entry: EndpointEntry, since: Millis, now: Millis) {
         let name = Arc::clone(&entry.instance.name);
         self.pauses.end_earlier_lives(&entry.instance, now);
+        self.rate_limits.end_earlier_lives(&entry.instance);
         let known = self.endpoints.remove(&name);
         let is_unchanged = |known: &RegisteredEndpoint| {
             known.entry.instance == entry.instance
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,8 +4,13 @@
     clock::Millis,
     config::ConfigSnapshot,
     gateway::{
-        controller_lease::LeaseRow, leaving::LeavingLife, load_stats::LoadReport,
-        pause::PauseReport, registry::EndpointChanges, relative_latency::RelativeLatencyUpdate,
+        controller_lease::LeaseRow,
+        leaving::LeavingLife,
+        load_stats::LoadReport,
+        pause::PauseReport,
+        rate_limit::{LimitReport, PermitReply, PermitRequest},
+        registry::EndpointChanges,
+        relative_latency::RelativeLatencyUpdate,
     },
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
@@ -32,6 +37,8 @@
     Forward(ForwardRequest),
     /// Reports a daemon's load counts and versions to the range controller.
     Report(DaemonReport),
+    /// Asks the range controller for permits to send requests to an endpoint with a limit.
+    Permits(VmName, PermitRequest),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -47,6 +54,8 @@
     Forward(ForwardReply),
     /// Reply to [`PeerRequest::Report`].
     Report(ReportReply),
+    /// Reply to [`PeerRequest::Permits`].
+    Permits(PermitReply),
     /// The request could not be understood or served.
     Error(Arc<str>),
 }
@@ -73,6 +82,8 @@
     pub leaving: Vec<LeavingLife>,
     /// Pauses that endpoints requested from it and that have not ended.
     pub pauses: Vec<PauseReport>,
+    /// Limits that it knows, and those that have ended lately.
+    pub limits: Vec<LimitReport>,
 }
 
 /// The range controller's reply to a [`DaemonReport`].
@@ -97,6 +108,9 @@
     /// the report, with their ages when the reply was sent. Empty if the replying daemon is not the
     /// controller.
     pub leaving: Vec<LeavingLife>,
+    /// Limits of endpoints that differ from those in the report. Empty if the replying daemon is not
+    /// the controller.
+    pub limits: Vec<LimitReport>,
 }
 
 /// Endpoint changes that the reporting daemon lacks, and how old the information is.
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -263,7 +263,7 @@
                 let reply = (context.forward)(forward);
                 Box::pin(async move { PeerReply::Forward(reply.await) })
             }
-            PeerRequest::Report(_) => {
+            PeerRequest::Report(_) | PeerRequest::Permits(..) => {
                 Box::pin(async { PeerReply::Error("this daemon does not manage ranges".into()) })
             }
             PeerRequest::Sync(sync) => {
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -11,6 +11,7 @@
         model::{EndpointEntry, EndpointInstance},
         owners::{Owners, OwnersChange},
         pause::PauseReport,
+        rate_limit::LimitReport,
         relative_latency::RelativeLatencyUpdate,
     },
     peer::{
@@ -44,6 +45,14 @@
             },
             left: Millis(500),
         }],
+        limits: vec![LimitReport {
+            endpoint: EndpointInstance {
+                name: "e".into(),
+                started_at_ms: 1,
+            },
+            per_second: Some(7.5),
+            age: Millis(20),
+        }],
     })
 }
 
@@ -63,6 +72,14 @@
             },
             age: Millis(20),
         }],
+        limits: vec![LimitReport {
+            endpoint: EndpointInstance {
+                name: "e".into(),
+                started_at_ms: 1,
+            },
+            per_second: Some(7.5),
+            age: Millis(20),
+        }],
     })
 }
 
--- a/tests/gateway/incarnations.rs
+++ b/tests/gateway/incarnations.rs
@@ -56,6 +56,7 @@
         load: LoadReport::default(),
         leaving: Vec::new(),
         pauses: Vec::new(),
+        limits: Vec::new(),
     })
 }
 
