Issue permits to callers that still wait

With 62 to 2,000 daemons and even demand, half of a limit was wasted: the longest-held request for a permit was served first, and the caller behind it had often given up. Of the daemons that have got the same number of permits lately, the latest request is now served first, and none is held longer than 0.25 s.

--- a/src/gateway/rate_limit/issuer.rs
+++ b/src/gateway/rate_limit/issuer.rs
@@ -4,9 +4,11 @@
 
 use super::{PermitReply, Rate};
 use crate::{clock::Millis, collections::Map, gateway::model::EndpointInstance, world::VmName};
+use std::cmp::Reverse;
 
-/// Longest time for which a daemon's request for permits is held while there are none.
-pub const MAX_HOLD: Millis = Millis(400);
+/// Longest time for which a daemon's request for permits is held while there are none. Callers do not
+/// wait long, and a permit for a request that has given up is wasted.
+pub const MAX_HOLD: Millis = Millis(250);
 /// Time without permits after a limit is first known, because the requests of the last moments count
 /// against it.
 const START_PAUSE_SECONDS: f64 = 1.0;
@@ -190,8 +192,9 @@
         replies.extend(over.iter().map(|ask| self.reply(ask, 0, now)));
     }
 
-    /// Position of the waiting request that is served next: of the daemon that has got the fewest
-    /// permits lately, and of several the one that came first.
+    /// Position of the waiting request that is served next: of the daemon that has got the fewest whole
+    /// permits lately, and of several the one that came last. The caller behind an older one is more
+    /// likely to have given up.
     fn next_ask(&mut self, now: Millis) -> Option<usize> {
         let asks: Vec<(usize, VmName, AskId)> = self
             .waiting
@@ -202,8 +205,8 @@
             .collect();
         let ranked = asks
             .into_iter()
-            .map(|(at, daemon, id)| (self.asker(&daemon, now).received, id.0, at));
-        let first = ranked.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            .map(|(at, daemon, id)| (self.asker(&daemon, now).received as u64, Reverse(id.0), at));
+        let first = ranked.min();
         first.map(|(_, _, at)| at)
     }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod leaving_outage;
 mod leaving_restart;
 mod limited_daemons;
+mod limited_fleet;
 mod lives;
 mod lives_observed;
 mod owners;
