Explain the limit of a key's owner, and test what becomes of limits

From a rejected request an operator gets to the limit that rejected it: explain and the status page show the limit with source, age and this daemon's interval. Tests cover later lives, reports that are older than what is known, invalid values of peers, permits that arrive late, callers that return, and keys that leave a limited owner.

--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -143,7 +143,7 @@
                     "leaving_notice": leaving_notice(member, now),
                     "aside": backend.is_ejected(now),
                     "paused_ms": backend.pause.end(now).map_or(0, |end| end.since(now).0),
-                    "request_limit": request_limit(member, now),
+                    "limit": explain::limit(member, now),
                     "in_flight": backend.in_flight(),
                     "age_ms": now.since(backend.first_seen).0,
                 })
@@ -172,18 +172,6 @@
     }
 }
 
-/// The limit that an endpoint named, and how many requests of this daemon counted against it.
-fn request_limit(member: &Member, now: Millis) -> Option<Value> {
-    let rate_limit = &member.backend.rate_limit;
-    let limit = rate_limit.current()?;
-    Some(json!({
-        "per_second": limit.rate.per_second(),
-        "source": limit.source.to_string(),
-        "age_ms": now.since(limit.since).0,
-        "sent": rate_limit.sent(),
-    }))
-}
-
 /// The earliest notice that an endpoint leaves, and how long it is still used.
 fn leaving_notice(member: &Member, now: Millis) -> Option<Value> {
     let notice = explain::leaving(member, now)?;
--- a/src/gateway/status/explain.rs
+++ b/src/gateway/status/explain.rs
@@ -36,7 +36,7 @@
 }
 
 /// What a daemon knows of a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Explanation {
     /// The service.
     pub service: ServiceName,
@@ -53,6 +53,23 @@
     pub leaving: Option<Restriction>,
     /// The pause that the owner requested from this daemon. The time left is that until its end.
     pub pause: Option<Restriction>,
+    /// The limit that the owner named.
+    pub limit: Option<NamedLimit>,
+}
+
+/// A limit that an endpoint named.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct NamedLimit {
+    /// Requests per second from all daemons together.
+    pub per_second: f64,
+    /// Where the daemon learned of it.
+    pub source: Arc<str>,
+    /// Time since the daemon learned that the endpoint names a limit, in milliseconds.
+    pub age_ms: u64,
+    /// Mean time between two requests that this daemon may send, in milliseconds.
+    pub interval_ms: u64,
+    /// Requests that this daemon has sent under limits of this life.
+    pub sent: u64,
 }
 
 /// The life of an endpoint that owns a key.
@@ -115,6 +132,7 @@
         },
         leaving: member.and_then(|member| leaving(member, now)),
         pause: member.and_then(|member| pause(member, now)),
+        limit: member.and_then(|member| limit(member, now)),
     })
 }
 
@@ -130,6 +148,19 @@
     })
 }
 
+/// The limit that an endpoint named, to whichever daemon.
+pub(super) fn limit(member: &Member, now: Millis) -> Option<NamedLimit> {
+    let rate_limit = &member.backend.rate_limit;
+    let limit = rate_limit.current()?;
+    Some(NamedLimit {
+        per_second: limit.rate.per_second(),
+        source: limit.source.to_string().into(),
+        age_ms: now.since(limit.since).0,
+        interval_ms: rate_limit.interval()?.0,
+        sent: rate_limit.sent(),
+    })
+}
+
 /// The pause that an endpoint requested. Only its own responses to this daemon can request one.
 fn pause(member: &Member, now: Millis) -> Option<Restriction> {
     let pause = member.backend.pause.in_progress(now)?;
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -12,6 +12,7 @@
     gateway::{
         leaving::LeavingLife,
         model::{EndpointEntry, EndpointInstance},
+        rate_limit::{Announcement, Rate},
         status::explain::{ExplainError, Explanation, Restriction, explain},
         view::{View, ViewBuilder},
     },
@@ -52,10 +53,30 @@
         },
         "leaving": null,
         "pause": null,
+        "limit": null,
     });
     assert_eq!(json!(explanation), expected);
 }
 
+/// Guards against an operator who cannot find the limit that rejected a request.
+#[test]
+fn a_limit_of_the_owner_is_shown() {
+    let mut builder = builder();
+    let owner = entry(false, local(1)).instance;
+    let limit = builder.rate_limits().of(&owner);
+    let named = Announcement::Named(Rate::new(8.0).expect("a valid rate"));
+    limit.record(named, NOW - Millis(50), NOW);
+    let explanation = explained(&mut builder, NOW + Millis(200));
+    let expected = json!({
+        "per_second": 8.0,
+        "source": "response",
+        "age_ms": 200,
+        "interval_ms": 125,
+        "sent": 0,
+    });
+    assert_eq!(json!(explanation)["limit"], expected);
+}
+
 /// Guards against a notice that is shown with another source or time left than requests follow.
 #[test_case("registry", 700; "registry: the keys move within 0.8 s")]
 #[test_case("response", 1_300; "response")]
--- a/tests/gateway/paused_owner.rs
+++ b/tests/gateway/paused_owner.rs
@@ -1,5 +1,5 @@
 //! Guards against a controller that takes an owner for broken because it has asked daemons for a
-//! pause, or that places keys as if it had all its capacity.
+//! pause, or that places keys as if an owner with a pause or a limit had all its capacity.
 
 use fireflygauge::{
     clock::Millis,
@@ -9,6 +9,7 @@
         load_stats::{LoadStats, ServiceLoad},
         model::{EndpointEntry, EndpointInstance},
         platform::{GrantOutcome, ReleaseOutcome, WriteOutcome},
+        rate_limit::Rate,
     },
     world::{Incarnation, ServiceName, VmName},
 };
@@ -110,6 +111,27 @@
 fn keys_leave_an_endpoint_whose_capacity_is_missing(missing: f64, moves: bool) {
     let mut controller = controller(vec![endpoint("e", 1), endpoint("f", 2)]);
     controller.set_pauses([(life("e"), missing)].into_iter().collect());
+    let released = releases_under_load(&mut controller);
+    assert_eq!(!released.is_empty(), moves, "{released:?}");
+    assert!(released.iter().all(|port| *port == 1), "{released:?}");
+}
+
+/// Guards against keys that stay with an endpoint whose limit is below their load, or that leave one
+/// whose limit they do not reach.
+#[test_case(2.0, true; "below the load")]
+#[test_case(0.0, true; "zero")]
+#[test_case(500.0, false; "above the capacity")]
+fn keys_leave_an_endpoint_with_a_low_limit(per_second: f64, moves: bool) {
+    let mut controller = controller(vec![endpoint("e", 1), endpoint("f", 2)]);
+    let rate = Rate::new(per_second).expect("a valid rate");
+    controller.set_rate_limits([(life("e"), rate)].into_iter().collect());
+    let released = releases_under_load(&mut controller);
+    assert_eq!(!released.is_empty(), moves, "{released:?}");
+    assert!(released.iter().all(|port| *port == 1), "{released:?}");
+}
+
+/// Ports of the endpoints that are told to release keys when all keys have the same load.
+fn releases_under_load(controller: &mut Controller) -> Vec<u16> {
     let load = ServiceLoad {
         service: "s".into(),
         keys: (0..64).map(|i| (i * 1_000, 1)).collect(),
@@ -119,7 +141,5 @@
     stats.add(&load, Millis(ASSIGNED_MS));
     let stats = [("s".into(), stats)].into_iter().collect();
     let times = ASSIGNED_MS..ASSIGNED_MS + 100;
-    let released = releases(&mut controller, &stats, times, GrantOutcome::Granted);
-    assert_eq!(!released.is_empty(), moves, "{released:?}");
-    assert!(released.iter().all(|port| *port == 1), "{released:?}");
+    releases(controller, &stats, times, GrantOutcome::Granted)
 }
--- a/tests/gateway/rate_limit.rs
+++ b/tests/gateway/rate_limit.rs
@@ -5,7 +5,10 @@
     clock::Millis,
     gateway::{
         model::EndpointInstance,
-        rate_limit::{Announcement, Rate, RateLimit, announced},
+        rate_limit::{
+            Announcement, LimitReport, PermitReply, Rate, RateLimit, RateLimits, announced,
+            is_urgent, not_known,
+        },
     },
 };
 use http::{HeaderMap, HeaderValue};
@@ -92,3 +95,126 @@
         assert_eq!(rate, Some(per_second));
     }
 }
+
+fn life(started_at_ms: u64) -> EndpointInstance {
+    EndpointInstance {
+        started_at_ms,
+        ..endpoint()
+    }
+}
+
+fn report(per_second: Option<f64>, age: u64) -> LimitReport {
+    LimitReport {
+        endpoint: endpoint(),
+        per_second,
+        age: Millis(age),
+    }
+}
+
+/// A limit of 5 requests per second that a response at 1,000 ms named.
+fn limited() -> (RateLimits, std::sync::Arc<RateLimit>) {
+    let mut limits = RateLimits::default();
+    let limit = limits.of(&endpoint());
+    limit.record(named(5.0), Millis(900), Millis(1_000));
+    (limits, limit)
+}
+
+/// Guards against reports of other daemons that are older than what this one knows, and against
+/// values of a peer that are no limits.
+#[test_case(Some(3.0), 500, Some(3.0); "later limit")]
+#[test_case(Some(3.0), 1_500, Some(5.0); "earlier limit")]
+#[test_case(None, 500, None; "later end")]
+#[test_case(None, 1_500, Some(5.0); "earlier end")]
+#[test_case(Some(f64::NAN), 500, Some(5.0); "not a number")]
+#[test_case(Some(-1.0), 500, Some(5.0); "negative")]
+#[test_case(Some(f64::INFINITY), 500, Some(1e9); "infinite")]
+fn the_latest_knowledge_of_a_limit_counts(
+    per_second: Option<f64>,
+    age: u64,
+    expected: Option<f64>,
+) {
+    let (mut limits, limit) = limited();
+    limits.record_heard(&[report(per_second, age)], Millis::ZERO, Millis(2_000));
+    let rate = limit.current().map(|limit| limit.rate.per_second());
+    assert_eq!(rate, expected);
+}
+
+/// Guards against a later life that is held to the limit of a former one, and against a limit that a
+/// late report of the former life brings back.
+#[test]
+fn a_later_life_starts_without_a_limit() {
+    let (mut limits, _) = limited();
+    limits.end_earlier_lives(&life(2));
+    let later = limits.of(&life(2));
+    limits.record_heard(&[report(Some(5.0), 10)], Millis::ZERO, Millis(2_000));
+    assert_eq!(later.current(), None);
+    assert!(later.may_send(Millis(2_000)));
+}
+
+/// Guards against requests without a permit, and against permits that are used twice or late.
+#[test]
+fn each_request_needs_a_permit_of_its_own() {
+    let (limits, limit) = limited();
+    assert!(!limit.may_send(Millis(1_100)));
+    let requests = limits.take_requests(Millis(1_100));
+    assert_eq!(requests.len(), 1, "{requests:?}");
+    let reply = PermitReply {
+        permits: 1,
+        waited: Millis(50),
+        interval: Millis(200),
+    };
+    limits.record_reply(&endpoint(), Some(reply), Millis(1_160));
+    assert!(limit.may_send(Millis(1_170)));
+    limit.take_permit(Millis(1_170));
+    assert!(!limit.may_send(Millis(1_171)));
+    limits.take_requests(Millis(1_171));
+    limits.record_reply(&endpoint(), Some(reply), Millis(1_230));
+    assert!(!limit.may_send(Millis(1_721)), "the permit has ended");
+}
+
+/// Guards against a frozen daemon that uses permits from before its pause.
+#[test]
+fn permits_that_arrive_late_are_void() {
+    let (limits, limit) = limited();
+    assert!(!limit.may_send(Millis(1_100)));
+    limits.take_requests(Millis(1_100));
+    let reply = PermitReply {
+        permits: 3,
+        waited: Millis(100),
+        interval: Millis(200),
+    };
+    limits.record_reply(&endpoint(), Some(reply), Millis(1_700));
+    assert!(!limit.may_send(Millis(1_700)));
+}
+
+/// Guards against callers that are all told to return at the same moment, or later than they wait.
+#[test]
+fn rejected_callers_return_one_permit_apart() {
+    let (_, limit) = limited();
+    let latest = Millis(1_650);
+    let next = || limit.next_return(latest, Millis(1_000));
+    let returns: Vec<_> = (0..4)
+        .map(|_| next().expect("a limit is in force"))
+        .collect();
+    assert_eq!(returns[..3], [Millis(1_200), Millis(1_400), Millis(1_600)]);
+    assert!(returns[3] <= latest, "{returns:?}");
+}
+
+/// Guards against a change that reaches the other daemons late, and against a small one that makes
+/// the controller reply to all of them at once.
+#[test_case(Some(5.0), None, 1, true; "new")]
+#[test_case(None, Some(5.0), 1, true; "ended")]
+#[test_case(Some(5.0), Some(10.0), 1, true; "halved")]
+#[test_case(Some(5.0), Some(5.1), 1, false; "slightly changed")]
+#[test_case(Some(5.0), Some(5.0), 0, false; "known")]
+fn daemons_are_told_what_they_lack(
+    known: Option<f64>,
+    reported: Option<f64>,
+    lacking: usize,
+    urgent: bool,
+) {
+    let reported = [report(reported, 0)];
+    let unknown = not_known(&[report(known, 0)], &reported);
+    assert_eq!(unknown.len(), lacking);
+    assert_eq!(is_urgent(&unknown, &reported), urgent);
+}
