Reproduce daemons that go on as if versions only rose

After a restoration of the store, a daemon reads a table again and again (2,199 calls in 2 s) until the versions have caught up, and the lease row of the copy is taken for the present one, so that its epoch is given out again.

--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -31,6 +31,14 @@
 struct State {
     is_failing: bool,
     latency: Duration,
+    /// Number of calls so far.
+    calls: usize,
+    content: Content,
+}
+
+/// What a copy of the store has.
+#[derive(Clone, Default)]
+pub struct Content {
     version: u64,
     rows: BTreeMap<(u8, Arc<str>), (u64, Bytes)>,
 }
@@ -117,8 +125,30 @@
         state.latency = latency;
     }
 
+    /// A copy of the store as it is now.
+    pub fn copy(&self) -> Content {
+        let state = self.state.lock().expect("no panic while locked");
+        state.content.clone()
+    }
+
+    /// Replaces the store by a copy: what was written since is lost, and versions are given out again.
+    pub fn restore(&self, copy: Content) {
+        let mut state = self.state.lock().expect("no panic while locked");
+        state.content = copy;
+    }
+
+    /// Number of calls to the store so far, over all links.
+    pub fn calls(&self) -> usize {
+        self.state.lock().expect("no panic while locked").calls
+    }
+
+    /// Counts a call, and waits for as long as the store takes to respond.
     async fn delay(&self) {
-        let latency = self.state.lock().expect("no panic while locked").latency;
+        let latency = {
+            let mut state = self.state.lock().expect("no panic while locked");
+            state.calls += 1;
+            state.latency
+        };
         sleep(latency).await;
     }
 
@@ -132,15 +162,16 @@
 
     fn put(&self, table: Table, name: &str, value: &str) {
         let mut state = self.state.lock().expect("no panic while locked");
-        state.version += 1;
-        let row = (state.version, Bytes::from(value.to_owned()));
-        state.rows.insert((table as u8, name.into()), row);
+        let content = &mut state.content;
+        content.version += 1;
+        let row = (content.version, Bytes::from(value.to_owned()));
+        content.rows.insert((table as u8, name.into()), row);
     }
 
     /// Sets the version byte of the rows that daemons have written.
     pub fn set_row_version(&self, format: u8) {
         let mut state = self.state.lock().expect("no panic while locked");
-        for ((table, _), (_, value)) in &mut state.rows {
+        for ((table, _), (_, value)) in &mut state.content.rows {
             if [Table::Controller as u8, Table::Owners as u8].contains(table) {
                 let rest = value.slice(1..);
                 *value = [&[format], &*rest].concat().into();
@@ -150,7 +181,8 @@
 
     fn rows_after(&self, table: Table, after: u64) -> Rows {
         let state = self.state.lock().expect("no panic while locked");
-        let of_table = state.rows.iter().filter(|((t, _), _)| *t == table as u8);
+        let content = &state.content;
+        let of_table = content.rows.iter().filter(|((t, _), _)| *t == table as u8);
         let newer = of_table.filter(|(_, (version, _))| *version > after);
         let rows = newer.map(|((_, name), (version, value))| StoredRow {
             name: Arc::clone(name),
@@ -159,7 +191,7 @@
         });
         Rows {
             rows: rows.collect(),
-            version: state.version,
+            version: content.version,
         }
     }
 }
@@ -220,6 +252,9 @@
         let polls = wait.as_millis() / 10;
         for _ in 0..polls {
             self.check()?;
+            if after > self.rows_after(table, after).version {
+                return Ok(Changes::HistoryLost);
+            }
             let rows = self.rows_after(table, after);
             if !rows.rows.is_empty() {
                 return Ok(Changes::Rows(rows));
@@ -235,8 +270,10 @@
             return WriteOutcome::Refused;
         }
         let mut state = self.state.lock().expect("no panic while locked");
+        state.calls += 1;
+        let content = &mut state.content;
         let conditions_hold = writes.iter().all(|write| {
-            let row = state
+            let row = content
                 .rows
                 .get(&(write.table as u8, Arc::clone(&write.name)));
             let version = row.map_or(0, |(version, _)| *version);
@@ -245,11 +282,11 @@
         if !conditions_hold {
             return WriteOutcome::Conflict;
         }
-        state.version += 1;
-        let version = state.version;
+        content.version += 1;
+        let version = content.version;
         for write in writes {
             let value = write.value.expect("rows are never removed");
-            state
+            content
                 .rows
                 .insert((write.table as u8, write.name), (version, value));
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod receivers;
 mod registry;
 mod relative_latency;
+mod restored_store;
 mod routes;
 mod simulation;
 mod stop;
--- /dev/null
+++ b/tests/gateway/restored_store.rs
@@ -0,0 +1,103 @@
+//! Guards against daemons that go on as if versions of the store only rose, after it has come back
+//! from a copy. The platform is in memory.
+
+use crate::{
+    daemon::Daemon,
+    fake_endpoint::{Behavior, FakeEndpoint},
+    fake_platform::FakePlatform,
+};
+use fireflygauge::gateway::{
+    controller_lease::LeaseRow,
+    platform::{Platform, Table},
+};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Time within which a change must be known.
+const KNOWN_WITHIN: Duration = Duration::from_secs(2);
+/// Calls to the store that a daemon may make within this time.
+const MAX_CALLS: usize = 40;
+
+async fn has_endpoints(daemon: &Daemon, count: usize) -> bool {
+    let metrics = daemon.get(daemon.status, "/metrics").await;
+    let text = format!("fireflygauge_endpoints{{service=\"plain\"}} {count}\n");
+    metrics.is_ok_and(|response| String::from_utf8_lossy(response.body()).contains(&text))
+}
+
+/// Writes rows that no daemon uses, so that the version rises.
+fn raise_version(platform: &FakePlatform, by: u64) {
+    (0..by).for_each(|_| platform.declare(1));
+}
+
+/// Guards against changes that are ignored until the versions have caught up with those before the
+/// restoration, and against a table that is read again and again until then.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_after_a_restoration_are_known() {
+    let platform = FakePlatform::new();
+    let endpoint = FakeEndpoint::start(Behavior::Ok).await;
+    platform.register("e0", "plain", endpoint.addr);
+    platform.declare(1);
+    let daemon = Daemon::start(&platform);
+    daemon.wait_ready().await;
+    let copy = platform.copy();
+    raise_version(&platform, 1_000);
+    sleep(Duration::from_millis(800)).await;
+    platform.restore(copy);
+    let calls = platform.calls();
+    sleep(Duration::from_millis(300)).await;
+    platform.register("e1", "plain", endpoint.addr);
+    let registered = Instant::now();
+    while !has_endpoints(&daemon, 2).await {
+        let calls = platform.calls() - calls;
+        assert!(
+            registered.elapsed() < KNOWN_WITHIN,
+            "unknown, {calls} calls"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(KNOWN_WITHIN - registered.elapsed()).await;
+    let calls = platform.calls() - calls;
+    assert!(calls <= MAX_CALLS, "{calls} calls");
+}
+
+async fn lease(platform: &FakePlatform) -> Option<LeaseRow> {
+    let rows = platform.read(Table::Controller).await.ok()?;
+    LeaseRow::decode(rows.rows.first()?.value.as_ref()?).ok()
+}
+
+/// Guards against an epoch that is given out twice, because the copy has the row of an earlier one:
+/// grants under the first are still in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn epochs_rise_across_a_restoration() {
+    let platform = FakePlatform::new();
+    let endpoint = FakeEndpoint::start(Behavior::Ok).await;
+    platform.register("k", "keyed", endpoint.addr);
+    platform.declare(1);
+    let first = Daemon::start_as("d1", &platform);
+    first.wait_ready().await;
+    let second = Daemon::start_as("d2", &platform);
+    second.wait_ready_among(2).await;
+    let copy = platform.copy();
+    first.stop();
+    let end = Instant::now() + Duration::from_secs(10);
+    let epoch = loop {
+        let row = lease(&platform).await.expect("the lease was taken");
+        if &*row.holder.0 == "d2" {
+            break row.epoch;
+        }
+        assert!(Instant::now() < end, "the lease was not taken over");
+        sleep(Duration::from_millis(20)).await;
+    };
+    raise_version(&platform, 50);
+    sleep(Duration::from_millis(500)).await;
+    platform.restore(copy);
+    let end = Instant::now() + Duration::from_secs(6);
+    loop {
+        let row = lease(&platform).await.expect("the copy has the lease");
+        if row.epoch > epoch {
+            break;
+        }
+        assert!(Instant::now() < end, "{row:?}, in force before: {epoch}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
