Let no owners of a copy replace later ones

After a restoration of the store, a daemon that read the owners' row took it for a later one, since its version is of a later era, and sent requests to former owners.

A controller writes a row only with a new assignment, whose token is above all earlier ones, so the highest token of a row tells which of two is the later one, in whatever eras they were read.

--- a/src/gateway/owners.rs
+++ b/src/gateway/owners.rs
@@ -48,6 +48,13 @@
         Self { ranges }
     }
 
+    /// The highest token of an assignment; 0 without any. It rises with each row that a controller
+    /// writes, and so tells which of two rows is the later one, whatever their versions.
+    pub fn latest_token(&self) -> u64 {
+        let tokens = self.ranges.iter().map(|range| range.token);
+        tokens.max().unwrap_or(0)
+    }
+
     /// The ranges in ascending order of their keys.
     pub fn ranges(&self) -> &[OwnedRange] {
         &self.ranges
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -250,13 +250,12 @@
         Arc::clone(state)
     }
 
-    /// Sets the owners of a service's keys if `version` is newer than the current one. True if they
-    /// were set.
+    /// Sets the owners of a service's keys if `version` is newer than the current one, unless the row is
+    /// an earlier one, from a copy of the store. True if they were set.
     pub fn set_owners(&mut self, service: ServiceName, version: u64, owners: Owners) -> bool {
-        let is_newer = self
-            .owners
-            .get(&service)
-            .is_none_or(|(current, _)| version > *current);
+        let is_newer = self.owners.get(&service).is_none_or(|(current, known)| {
+            version > *current && owners.latest_token() >= known.latest_token()
+        });
         if is_newer {
             self.owners.insert(service, (version, Arc::new(owners)));
         }
@@ -269,6 +268,14 @@
         Some((*version, owners))
     }
 
+    /// The owners of all services' keys.
+    pub fn owners(&self) -> Vec<(ServiceName, Arc<Owners>)> {
+        let owners = self.owners.iter();
+        owners
+            .map(|(name, (_, owners))| (name.clone(), Arc::clone(owners)))
+            .collect()
+    }
+
     /// Sets the relative latencies of endpoints.
     pub fn set_relative_latencies(&self, latencies: &[(Arc<str>, f32)]) {
         for (name, latency) in latencies {
