Keep the controller lease and its epochs across restorations

Cause: an epoch was one above that of the row, and whatever row the store has was taken for the present one.

Change: epochs of an era of the store start above all earlier eras', so a row from before a restoration is known by its epoch and names nobody. A successor starts from the latest owners that it knows; one that knows none grants nothing until earlier leases have ended. A condition that a row is missing holds in its era only.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -142,6 +142,7 @@
         controller,
         load: Map::default(),
         daemons: Map::default(),
+        last_reports: Map::default(),
         incarnations: Incarnations::default(),
         tx,
         watches,
@@ -236,6 +237,8 @@
     /// Load by service, aggregated while this daemon is the controller.
     load: Map<ServiceName, LoadStats>,
     daemons: Map<VmName, ReportingDaemon>,
+    /// When each daemon last reported, also if it is no longer counted.
+    last_reports: Map<VmName, Millis>,
     incarnations: Incarnations,
     peers: PeerClient,
     tx: mpsc::Sender<Input>,
@@ -300,9 +303,12 @@
             Input::Rows(update) => self.apply_update(&update),
             Input::Controller(event) => {
                 let now = self.cx.clock.now();
-                // Only the controller writes owners, so what it has read is up to date.
+                // Only the controller writes owners, so what it has read is up to date, unless the
+                // store came back from a copy.
                 if let Event::Owners(rows) = &event {
                     self.apply_owners(rows.clone());
+                    let known = Event::KnownOwners(self.builder.owners());
+                    self.controller.handle(known, now);
                 }
                 self.controller.handle(event, now);
             }
@@ -348,6 +354,8 @@
         self.builder.rate_limits().step(now);
         if self.controller.lease_state().is_holder() {
             let missing = self.pauses.missing_shares(self.daemons.len(), now);
+            let is_backed = self.is_backed(now);
+            self.controller.set_backed(is_backed);
             self.controller.set_pauses(missing);
             let limits = self.builder.rate_limits().in_force();
             self.controller.set_rate_limits(limits);
--- a/src/gateway/control/actions.rs
+++ b/src/gateway/control/actions.rs
@@ -7,6 +7,7 @@
         controller_lease::LeaseRow,
         owners::Owners,
         platform::{GrantOutcome, Platform, ReleaseOutcome, Rows, StoredRow, Table, WriteOutcome},
+        store_version::{era_of, store_version},
     },
     world::ServiceName,
 };
@@ -65,7 +66,7 @@
 /// The event for the controller lease row in `rows`.
 pub(super) fn lease_event(rows: &Rows) -> Event {
     let Some(row) = rows.rows.first() else {
-        return Event::Lease(0, None);
+        return Event::Lease(store_version(era_of(rows.version), 0), None);
     };
     let lease = row.value.as_ref().and_then(|value| {
         LeaseRow::decode(value)
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -1,10 +1,13 @@
 //! Reports of daemons to the controller, and the updates that its replies carry.
 
-use super::{Control, HeldReport, Input, ReportingDaemon, leaving::instances};
+use super::{
+    Control, HeldReport, Input, ReportingDaemon, leaving::instances, watches::MAX_REPLY_AGE,
+};
 use crate::{
     clock::Millis,
     gateway::{
         controller::Event,
+        controller_lease::STOP_AFTER,
         incarnations::Reported,
         leaving::{LeavingLife, lives::not_reported},
         load_stats::{LoadReport, ProcessingTime, ServiceLoad},
@@ -145,6 +148,7 @@
             controller_cores: f64::from(report.controller_cores),
         };
         self.daemons.insert(report.name.clone(), reporting);
+        self.last_reports.insert(report.name.clone(), now);
         let reported = self.incarnations.record(&report.name, report.incarnation);
         if let Reported::Settled { ended } = reported {
             let predecessor = self
@@ -167,6 +171,15 @@
         }
     }
 
+    /// Whether all daemons that reported in the time for which a holder sends commands still report. One
+    /// that has taken the controller lease over does not.
+    pub(super) fn is_backed(&mut self, now: Millis) -> bool {
+        self.last_reports
+            .retain(|_, at| now.since(*at) < STOP_AFTER);
+        let mut reports = self.last_reports.values();
+        reports.all(|at| now.since(*at) < MAX_REPLY_AGE)
+    }
+
     fn update_daemon_count(&mut self, now: Millis) {
         self.daemons
             .retain(|_, daemon| now.since(daemon.last_report_at) < DAEMON_EXPIRY);
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -26,6 +26,7 @@
     owners::Owners,
     platform::{GrantCommand, GrantOutcome, ReleaseOutcome, RowWrite, WriteOutcome},
     rate_limit::Rate,
+    store_version::{era_of, store_version},
 };
 use crate::{
     clock::Millis,
@@ -64,6 +65,8 @@
     Lease(u64, Option<LeaseRow>),
     /// All owners were read from the store, with the versions of their rows.
     Owners(Vec<(ServiceName, u64, Owners)>),
+    /// The latest owners that this daemon knows from whatever source, before [`Self::Owners`].
+    KnownOwners(Vec<(ServiceName, Arc<Owners>)>),
     /// All endpoints that are registered now, the one with the newest row last.
     Endpoints(Vec<EndpointEntry>),
     /// All keyed services that are declared now.
@@ -116,6 +119,14 @@
     loaded: bool,
     /// Whether a read of the owners is in flight.
     reading: bool,
+    /// Whether the versions of the owners' rows are from before a restoration of the store.
+    rows_outdated: bool,
+    /// The latest owners that this daemon knows.
+    known_owners: Map<ServiceName, Arc<Owners>>,
+    /// Whether all daemons that reported to this one since its last renewal of the lease still do.
+    is_backed: bool,
+    /// Whether the lease was taken over without knowledge of who held it before a restoration.
+    follows_unknown: bool,
     stopping: bool,
     /// Whether the lease is being released for the benefit of another daemon.
     yielding: bool,
@@ -162,6 +173,10 @@
             backoffs: Map::default(),
             loaded: false,
             reading: false,
+            rows_outdated: false,
+            known_owners: Map::default(),
+            is_backed: true,
+            follows_unknown: false,
             stopping: false,
             yielding: false,
             takeover_paused_until: Millis::ZERO,
@@ -211,6 +226,12 @@
         self.paused = missing_shares;
     }
 
+    /// Sets whether all daemons that reported to this one since its last renewal of the lease still do,
+    /// so that none of them has taken it over.
+    pub fn set_backed(&mut self, is_backed: bool) {
+        self.is_backed = is_backed;
+    }
+
     /// Sets the limits that endpoints named.
     pub fn set_rate_limits(&mut self, rate_limits: Map<EndpointInstance, Rate>) {
         self.rate_limits = rate_limits;
@@ -238,6 +259,7 @@
         match event {
             Event::Lease(version, row) => self.handle_lease(version, row, now),
             Event::Owners(rows) => self.load_owners(rows, now),
+            Event::KnownOwners(owners) => self.known_owners = owners.into_iter().collect(),
             Event::Endpoints(entries) => self.set_endpoints(entries),
             Event::Services(services) => self.declared = services,
             Event::Written(id, outcome) => self.handle_written(id, outcome, now),
@@ -252,8 +274,10 @@
     /// Returns the actions that are due at `now`.
     pub fn step(&mut self, stats: &Map<ServiceName, LoadStats>, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
+        let lacks_rows =
+            !self.loaded || (self.rows_outdated && !self.controller_lease.is_restored());
         if self.controller_lease.is_holder()
-            && !self.loaded
+            && lacks_rows
             && !self.reading
             && self.pending.is_none()
         {
@@ -292,7 +316,9 @@
                 .values()
                 .any(|entry| entry.service == service);
             if has_endpoint && !self.services.contains_key(&service) {
-                self.services.insert(service, ServiceRanges::new(0, now));
+                let no_row = store_version(era_of(self.controller_lease.version()), 0);
+                let managed = ServiceRanges::new(no_row, now);
+                self.services.insert(service, managed);
             }
         }
     }
--- a/src/gateway/controller/assigning.rs
+++ b/src/gateway/controller/assigning.rs
@@ -8,6 +8,7 @@
         load_stats::LoadStats,
         model::KeyRange,
         placement::{self, Candidate, Move},
+        store_version::number_of,
     },
     world::ServiceName,
 };
@@ -42,8 +43,10 @@
                 continue;
             };
             let stats = stats.get(&name).unwrap_or(&empty);
-            self.assign_keys(&name, &mut managed, stats, now);
-            self.plan_moves(&name, &mut managed, stats, now);
+            if now >= managed.on_hold_until {
+                self.assign_keys(&name, &mut managed, stats, now);
+                self.plan_moves(&name, &mut managed, stats, now);
+            }
             self.services.insert(name, managed);
         }
     }
@@ -106,7 +109,7 @@
         stats: &LoadStats,
         now: Millis,
     ) {
-        let is_new = managed.version == 0 && managed.ranges.is_empty();
+        let is_new = number_of(managed.version) == 0 && managed.ranges.is_empty();
         if is_new && now.since(managed.added_at) < INITIAL_PLACEMENT_WAIT {
             return;
         }
--- a/src/gateway/controller/commands.rs
+++ b/src/gateway/controller/commands.rs
@@ -25,6 +25,10 @@
             let Some(mut managed) = self.services.remove(&name) else {
                 continue;
             };
+            if now < managed.on_hold_until {
+                self.services.insert(name, managed);
+                continue;
+            }
             for range in &mut managed.ranges {
                 if let Some(action) = self.next_command(&name, range, now) {
                     actions.push(action);
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -3,12 +3,15 @@
 use super::{COMMAND_TIMEOUT, Controller, ManagedRange, Phase, ServiceRanges};
 use crate::{
     clock::Millis,
+    collections::Set,
     gateway::{
         controller_lease::{LeaseRow, STOP_AFTER},
         owners::Owners,
+        store_version::{era_of, store_version},
     },
     world::{Incarnation, ServiceName},
 };
+use std::sync::Arc;
 
 impl Controller {
     pub(super) fn handle_lease(&mut self, version: u64, row: Option<LeaseRow>, now: Millis) {
@@ -18,6 +21,7 @@
         let was_holder = self.controller_lease.is_holder();
         let epoch_before = self.controller_lease.row().map(|row| row.epoch);
         self.controller_lease.observe(version, row, now);
+        self.check_restoration(now);
         if was_holder && !self.controller_lease.is_holder() {
             self.yielding = false;
             log::warn!(target: "ownership", version;
@@ -31,6 +35,20 @@
         }
     }
 
+    /// After a restoration of the store, the holder goes on only if no other daemon can have taken the
+    /// lease over before it: its row may be lost.
+    pub(super) fn check_restoration(&mut self, now: Millis) {
+        if !self.controller_lease.is_restored() || !self.controller_lease.is_holder() {
+            return;
+        }
+        self.rows_outdated = true;
+        if !self.is_backed || !self.controller_lease.may_issue_commands(now) {
+            log::warn!(target: "ownership", is_backed = self.is_backed;
+                "Controller lease is given up: another daemon may have taken it over before the restoration.");
+            self.controller_lease.give_up();
+        }
+    }
+
     /// The end of the predecessor shortens the wait for the leases that it granted.
     pub(super) fn handle_ended(&mut self, incarnation: Incarnation, now: Millis) {
         self.controller_lease.note_ended(incarnation);
@@ -51,6 +69,7 @@
         self.services.clear();
         self.loaded = false;
         self.reading = false;
+        self.rows_outdated = false;
     }
 
     /// Starts an epoch. The predecessor may still send grants for up to `predecessor_active_for`.
@@ -70,14 +89,24 @@
         commands_end + COMMAND_TIMEOUT + self.max_lease_time()
     }
 
-    /// Starts from the owners in the store, which may hold their keys until `grace_end`.
+    /// Starts from the owners in the store, which may hold their keys until `grace_end`. If the store
+    /// came back from a copy, this daemon may know later ones.
     pub(super) fn load_owners(&mut self, rows: Vec<(ServiceName, u64, Owners)>, now: Millis) {
         self.reading = false;
         if !self.controller_lease.is_holder() {
             return;
         }
-        for (service, version, owners) in rows {
+        if self.loaded {
+            self.renew_row_versions(&rows);
+            return;
+        }
+        for (service, version, owners, is_stale) in self.latest_owners(rows) {
             let mut managed = ServiceRanges::new(version, now);
+            managed.needs_rewrite = is_stale;
+            if self.follows_unknown && !self.known_owners.contains_key(&service) {
+                // The last holder may have given the keys to other endpoints than the copy says.
+                managed.on_hold_until = now + COMMAND_TIMEOUT + self.max_lease_time();
+            }
             for owned in owners.ranges() {
                 self.addrs.entry(owned.owner.clone()).or_insert(owned.addr);
                 let range = ManagedRange {
@@ -97,4 +126,46 @@
         log::info!(target: "ownership", services = self.services.len();
             "Owners loaded from the store.");
     }
+
+    /// The later owners of those in the rows and those that this daemon knows, with the versions of the
+    /// rows, and whether a row has earlier ones.
+    fn latest_owners(
+        &self,
+        rows: Vec<(ServiceName, u64, Owners)>,
+    ) -> Vec<(ServiceName, u64, Arc<Owners>, bool)> {
+        let in_rows: Set<ServiceName> = rows.iter().map(|(name, ..)| name.clone()).collect();
+        let mut latest: Vec<(ServiceName, u64, Arc<Owners>, bool)> = rows
+            .into_iter()
+            .map(|(name, version, owners)| {
+                let known = self.known_owners.get(&name);
+                let later = known.filter(|known| known.latest_token() > owners.latest_token());
+                let is_stale = later.is_some();
+                let owners = later.map_or_else(|| Arc::new(owners), Arc::clone);
+                (name, version, owners, is_stale)
+            })
+            .collect();
+        let missing = self
+            .known_owners
+            .iter()
+            .filter(|(name, owners)| !in_rows.contains(*name) && owners.latest_token() > 0);
+        latest.extend(missing.map(|(name, owners)| {
+            let version = store_version(era_of(self.controller_lease.version()), 0);
+            (name.clone(), version, Arc::clone(owners), true)
+        }));
+        latest
+    }
+
+    /// Takes over the versions of the rows after a restoration of the store, whose content is written
+    /// again.
+    fn renew_row_versions(&mut self, rows: &[(ServiceName, u64, Owners)]) {
+        let missing = store_version(era_of(self.controller_lease.version()), 0);
+        for (name, managed) in &mut self.services {
+            let row = rows.iter().find(|(in_row, ..)| in_row == name);
+            managed.version = row.map_or(missing, |(_, version, _)| *version);
+            managed.needs_rewrite = true;
+        }
+        self.rows_outdated = false;
+        log::info!(target: "ownership", services = self.services.len();
+            "Owners are written again after a restoration of the store.");
+    }
 }
--- a/src/gateway/controller/ranges.rs
+++ b/src/gateway/controller/ranges.rs
@@ -121,6 +121,10 @@
     pub added_at: Millis,
     /// When moves may be planned next.
     pub next_move_at: Millis,
+    /// Whether the row has to be written again, because the store came back from a copy.
+    pub needs_rewrite: bool,
+    /// Until when no keys are granted or assigned, because endpoints may hold others than the row says.
+    pub on_hold_until: Millis,
 }
 
 impl ServiceRanges {
@@ -131,6 +135,8 @@
             ranges: Vec::new(),
             added_at: now,
             next_move_at: now,
+            needs_rewrite: false,
+            on_hold_until: Millis::ZERO,
         }
     }
 
@@ -139,11 +145,10 @@
         self.ranges.iter_mut().find(|range| range.id == id)
     }
 
-    /// Whether any range has an owner that is not written yet.
+    /// Whether any range has an owner that is not written yet, or that has to be written again.
     pub fn has_unwritten(&self) -> bool {
-        self.ranges
-            .iter()
-            .any(|range| range.phase == Phase::Writing)
+        let mut ranges = self.ranges.iter();
+        self.needs_rewrite || ranges.any(|range| range.phase == Phase::Writing)
     }
 
     /// Whether a grant was issued whose outcome is not known yet.
--- a/src/gateway/controller/writes.rs
+++ b/src/gateway/controller/writes.rs
@@ -67,6 +67,7 @@
             && now >= self.takeover_paused_until
             && self.controller_lease.can_take_over(now);
         let unwritten = self.loaded
+            && !self.rows_outdated
             && now >= self.next_owners_write_at
             && self.services.values().any(|m| m.has_unwritten());
         let renews = self.controller_lease.is_renewal_due(now)
@@ -113,6 +114,7 @@
         let with_owners = !takes_over
             && !releases
             && self.loaded
+            && !self.rows_outdated
             && self.controller_lease.may_issue_commands(now);
         let unwritten = self.services.iter().filter(|(_, m)| m.has_unwritten());
         for (name, managed) in unwritten.filter(|_| with_owners) {
@@ -187,8 +189,12 @@
             .row()
             .map(|row| row.incarnation)
             .filter(|_| !predecessor_ended);
+        self.follows_unknown = pending.takes_over && self.controller_lease.is_holder_unknown();
+        // The owners' rows are those of the copy as well.
+        self.rows_outdated |= self.controller_lease.is_restored() && !pending.takes_over;
         self.controller_lease
             .record_commit(version, pending.row, pending.sent, now);
+        self.check_restoration(now);
         if pending.takes_over {
             let predecessor_active_for = if predecessor_ended {
                 Millis::ZERO
@@ -206,6 +212,7 @@
                 continue;
             };
             managed.version = version;
+            managed.needs_rewrite = false;
             for id in ids {
                 if let Some(range) = managed.range_mut(id) {
                     range.phase = Phase::Held;
--- a/src/gateway/controller_lease.rs
+++ b/src/gateway/controller_lease.rs
@@ -4,7 +4,13 @@
 //! Another daemon takes it over when the row has not changed for [`TAKEOVER_AFTER`]. A holder that
 //! cannot renew it stops sending commands to endpoints [`STOP_AFTER`] after its last renewal. This
 //! bounds how long a predecessor's commands can reach endpoints that its successor cannot fence.
+//!
+//! When the store comes back from a copy, the row is an earlier one. Epochs of an era of the store
+//! start above all those of earlier eras, so such a row is known by its epoch. It names nobody: the
+//! daemon that held the lease before the restoration goes on and renews it in a new epoch, and others
+//! take it over only if the row stays unchanged.
 
+use super::store_version::{era_of, number_of};
 use crate::{
     clock::Millis,
     peer::codec::{self, CodecError},
@@ -26,6 +32,14 @@
 /// time that a command may take.
 const SOLE_FOR: Millis = Millis(1_200);
 
+/// Bits of an epoch below the era of the store in which it begins.
+const EPOCHS_PER_ERA_BITS: u32 = 16;
+
+/// The lowest epoch that begins in an era of the store.
+fn first_epoch(era: u64) -> u64 {
+    era << EPOCHS_PER_ERA_BITS
+}
+
 /// Content of the lease row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -77,6 +91,23 @@
     /// Earlier holders that lost the lease without releasing it, and until when they may send
     /// commands; `None` for holders whose row was not observed or could not be decoded.
     replaced: Vec<(Option<Incarnation>, Millis)>,
+    /// What became of the row in a restoration of the store.
+    restored: Restored,
+    /// Whether the daemon held the lease before that restoration and has given it up, because another
+    /// may have taken it over unnoticed.
+    has_given_up: bool,
+}
+
+/// What became of the lease row in the last restoration of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Restored {
+    /// Nothing: the row was written since, or there was no restoration.
+    No,
+    /// It is an earlier one. The row that is kept here is the last one before the restoration that this
+    /// daemon observed.
+    Known,
+    /// It is an earlier one, and this daemon has observed no other.
+    Unknown,
 }
 
 impl ControllerLease {
@@ -92,6 +123,8 @@
             jitter,
             ended: None,
             replaced: Vec::new(),
+            restored: Restored::No,
+            has_given_up: false,
         }
     }
 
@@ -108,20 +141,25 @@
         ends.max().unwrap_or(Millis::ZERO)
     }
 
-    /// Records at `now` that `row` is the first one that this process has observed. Unless it is of the
-    /// first epoch, its holder took the lease from others, which may send commands although this
-    /// process has not seen them.
-    fn note_unseen(&mut self, row: Option<&LeaseRow>, now: Millis) {
-        if row.is_none_or(|row| row.epoch > 1) {
+    /// Records at `now` that `row`, read at `version`, is the first one that this process has observed.
+    /// Unless it is of the first epoch of all, its holder took the lease from others, which may send
+    /// commands although this process has not seen them.
+    fn note_unseen(&mut self, version: u64, row: Option<&LeaseRow>, now: Millis) {
+        // Stores count their eras from 1, or name none.
+        let first = first_epoch(era_of(version).min(1)) + 1;
+        if row.is_none_or(|row| row.epoch > first) {
             self.replaced.push((None, now + STOP_AFTER));
         }
     }
 
-    /// Records at `now` that `next` takes the place of the last observed row.
-    fn note_replaced(&mut self, next: Option<&LeaseRow>, now: Millis) {
+    /// Records at `now` that `next`, read at `version`, takes the place of the last observed row.
+    fn note_replaced(&mut self, version: u64, next: Option<&LeaseRow>, now: Millis) {
         self.replaced.retain(|(_, until)| now < *until);
         let (is_same_vm, is_missed) = match (&self.row, next) {
-            (Some(row), Some(next)) => (row.holder == next.holder, next.epoch > row.epoch + 1),
+            (Some(row), Some(next)) => {
+                let expected = (row.epoch + 1).max(first_epoch(era_of(version)) + 1);
+                (row.holder == next.holder, next.epoch > expected)
+            }
             _ => (false, false),
         };
         if is_missed {
@@ -148,10 +186,19 @@
         if self.last_change.is_some() && version <= self.version {
             return;
         }
-        if self.last_change.is_none() && version > 0 {
-            self.note_unseen(row.as_ref(), now);
+        let is_first = self.last_change.is_none();
+        if is_first && number_of(version) > 0 {
+            self.note_unseen(version, row.as_ref(), now);
         }
-        self.note_replaced(row.as_ref(), now);
+        // Stores count their eras from 1, so in a later one the row may have been lost.
+        let may_be_lost = self.row.is_some() || era_of(version) > 1;
+        let was_removed = row.is_none() && number_of(version) == 0 && may_be_lost;
+        if was_removed || is_from_copy(version, row.as_ref()) {
+            return self.record_copy(version, row, now);
+        }
+        self.restored = Restored::No;
+        self.note_replaced(version, row.as_ref(), now);
+        self.has_given_up = false;
         self.version = version;
         self.row = row;
         self.last_change = Some(now);
@@ -160,13 +207,52 @@
         }
     }
 
+    /// Records a row from before the last restoration of the store, or its absence. It is not in force;
+    /// the holder before the restoration may be.
+    fn record_copy(&mut self, version: u64, row: Option<LeaseRow>, now: Millis) {
+        let known_epoch = self.row.as_ref().map(|row| row.epoch);
+        log::warn!(target: "ownership", epoch:? = row.as_ref().map(|row| row.epoch), known_epoch:?,
+            version, is_holder = self.is_holder();
+            "Controller lease row is from before a restoration of the store.");
+        if self.row.is_none() || self.restored == Restored::Unknown {
+            self.row = row;
+            self.restored = Restored::Unknown;
+        } else {
+            self.restored = Restored::Known;
+        }
+        self.version = version;
+        self.last_change = Some(now);
+    }
+
+    /// Gives the lease up after a restoration of the store. The daemon may take it over again.
+    pub fn give_up(&mut self) {
+        self.has_given_up = true;
+        self.last_renewal = None;
+    }
+
+    /// Whether the row in the store is from before the last restoration.
+    pub fn is_restored(&self) -> bool {
+        self.restored != Restored::No
+    }
+
+    /// Whether it is, and this daemon does not know who held the lease right before the restoration.
+    pub fn is_holder_unknown(&self) -> bool {
+        self.restored == Restored::Unknown
+    }
+
     /// Records that the daemon's own write, sent at `sent`, was committed.
     pub fn record_commit(&mut self, version: u64, row: LeaseRow, sent: Millis, now: Millis) {
         if version > self.version {
-            self.note_replaced(Some(&row), now);
+            self.note_replaced(version, Some(&row), now);
             self.version = version;
             self.last_change = Some(now);
             self.last_renewal = (!row.released).then_some(sent);
+            self.has_given_up = false;
+            self.restored = if is_from_copy(version, Some(&row)) {
+                Restored::Known
+            } else {
+                Restored::No
+            };
             self.row = Some(row);
         }
     }
@@ -179,9 +265,10 @@
 
     /// Whether the last observed row says that this incarnation of the daemon holds the lease.
     pub fn is_holder(&self) -> bool {
-        self.row.as_ref().is_some_and(|row| {
+        let holds = |row: &LeaseRow| {
             row.holder == self.name && row.incarnation == self.incarnation && !row.released
-        })
+        };
+        !self.has_given_up && self.row.as_ref().is_some_and(holds)
     }
 
     /// Whether the daemon may send commands at `now`.
@@ -217,7 +304,7 @@
         self.is_holder()
             && self
                 .last_renewal
-                .is_none_or(|sent| now.since(sent) >= RENEWAL_INTERVAL)
+                .is_none_or(|sent| self.is_restored() || now.since(sent) >= RENEWAL_INTERVAL)
     }
 
     /// Whether this daemon may take the lease over now.
@@ -228,7 +315,8 @@
         let age = now.since(last_change);
         match &self.row {
             _ if self.is_holder() => false,
-            None if self.version == 0 => age >= self.jitter,
+            _ if self.is_restored() => age >= TAKEOVER_AFTER + self.jitter,
+            None if number_of(self.version) == 0 => age >= self.jitter,
             // The row cannot be decoded, so it may name a holder that is alive.
             None => age >= TAKEOVER_AFTER + self.jitter,
             Some(row) if row.released => age >= self.jitter,
@@ -241,9 +329,14 @@
 
     /// Whether the last holder is known to send no more commands.
     pub fn predecessor_has_ended(&self) -> bool {
-        self.row.as_ref().map_or(self.version == 0, |row| {
-            row.released || row.holder == self.name || self.ended == Some(row.incarnation)
-        })
+        self.restored != Restored::Unknown
+            && !self.has_given_up
+            && self
+                .row
+                .as_ref()
+                .map_or(number_of(self.version) == 0, |row| {
+                    row.released || row.holder == self.name || self.ended == Some(row.incarnation)
+                })
     }
 
     /// The row to write next: a renewal or a release by the holder, or else a takeover in a new
@@ -251,9 +344,14 @@
     pub fn next_row(&self, peer_addr: SocketAddr, write_id: u64, released: bool) -> LeaseRow {
         // Each epoch is a write of the row, so the version of a row that cannot be decoded is not
         // below its epoch.
-        let epoch = self.row.as_ref().map_or(self.version, |row| row.epoch);
+        let known = self
+            .row
+            .as_ref()
+            .map_or(number_of(self.version), |row| row.epoch);
+        let keeps_epoch = self.is_holder() && !self.is_restored();
+        let next = (known + 1).max(first_epoch(era_of(self.version)) + 1);
         LeaseRow {
-            epoch: if self.is_holder() { epoch } else { epoch + 1 },
+            epoch: if keeps_epoch { known } else { next },
             holder: self.name.clone(),
             incarnation: self.incarnation,
             write_id,
@@ -262,3 +360,8 @@
         }
     }
 }
+
+/// Whether a row that was read at `version` is from before the last restoration of the store.
+fn is_from_copy(version: u64, row: Option<&LeaseRow>) -> bool {
+    row.is_some_and(|row| row.epoch < first_epoch(era_of(version)))
+}
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -60,7 +60,8 @@
     pub table: Table,
     /// Name of the row.
     pub name: Arc<str>,
-    /// Version that the row must have, 0 if it must not exist; `None` if there is no condition.
+    /// Version that the row must have, number 0 of the present era if it must not exist; `None` if
+    /// there is no condition.
     pub expected: Option<u64>,
     /// New content, or `None` to remove the row.
     pub value: Option<Bytes>,
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -67,6 +67,15 @@
         check_one_owner(seed, 800)?;
     }
 
+    /// Guards against two owners of a key, and against tokens below earlier ones, after the store has
+    /// come back from a copy of any of the last 20 s, at any moment.
+    #[test]
+    fn one_owner_across_restorations(seed: u64) {
+        let mut simulation = Simulation::new(seed);
+        simulation.restore_store_every(8_000);
+        check_ownership(simulation, seed, 4_000)?;
+    }
+
     /// Guards against keys that the next life at an address takes under the token of the former.
     #[test]
     fn a_later_life_gets_keys_only_with_a_higher_token(seed: u64) {
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -284,7 +284,7 @@
                 .get(&(write.table as u8, Arc::clone(&write.name)));
             let version = row.map_or(0, |(version, _)| *version);
             let is_met = |expected| match number_of(expected) {
-                0 => version == 0,
+                0 => version == 0 && era_of(expected) == era,
                 _ => expected == store_version(era, version),
             };
             write.expected.is_none_or(is_met)
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -5,12 +5,17 @@
     daemon::Daemon,
     fake_endpoint::{Behavior, FakeEndpoint},
     fake_platform::FakePlatform,
+    leaving::{builder, entry, local},
 };
 use fireflygauge::gateway::{
     controller_lease::LeaseRow,
+    model::KeyRange,
+    owners::{OwnedRange, Owners},
     platform::{Platform, Table},
+    store_version::store_version,
 };
 use std::time::Duration;
+use test_case::test_case;
 use tokio::time::{Instant, sleep};
 
 /// Time within which a change must be known.
@@ -101,3 +106,20 @@
         sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Guards against owners of the copy that replace later ones, because their version is of a later era.
+#[test_case(5, true; "later owners")]
+#[test_case(0, false; "earlier owners")]
+fn owners_of_a_copy_replace_no_later_ones(token: u64, are_set: bool) {
+    let mut builder = builder();
+    let range = OwnedRange {
+        keys: KeyRange { first: 0, last: 9 },
+        owner: entry(false, local(1)).instance,
+        addr: local(1),
+        token,
+        handover: None,
+    };
+    let owners = Owners::new(vec![range]);
+    let version = store_version(2, 1);
+    assert_eq!(builder.set_owners("s".into(), version, owners), are_set);
+}
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod endpoint;
 mod faults;
+mod restoration;
 mod schedule;
 mod store;
 mod token_history;
@@ -17,11 +18,13 @@
     gateway::{
         controller::{Controller, Event},
         model::{EndpointEntry, EndpointInstance},
+        owners::Owners,
         platform::Table,
     },
     world::{Incarnation, VmName},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use restoration::Copies;
 use schedule::Scheduled;
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 use token_history::TokenHistory;
@@ -47,6 +50,8 @@
     cut_off: Set<SocketAddr>,
     /// Age of the endpoints that it sees, in milliseconds.
     registry_lag: u64,
+    /// The latest owners that it has heard of.
+    known_owners: Option<Owners>,
 }
 
 /// State of the simulated deployment. All times are in milliseconds.
@@ -55,6 +60,7 @@
     now: u64,
     version: u64,
     rows: Map<(Table, Arc<str>), (u64, bytes::Bytes)>,
+    copies: Copies,
     store_up: bool,
     endpoints: Vec<Endpoint>,
     daemons: Vec<Daemon>,
@@ -84,6 +90,7 @@
             now: 1_000,
             version: 1,
             rows: Map::default(),
+            copies: Copies::default(),
             store_up: true,
             endpoints: Vec::new(),
             daemons: Vec::new(),
@@ -128,6 +135,7 @@
             kept: Map::default(),
             cut_off: Set::default(),
             registry_lag: 0,
+            known_owners: None,
         }
     }
 
@@ -163,6 +171,7 @@
                 self.crash_shortly();
             }
             self.step_wide(fault_interval);
+            self.step_copies();
             self.restart_endpoints();
             self.run_scheduled();
             for i in 0..DAEMONS {
@@ -176,6 +185,7 @@
     pub fn end_faults(&mut self) {
         self.faults_ended = true;
         self.end_load();
+        self.end_restorations();
         self.crash_interval = u64::MAX;
         self.store_up = true;
         for daemon in &mut self.daemons {
@@ -236,6 +246,7 @@
         if !self.daemons[i].up || self.now < self.daemons[i].frozen_until {
             return;
         }
+        self.learn_owners(i);
         let now = Millis(self.now);
         let store = self.store_up && self.daemons[i].reaches_store;
         if store && self.now >= self.daemons[i].next_read_at {
@@ -245,6 +256,8 @@
             controller.handle(lease, now);
             controller.handle(Event::Endpoints(entries), now);
         }
+        let is_backed = self.is_backed(i);
+        self.daemons[i].controller.set_backed(is_backed);
         let stats = self.wide.as_ref().map(Wide::stats);
         let controller = &mut self.daemons[i].controller;
         let actions = controller.step(stats.unwrap_or(&Map::default()), now);
--- /dev/null
+++ b/tests/gateway/simulation/restoration.rs
@@ -0,0 +1,126 @@
+//! Restorations of the store from a copy of the last seconds.
+
+use super::{DAEMONS, Simulation, endpoint::SERVICE};
+use bytes::Bytes;
+use fireflygauge::{
+    collections::Map,
+    gateway::{
+        controller::Event,
+        controller_lease::LeaseRow,
+        owners::Owners,
+        platform::Table,
+        store_version::{era_of, number_of, store_version},
+    },
+};
+use rand::Rng;
+use std::{collections::VecDeque, sync::Arc};
+
+/// Interval between copies, in milliseconds.
+const COPY_INTERVAL: u64 = 500;
+/// Number of copies that are kept, of the last 20 s.
+const KEPT_COPIES: usize = 40;
+/// Longest time for which the store is away before it comes back from a copy, in milliseconds.
+const MAX_OUTAGE: u64 = 3_000;
+
+type Rows = Map<(Table, Arc<str>), (u64, Bytes)>;
+
+/// Copies of the store, and when it is restored.
+#[derive(Default)]
+pub(super) struct Copies {
+    /// Mean interval between restorations, in milliseconds; 0 for none.
+    interval: u64,
+    kept: VecDeque<(u64, Rows)>,
+    next_at: u64,
+    /// Owners that were written last, in whatever era.
+    written_owners: Option<Owners>,
+    /// When the store is back, and from which copy.
+    restored_at: Option<(u64, usize)>,
+}
+
+impl Simulation {
+    /// Lets the store come back from a copy every `interval` milliseconds on average.
+    pub fn restore_store_every(&mut self, interval: u64) {
+        self.copies.interval = interval;
+    }
+
+    /// Ends the restorations.
+    pub(super) fn end_restorations(&mut self) {
+        self.copies.interval = 0;
+        self.copies.restored_at = None;
+    }
+
+    pub(super) fn step_copies(&mut self) {
+        if self.copies.interval == 0 {
+            return;
+        }
+        if self.now >= self.copies.next_at {
+            self.copies.next_at = self.now + COPY_INTERVAL;
+            let copy = (self.version, self.rows.clone());
+            self.copies.kept.push_back(copy);
+            if self.copies.kept.len() > KEPT_COPIES {
+                self.copies.kept.pop_front();
+            }
+        }
+        match self.copies.restored_at {
+            Some((at, copy)) if self.now >= at => {
+                self.copies.restored_at = None;
+                self.restore(copy);
+            }
+            None if self.rng.random_range(0..self.copies.interval) < super::STEP_MS => {
+                let at = self.now + self.rng.random_range(0..MAX_OUTAGE);
+                let copy = self.rng.random_range(0..self.copies.kept.len());
+                self.copies.restored_at = Some((at, copy));
+                self.store_up = false;
+            }
+            _ => {}
+        }
+    }
+
+    /// Brings the store back from a copy, in the next era.
+    fn restore(&mut self, copy: usize) {
+        let era = era_of(self.version) + 1;
+        let (version, rows) = self.copies.kept[copy].clone();
+        self.trace(format!("the store is restored, era {era}"));
+        self.version = store_version(era, number_of(version));
+        let in_era = |version| store_version(era, number_of(version));
+        self.rows = rows
+            .into_iter()
+            .map(|(row, (version, value))| (row, (in_era(version), value)))
+            .collect();
+        self.store_up = true;
+    }
+
+    /// The latest owners that a daemon has heard of.
+    pub(super) fn known_owners(&self, i: usize) -> Event {
+        let known = self.daemons[i].known_owners.clone();
+        let known = known.map(|owners| (SERVICE.into(), Arc::new(owners)));
+        Event::KnownOwners(known.into_iter().collect())
+    }
+
+    /// Records owners that were written, of which the controller tells the daemons that run.
+    pub(super) fn distribute(&mut self, value: &Bytes) {
+        let owners = Owners::decode(value).expect("rows are valid");
+        self.copies.written_owners = Some(owners);
+    }
+
+    /// Whether all other daemons report to this one: they run, and take it for the controller.
+    pub(super) fn is_backed(&self, i: usize) -> bool {
+        let me = self.daemons[i].controller.lease_state().row();
+        let others = (0..DAEMONS).filter(|other| *other != i);
+        others.map(|other| &self.daemons[other]).all(|other| {
+            let row = other.controller.lease_state().row();
+            let holder = |row: Option<&LeaseRow>| row.map(|row| row.incarnation);
+            other.up && self.now >= other.frozen_until && holder(row) == holder(me)
+        })
+    }
+
+    /// Tells a daemon that runs of the owners that were written last.
+    pub(super) fn learn_owners(&mut self, i: usize) {
+        let known = &mut self.daemons[i].known_owners;
+        let token = known.as_ref().map_or(0, Owners::latest_token);
+        let written = self.copies.written_owners.as_ref();
+        if let Some(written) = written.filter(|owners| owners.latest_token() > token) {
+            *known = Some(written.clone());
+        }
+    }
+}
--- a/tests/gateway/simulation/schedule.rs
+++ b/tests/gateway/simulation/schedule.rs
@@ -151,6 +151,7 @@
                 } else if table == Table::Controller {
                     self.notify(i, incarnation, self.lease());
                 } else {
+                    self.notify(i, incarnation, self.known_owners(i));
                     self.notify(i, incarnation, self.owners());
                 }
             }
--- a/tests/gateway/simulation/store.rs
+++ b/tests/gateway/simulation/store.rs
@@ -7,6 +7,7 @@
         controller_lease::LeaseRow,
         owners::Owners,
         platform::{RowWrite, Table, WriteOutcome},
+        store_version::{era_of, number_of, store_version},
     },
     world::ServiceName,
 };
@@ -15,7 +16,8 @@
 impl Simulation {
     pub(super) fn lease(&self) -> Event {
         let row = self.rows.iter().find(|((t, _), _)| *t == Table::Controller);
-        row.map_or(Event::Lease(0, None), |(_, (version, value))| {
+        let missing = Event::Lease(store_version(era_of(self.version), 0), None);
+        row.map_or(missing, |(_, (version, value))| {
             Event::Lease(*version, LeaseRow::decode(value).ok())
         })
     }
@@ -33,7 +35,11 @@
         let conditions_hold = writes.iter().all(|write| {
             let present = self.rows.get(&(write.table, Arc::clone(&write.name)));
             let version = present.map_or(0, |(version, _)| *version);
-            write.expected.is_none_or(|expected| expected == version)
+            let is_met = |expected| match number_of(expected) {
+                0 => version == 0 && era_of(expected) == era_of(self.version),
+                _ => expected == version,
+            };
+            write.expected.is_none_or(is_met)
         });
         if !conditions_hold {
             return WriteOutcome::Conflict;
@@ -42,6 +48,9 @@
         for write in writes {
             let value = write.value.clone().expect("rows are never removed");
             let row = (write.table, Arc::clone(&write.name));
+            if write.table == Table::Owners {
+                self.distribute(&value);
+            }
             self.rows.insert(row, (self.version, value));
         }
         WriteOutcome::Committed(self.version)
