Keep what is known of endpoints until they write their entries again

After a restoration of the store, an endpoint that had left in the lost span was ready in the copy and got requests again, one that had said that it leaves counted as ready, and one that had joined was removed at once.

The rows of a copy were taken for the latest ones, since they are read in a later era. An entry's sequence rises with each write of its life, so a row of the copy with a lower one is earlier than what is known, which now holds until the entry is written again. Entries that the copy lacks are awaited as after any failure of the store.

--- a/src/gateway/model.rs
+++ b/src/gateway/model.rs
@@ -75,6 +75,8 @@
     pub draining: bool,
     /// Rest of the warm-up at the time of registration, during which the endpoint is slow.
     pub remaining_warmup: Millis,
+    /// Rises with each write of this life's entry; 0 if the platform does not tell.
+    pub sequence: u64,
 }
 
 /// Whether requests of a route may be retried after they may have run.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -3,7 +3,7 @@
 //! The controller watches the endpoints in the store and forwards changes in its replies to
 //! reports, so that not every daemon has to read every change from the store.
 
-use super::model::EndpointEntry;
+use super::{model::EndpointEntry, store_version::era_of};
 use crate::collections::{Map, Set};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -47,10 +47,22 @@
     pub after_failure: bool,
 }
 
+/// Start time and sequence of an entry, which order the entries under one name.
+type Stamp = (u64, u64);
+
+/// What is known of an endpoint's row.
+#[derive(Debug)]
+struct Row {
+    version: u64,
+    registration: Registration,
+    /// Stamp of the last entry, also of one that was removed.
+    stamp: Option<Stamp>,
+}
+
 /// All registered endpoints, and those that were removed recently.
 #[derive(Debug, Default)]
 pub struct Registry {
-    rows: Map<Arc<str>, (u64, Registration)>,
+    rows: Map<Arc<str>, Row>,
     version: u64,
     last_change: u64,
     /// Version up to which removals may be missing: they were dropped or never observed.
@@ -79,14 +91,18 @@
             };
         }
         let is_snapshot = version == 0 || version < self.removals_dropped_to;
-        let changed = self.rows.iter().filter(|(_, (at, registration))| {
-            let present = matches!(registration, Registration::Present(_));
-            if is_snapshot { present } else { *at > version }
+        let changed = self.rows.iter().filter(|(_, row)| {
+            let present = matches!(row.registration, Registration::Present(_));
+            if is_snapshot {
+                present
+            } else {
+                row.version > version
+            }
         });
-        let changes = changed.map(|(name, (at, registration))| EndpointChange {
+        let changes = changed.map(|(name, row)| EndpointChange {
             name: Arc::clone(name),
-            version: *at,
-            registration: registration.clone(),
+            version: row.version,
+            registration: row.registration.clone(),
         });
         EndpointChanges {
             changes: changes.collect(),
@@ -100,11 +116,13 @@
     /// versions.
     pub fn apply(&mut self, update: EndpointChanges) -> Vec<EndpointChange> {
         let mut changes = update.changes;
+        let is_restoration =
+            update.is_snapshot && self.version > 0 && era_of(update.version) > era_of(self.version);
         if update.is_snapshot {
             let in_snapshot: Set<&Arc<str>> = changes.iter().map(|change| &change.name).collect();
-            let absent = self.rows.iter().filter(|(name, (at, registration))| {
-                *at <= update.version
-                    && matches!(registration, Registration::Present(_))
+            let absent = self.rows.iter().filter(|(name, row)| {
+                row.version <= update.version
+                    && matches!(row.registration, Registration::Present(_))
                     && !in_snapshot.contains(name)
             });
             let removed: Vec<EndpointChange> = absent
@@ -112,7 +130,8 @@
                     name: Arc::clone(name),
                     version: update.version,
                     registration: Registration::Removed {
-                        after_failure: update.after_failure,
+                        // Endpoints whose entries were lost write them again.
+                        after_failure: update.after_failure || is_restoration,
                     },
                 })
                 .collect();
@@ -122,9 +141,17 @@
             self.removals_dropped_to = self.removals_dropped_to.max(update.version);
         }
         changes.retain(|change| self.is_new(change));
+        if is_restoration {
+            changes.retain(|change| !self.keep_later(change));
+        }
         changes.sort_by_key(|change| change.version);
         for change in &changes {
-            let row = (change.version, change.registration.clone());
+            let known = self.rows.get(&change.name).and_then(|row| row.stamp);
+            let row = Row {
+                version: change.version,
+                registration: change.registration.clone(),
+                stamp: stamp(&change.registration).or(known),
+            };
             self.rows.insert(Arc::clone(&change.name), row);
             self.last_change = self.last_change.max(change.version);
         }
@@ -138,7 +165,26 @@
     fn is_new(&self, change: &EndpointChange) -> bool {
         self.rows
             .get(&change.name)
-            .is_none_or(|(version, _)| *version < change.version)
+            .is_none_or(|row| row.version < change.version)
+    }
+
+    /// Whether a row of a copy of the store is earlier than what is known, which is then kept under the
+    /// version of that row until the endpoint writes its entry again.
+    fn keep_later(&mut self, change: &EndpointChange) -> bool {
+        let (Some(row), Some(stamp)) =
+            (self.rows.get_mut(&change.name), stamp(&change.registration))
+        else {
+            return false;
+        };
+        let was_removed = matches!(row.registration, Registration::Removed { .. });
+        let is_later = row
+            .stamp
+            .is_some_and(|known| known > stamp || (known == stamp && was_removed));
+        if is_later {
+            row.version = change.version;
+            self.last_change = self.last_change.max(change.version);
+        }
+        is_later
     }
 
     fn drop_old_removals(&mut self) {
@@ -147,8 +193,8 @@
         let mut removed: Vec<u64> = self
             .rows
             .values()
-            .filter(|(_, registration)| is_removed(registration))
-            .map(|(version, _)| *version)
+            .filter(|row| is_removed(&row.registration))
+            .map(|row| row.version)
             .collect();
         if removed.len() <= MAX_KEPT_REMOVALS {
             return;
@@ -157,6 +203,13 @@
         let limit = removed[removed.len() - MAX_KEPT_REMOVALS / 2];
         self.removals_dropped_to = self.removals_dropped_to.max(limit);
         self.rows
-            .retain(|_, (version, registration)| !is_removed(registration) || *version > limit);
+            .retain(|_, row| !is_removed(&row.registration) || row.version > limit);
+    }
+}
+
+fn stamp(registration: &Registration) -> Option<Stamp> {
+    match registration {
+        Registration::Present(entry) => Some((entry.instance.started_at_ms, entry.sequence)),
+        Registration::Removed { .. } => None,
     }
 }
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -24,6 +24,7 @@
         slots: 4,
         draining: false,
         remaining_warmup: Millis::ZERO,
+        sequence: 0,
     };
     Backend::new(entry, Shared::default(), Millis(0))
 }
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -195,6 +195,7 @@
         slots: 4,
         draining: false,
         remaining_warmup: Millis::ZERO,
+        sequence: 0,
     };
     controller.handle(Event::Lease(0, None), Millis(1));
     controller.handle(Event::Services(vec![service]), Millis(1));
@@ -238,6 +239,7 @@
         slots: 4,
         draining: false,
         remaining_warmup: Millis::ZERO,
+        sequence: 0,
     };
     let mut controller = controller();
     let granted = GrantOutcome::Granted;
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -153,6 +153,7 @@
             slots: 4,
             draining: false,
             remaining_warmup: Millis(u64::MAX),
+            sequence: 0,
         };
         let backend = Backend::new(entry, Shared::default(), Millis(at));
         let load = Load { running, waiting, slots };
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -337,6 +337,7 @@
             slots: 4,
             draining: false,
             remaining_warmup: Millis::ZERO,
+            sequence: 0,
         })
     }
 
--- a/tests/gateway/leaving.rs
+++ b/tests/gateway/leaving.rs
@@ -65,6 +65,7 @@
         slots: 4,
         draining,
         remaining_warmup: Millis::ZERO,
+        sequence: 0,
     }
 }
 
--- a/tests/gateway/lives.rs
+++ b/tests/gateway/lives.rs
@@ -30,6 +30,7 @@
         slots: 4,
         draining: false,
         remaining_warmup: Millis::ZERO,
+        sequence: 0,
     }
 }
 
--- a/tests/gateway/paused_owner.rs
+++ b/tests/gateway/paused_owner.rs
@@ -35,6 +35,7 @@
         slots: 4,
         draining: false,
         remaining_warmup: Millis::ZERO,
+        sequence: 0,
     }
 }
 
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -23,6 +23,7 @@
         slots: 4,
         draining: false,
         remaining_warmup: Millis::ZERO,
+        sequence: 0,
     }
 }
 
--- a/tests/gateway/relative_latency.rs
+++ b/tests/gateway/relative_latency.rs
@@ -101,6 +101,7 @@
             slots: 4,
             draining: false,
             remaining_warmup: Millis::ZERO,
+            sequence: 0,
         };
         builder.register(entry, Millis::ZERO, Millis::ZERO);
     }
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -12,6 +12,7 @@
     model::KeyRange,
     owners::{OwnedRange, Owners},
     platform::{Platform, Table},
+    registry::{EndpointChange, EndpointChanges, Registration, Registry},
     store_version::store_version,
 };
 use std::time::Duration;
@@ -123,3 +124,91 @@
     let version = store_version(2, 1);
     assert_eq!(builder.set_owners("s".into(), version, owners), are_set);
 }
+
+/// A change of the endpoint's row at `number` in `era`: its entry's sequence and whether it leaves;
+/// `None` if the row was removed.
+fn endpoint_row(era: u64, number: u64, state: Option<(u64, bool)>) -> EndpointChange {
+    let present = |(sequence, draining)| {
+        let mut entry = entry(draining, local(1));
+        entry.sequence = sequence;
+        Registration::Present(entry)
+    };
+    let removed = Registration::Removed {
+        after_failure: false,
+    };
+    EndpointChange {
+        name: "e".into(),
+        version: store_version(era, number),
+        registration: state.map_or(removed, present),
+    }
+}
+
+fn update(
+    era: u64,
+    number: u64,
+    changes: Vec<EndpointChange>,
+    is_snapshot: bool,
+) -> EndpointChanges {
+    EndpointChanges {
+        changes,
+        version: store_version(era, number),
+        is_snapshot,
+        after_failure: false,
+    }
+}
+
+/// The sequence of the endpoint's entry and whether it leaves; `None` if it is not registered.
+fn registered(registry: &Registry) -> Option<(u64, bool)> {
+    let all = registry.changes_after(0).changes.into_iter();
+    all.into_iter()
+        .find_map(|change| match change.registration {
+            Registration::Present(entry) => Some((entry.sequence, entry.draining)),
+            Registration::Removed { .. } => None,
+        })
+}
+
+/// Guards against an endpoint that has left and is used again because the copy has its entry from
+/// before, and against one whose later entry is ignored.
+#[test_case(Some((9, true)), Some((5, false)), Some((9, true)); "leaving, ready in the copy")]
+#[test_case(None, Some((5, false)), None; "gone, ready in the copy")]
+#[test_case(Some((9, false)), Some((5, true)), Some((9, false)); "ready, leaving in the copy")]
+#[test_case(Some((9, false)), Some((9, false)), Some((9, false)); "unchanged")]
+#[test_case(Some((9, false)), Some((11, true)), Some((11, true)); "written again already")]
+fn what_is_known_holds_until_entries_are_written_again(
+    known: Option<(u64, bool)>,
+    in_copy: Option<(u64, bool)>,
+    expected: Option<(u64, bool)>,
+) {
+    let mut registry = Registry::default();
+    registry.apply(update(
+        1,
+        50,
+        vec![endpoint_row(1, 40, Some((5, false)))],
+        true,
+    ));
+    registry.apply(update(1, 60, vec![endpoint_row(1, 60, known)], false));
+    let copy = vec![endpoint_row(2, 40, in_copy)];
+    registry.apply(update(2, 45, copy, true));
+    assert_eq!(registered(&registry), expected);
+    let written = Some((20, false));
+    registry.apply(update(2, 46, vec![endpoint_row(2, 46, written)], false));
+    assert_eq!(registered(&registry), written);
+}
+
+/// Guards against an endpoint that is removed at once because the copy is from before it joined.
+#[test]
+fn an_entry_that_was_lost_is_awaited() {
+    let mut registry = Registry::default();
+    registry.apply(update(
+        1,
+        60,
+        vec![endpoint_row(1, 60, Some((3, false)))],
+        true,
+    ));
+    let changes = registry.apply(update(2, 45, Vec::new(), true));
+    let awaited = Registration::Removed {
+        after_failure: true,
+    };
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].registration, awaited);
+}
--- a/tests/gateway/simulation/endpoint.rs
+++ b/tests/gateway/simulation/endpoint.rs
@@ -105,6 +105,7 @@
             slots: 4,
             draining: false,
             remaining_warmup: Millis::ZERO,
+            sequence: 0,
         }
     }
 
