--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -123,8 +123,8 @@
     rows_outdated: bool,
     /// The latest owners that this daemon knows.
     known_owners: Map<ServiceName, Arc<Owners>>,
-    /// Whether all daemons that reported to this one since its last renewal of the lease still do.
-    is_backed: bool,
+    /// When all daemons that had reported to this one still did.
+    backed_at: Option<Millis>,
     /// Whether the lease was taken over without knowledge of who held it before a restoration.
     follows_unknown: bool,
     stopping: bool,
@@ -175,7 +175,7 @@
             reading: false,
             rows_outdated: false,
             known_owners: Map::default(),
-            is_backed: true,
+            backed_at: None,
             follows_unknown: false,
             stopping: false,
             yielding: false,
@@ -226,10 +226,10 @@
         self.paused = missing_shares;
     }
 
-    /// Sets whether all daemons that reported to this one since its last renewal of the lease still do,
-    /// so that none of them has taken it over.
-    pub fn set_backed(&mut self, is_backed: bool) {
-        self.is_backed = is_backed;
+    /// Records whether all daemons that reported to this one in the time for which a holder sends
+    /// commands still do at `now`, so that none of them has taken the lease over.
+    pub fn set_backed(&mut self, is_backed: bool, now: Millis) {
+        self.backed_at = is_backed.then_some(now);
     }
 
     /// Sets the limits that endpoints named.
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -13,6 +13,10 @@
 };
 use std::sync::Arc;
 
+/// Time for which a holder is taken to be backed by the daemons that report to it. After a pause of the
+/// process it is not, until it has looked again.
+const BACKED_FOR: Millis = Millis(400);
+
 impl Controller {
     pub(super) fn handle_lease(&mut self, version: u64, row: Option<LeaseRow>, now: Millis) {
         if self.resolve_pending_write(version, row.as_ref(), now) {
@@ -42,8 +46,9 @@
             return;
         }
         self.rows_outdated = true;
-        if !self.is_backed || !self.controller_lease.may_issue_commands(now) {
-            log::warn!(target: "ownership", is_backed = self.is_backed;
+        let is_backed = self.backed_at.is_some_and(|at| now.since(at) < BACKED_FOR);
+        if !is_backed || !self.controller_lease.may_issue_commands(now) {
+            log::warn!(target: "ownership", is_backed;
                 "Controller lease is given up: another daemon may have taken it over before the restoration.");
             self.controller_lease.give_up();
         }
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -121,15 +121,38 @@
 #[test_case(2_000, 1_500, false; "restarts")]
 #[test_case(2_000, 3_000, true; "names that change their address")]
 fn one_owner_under_wide_faults(fault_interval_ms: u64, crash_interval_ms: u64, swaps_names: bool) {
-    let count = std::env::var("SIMULATION_SEEDS").ok();
-    let count = count.map_or(50, |count| count.parse().expect("a number"));
-    let judged = (0..count).map(|seed| {
-        let mut simulation = Simulation::new(seed);
+    check_seeds(fault_interval_ms, |simulation| {
         simulation.widen();
         if swaps_names {
             simulation.swap_names();
         }
         simulation.crash_endpoints_every(crash_interval_ms);
+    });
+}
+
+/// Guards against the same while the store comes back from copies of the last 20 s, at any moment and
+/// also twice in a row.
+#[test_case(4_000, u64::MAX, 8_000; "rare restorations")]
+#[test_case(2_000, 1_500, 3_000; "frequent restorations and restarts")]
+fn one_owner_under_wide_faults_and_restorations(
+    fault_interval_ms: u64,
+    crash_interval_ms: u64,
+    restoration_interval_ms: u64,
+) {
+    check_seeds(fault_interval_ms, |simulation| {
+        simulation.widen();
+        simulation.crash_endpoints_every(crash_interval_ms);
+        simulation.restore_store_every(restoration_interval_ms);
+    });
+}
+
+/// Checks ownership for `SIMULATION_SEEDS` seeds, 50 if it is not set.
+fn check_seeds(fault_interval_ms: u64, prepare: impl Fn(&mut Simulation)) {
+    let count = std::env::var("SIMULATION_SEEDS").ok();
+    let count = count.map_or(50, |count| count.parse().expect("a number"));
+    let judged = (0..count).map(|seed| {
+        let mut simulation = Simulation::new(seed);
+        prepare(&mut simulation);
         check_ownership(simulation, seed, fault_interval_ms)
     });
     let broken: Vec<String> = judged.filter_map(|r| Some(r.err()?.to_string())).collect();
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -257,7 +257,7 @@
             controller.handle(Event::Endpoints(entries), now);
         }
         let is_backed = self.is_backed(i);
-        self.daemons[i].controller.set_backed(is_backed);
+        self.daemons[i].controller.set_backed(is_backed, now);
         let stats = self.wide.as_ref().map(Wide::stats);
         let controller = &mut self.daemons[i].controller;
         let actions = controller.step(stats.unwrap_or(&Map::default()), now);
