--- a/standins/src/processor_wait.rs
+++ b/standins/src/processor_wait.rs
@@ -90,22 +90,6 @@
         waits.iter().take(THREADS_PASSED).sum()
     }
 
-    /// The longest time as of [`Self::between`] in any period of this length so far.
-    pub fn longest_in(&self, period: Duration) -> Duration {
-        let period_us = period.as_micros() as u64;
-        let times: Vec<u64> = lock(&self.shared.readings)
-            .iter()
-            .map(|(at, _)| *at)
-            .collect();
-        let ends = times.iter().map(|from_us| from_us + period_us);
-        let ends = ends.take_while(|to_us| times.last() >= Some(to_us));
-        let waits = times
-            .iter()
-            .zip(ends)
-            .map(|(&from_us, to_us)| self.between(from_us, to_us));
-        waits.max().unwrap_or_default()
-    }
-
     fn last_us(&self) -> u64 {
         let readings = lock(&self.shared.readings);
         readings.last().map_or(0, |(at, _)| *at)
