--- a/src/gateway/store_version.rs
+++ b/src/gateway/store_version.rs
@@ -8,6 +8,9 @@
 /// years.
 const NUMBER_BITS: u32 = 44;
 
+/// Number of eras that can be told apart.
+pub const ERAS: u64 = 1 << (u64::BITS - NUMBER_BITS);
+
 /// The version that the store calls `number` in `era`.
 pub fn store_version(era: u64, number: u64) -> u64 {
     (era << NUMBER_BITS) | (number & ((1 << NUMBER_BITS) - 1))
