Bound what a reply to a request for permits can cause

A malformed reply could make permits valid for ever, and wake a queue up to four billion times. Permits count from no later than their arrival, and no more requests are woken than wait. The controller's own notice of a limit no longer ends its pending request for permits. Found by reading the change; a_reply_that_cannot_be_true_is_bounded covers the first two.

--- a/src/gateway/control/permits.rs
+++ b/src/gateway/control/permits.rs
@@ -39,8 +39,10 @@
         if self.issues_permits(now) {
             let name = self.cx.name.clone();
             for request in requests {
-                let receiver = PermitReceiver::Own(request.limit.endpoint.clone());
-                self.handle_permit_request(&name, &request, receiver);
+                if request.count > 0 {
+                    let receiver = PermitReceiver::Own(request.limit.endpoint.clone());
+                    self.handle_permit_request(&name, &request, receiver);
+                }
             }
             return;
         }
@@ -151,7 +153,8 @@
             .find(|member| member.backend.entry.instance == *life);
         if let Some(member) = member {
             let queue = Arc::clone(&member.backend.queue);
-            (0..permits).for_each(|_| queue.wake_one());
+            let woken = queue.len().min(permits as usize);
+            (0..woken).for_each(|_| queue.wake_one());
         }
     }
 
--- a/src/gateway/rate_limit/permits.rs
+++ b/src/gateway/rate_limit/permits.rs
@@ -144,7 +144,8 @@
         };
         self.interval = Some(reply.interval);
         // The earliest time at which the permits can have been issued.
-        let valid_until = asked_at + reply.waited + PERMIT_LIFETIME;
+        let issued_at = (asked_at + reply.waited).min(now);
+        let valid_until = issued_at + PERMIT_LIFETIME;
         let permits = reply.permits.min(MAX_BATCH) as usize;
         if now < valid_until {
             self.received_at = now;
--- a/tests/gateway/rate_limit.rs
+++ b/tests/gateway/rate_limit.rs
@@ -187,6 +187,30 @@
     assert!(!limit.may_send(Millis(1_700)));
 }
 
+/// Guards against a reply of a peer that makes permits valid for ever, or grants them without bound.
+#[test]
+fn a_reply_that_cannot_be_true_is_bounded() {
+    let (limits, limit) = limited();
+    assert!(!limit.may_send(Millis(1_100)));
+    limits.take_requests(Millis(1_100));
+    let reply = PermitReply {
+        permits: u32::MAX,
+        waited: Millis(u64::MAX),
+        interval: Millis(u64::MAX),
+    };
+    limits.record_reply(&endpoint(), Some(reply), Millis(1_110));
+    let mut sent = 0;
+    while limit.may_send(Millis(1_120)) {
+        limit.take_permit(Millis(1_120));
+        sent += 1;
+    }
+    assert!(sent <= 64, "{sent} permits");
+    limits.take_requests(Millis(1_120));
+    limits.record_reply(&endpoint(), Some(reply), Millis(1_130));
+    assert!(!limit.may_send(Millis(1_640)), "the permits have ended");
+    assert!(limit.next_return(Millis(2_000), Millis(1_640)) <= Some(Millis(2_000)));
+}
+
 /// Guards against callers that are all told to return at the same moment, or later than they wait.
 #[test]
 fn rejected_callers_return_one_permit_apart() {
