Await the reports of all daemons before a lease is taken back

A report from before the holder sees the copy proves nothing.

The holder now takes the lease back once every daemon that reported to it in the last 9.5 s has reported again since it saw the copy, and gives the lease up after 0.9 s without.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -354,8 +354,8 @@
         self.builder.rate_limits().step(now);
         if self.controller.lease_state().is_holder() {
             let missing = self.pauses.missing_shares(self.daemons.len(), now);
-            let is_backed = self.is_backed(now);
-            self.controller.set_backed(is_backed, now);
+            let since = self.all_reported_since(now);
+            self.controller.set_all_reported_since(since);
             self.controller.set_pauses(missing);
             let limits = self.builder.rate_limits().in_force();
             self.controller.set_rate_limits(limits);
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -1,8 +1,6 @@
 //! Reports of daemons to the controller, and the updates that its replies carry.
 
-use super::{
-    Control, HeldReport, Input, ReportingDaemon, leaving::instances, watches::MAX_REPLY_AGE,
-};
+use super::{Control, HeldReport, Input, ReportingDaemon, leaving::instances};
 use crate::{
     clock::Millis,
     gateway::{
@@ -171,13 +169,16 @@
         }
     }
 
-    /// Whether all daemons that reported in the time for which a holder sends commands still report. One
-    /// that has taken the controller lease over does not.
-    pub(super) fn is_backed(&mut self, now: Millis) -> bool {
+    /// Since when all daemons have reported again that reported in the time for which a holder sends
+    /// commands; `now` if none did. One that has taken the controller lease over does not report.
+    pub(super) fn all_reported_since(&mut self, now: Millis) -> Millis {
         self.last_reports
             .retain(|_, at| now.since(*at) < STOP_AFTER);
-        let mut reports = self.last_reports.values();
-        reports.all(|at| now.since(*at) < MAX_REPLY_AGE)
+        let others = self
+            .last_reports
+            .iter()
+            .filter(|(name, _)| **name != self.cx.name);
+        others.map(|(_, at)| *at).min().unwrap_or(now)
     }
 
     fn update_daemon_count(&mut self, now: Millis) {
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -123,8 +123,10 @@
     rows_outdated: bool,
     /// The latest owners that this daemon knows.
     known_owners: Map<ServiceName, Arc<Owners>>,
-    /// When all daemons that had reported to this one still did.
-    backed_at: Option<Millis>,
+    /// Since when all daemons that had reported to this one have reported again.
+    all_reported_since: Millis,
+    /// Version of the lease row of a copy of the store that this daemon saw as the holder, and when.
+    copy_seen: Option<(u64, Millis)>,
     /// Whether the lease was taken over without knowledge of who held it before a restoration.
     follows_unknown: bool,
     stopping: bool,
@@ -175,7 +177,8 @@
             reading: false,
             rows_outdated: false,
             known_owners: Map::default(),
-            backed_at: None,
+            all_reported_since: Millis::ZERO,
+            copy_seen: None,
             follows_unknown: false,
             stopping: false,
             yielding: false,
@@ -226,10 +229,10 @@
         self.paused = missing_shares;
     }
 
-    /// Records whether all daemons that reported to this one in the time for which a holder sends
-    /// commands still do at `now`, so that none of them has taken the lease over.
-    pub fn set_backed(&mut self, is_backed: bool, now: Millis) {
-        self.backed_at = is_backed.then_some(now);
+    /// Records since when all daemons that reported to this one in the time for which a holder sends
+    /// commands have reported again. None of them had taken the lease over at that time.
+    pub fn set_all_reported_since(&mut self, since: Millis) {
+        self.all_reported_since = since;
     }
 
     /// Sets the limits that endpoints named.
@@ -274,6 +277,7 @@
     /// Returns the actions that are due at `now`.
     pub fn step(&mut self, stats: &Map<ServiceName, LoadStats>, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.check_restoration(now);
         let lacks_rows =
             !self.loaded || (self.rows_outdated && !self.controller_lease.is_restored());
         if self.controller_lease.is_holder()
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -13,9 +13,9 @@
 };
 use std::sync::Arc;
 
-/// Time for which a holder is taken to be backed by the daemons that report to it. After a pause of the
-/// process it is not, until it has looked again.
-const BACKED_FOR: Millis = Millis(400);
+/// Time for which a holder that has seen the lease row of a copy waits for the reports of all daemons.
+/// Daemons report every 0.4 s.
+const REPORTS_AWAITED_FOR: Millis = Millis(900);
 
 impl Controller {
     pub(super) fn handle_lease(&mut self, version: u64, row: Option<LeaseRow>, now: Millis) {
@@ -40,17 +40,30 @@
     }
 
     /// After a restoration of the store, the holder goes on only if no other daemon can have taken the
-    /// lease over before it: its row may be lost.
+    /// lease over before it, in a row that is lost: all daemons that reported to it report again after it
+    /// has seen the copy.
     pub(super) fn check_restoration(&mut self, now: Millis) {
         if !self.controller_lease.is_restored() || !self.controller_lease.is_holder() {
+            self.copy_seen = None;
             return;
         }
         self.rows_outdated = true;
-        let is_backed = self.backed_at.is_some_and(|at| now.since(at) < BACKED_FOR);
-        if !is_backed || !self.controller_lease.may_issue_commands(now) {
-            log::warn!(target: "ownership", is_backed;
+        let version = self.controller_lease.version();
+        let seen_at = match self.copy_seen {
+            Some((of, at)) if of == version => at,
+            _ => now,
+        };
+        self.copy_seen = Some((version, seen_at));
+        if self.all_reported_since > seen_at {
+            self.controller_lease.take_back();
+        } else if now.since(seen_at) >= REPORTS_AWAITED_FOR
+            || !self.controller_lease.may_issue_commands(now)
+        {
+            log::warn!(target: "ownership", awaited:% = now.since(seen_at);
                 "Controller lease is given up: another daemon may have taken it over before the restoration.");
             self.controller_lease.give_up();
+            self.yielding = false;
+            self.drop_services();
         }
     }
 
--- a/src/gateway/controller_lease.rs
+++ b/src/gateway/controller_lease.rs
@@ -96,6 +96,9 @@
     /// Whether the daemon held the lease before that restoration and has given it up, because another
     /// may have taken it over unnoticed.
     has_given_up: bool,
+    /// Whether the holder before that restoration is certainly still the last one, and may take the row
+    /// back.
+    may_take_back: bool,
 }
 
 /// What became of the lease row in the last restoration of the store.
@@ -125,6 +128,7 @@
             replaced: Vec::new(),
             restored: Restored::No,
             has_given_up: false,
+            may_take_back: false,
         }
     }
 
@@ -222,6 +226,12 @@
         }
         self.version = version;
         self.last_change = Some(now);
+        self.may_take_back = false;
+    }
+
+    /// Lets the holder take the row back after a restoration of the store.
+    pub fn take_back(&mut self) {
+        self.may_take_back = true;
     }
 
     /// Gives the lease up after a restoration of the store. The daemon may take it over again.
@@ -306,10 +316,13 @@
 
     /// Whether this daemon holds the lease and should renew it now.
     pub fn is_renewal_due(&self, now: Millis) -> bool {
+        if self.is_restored() {
+            return self.is_holder() && self.may_take_back;
+        }
         self.is_holder()
             && self
                 .last_renewal
-                .is_none_or(|sent| self.is_restored() || now.since(sent) >= RENEWAL_INTERVAL)
+                .is_none_or(|sent| now.since(sent) >= RENEWAL_INTERVAL)
     }
 
     /// Whether this daemon may take the lease over now.
