--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 
 mod base;
 mod forged;
+mod lapse;
 mod stop;
 mod world;
 
@@ -23,6 +24,7 @@
     base::record(format!("case {case}, trouble {trouble}"));
     let result = match case.as_str() {
         "forged" => forged::play(&dir, run, trouble),
+        "lapse" => lapse::play(&dir, run, trouble),
         "stop" => stop::play(&dir, run, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -13,6 +13,8 @@
 
 #[derive(Default)]
 struct Rows {
+    /// Whether the store is down: it answers nothing, also later.
+    is_silent: bool,
     rows: BTreeMap<RowKey, (String, u64)>,
     /// Each change: version, row, and the value in base64 unless it was removed.
     log: Vec<(u64, RowKey, Option<String>)>,
@@ -48,6 +50,17 @@
         addr
     }
 
+    /// Ends or begins a time in which the store answers nothing and does nothing that it is asked for.
+    pub fn set_silent(&self, is_silent: bool) {
+        record(format!("the store is {}", if is_silent { "down: it answers nothing" } else { "back" }));
+        self.0.0.lock().unwrap().is_silent = is_silent;
+        self.0.1.notify_all();
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.0.0.lock().unwrap().is_silent
+    }
+
     /// Writes or removes a row as an operator or an endpoint does.
     pub fn put(&self, table: &str, name: &str, value: Option<&str>) {
         let key = (table.to_owned(), String::new(), name.to_owned());
@@ -58,6 +71,9 @@
 
     fn handle(&self, m: Message) -> Answer {
         sleep_s(0.004);
+        if self.is_silent() {
+            return Answer::Withhold;
+        }
         match (m.line[0].as_str(), m.path()) {
             ("POST", "/-/rows-tx") => self.transact(&m),
             ("GET", "/-/rows-get") => {
@@ -120,14 +136,12 @@
         let until = now() + m.query("wait_ms").parse::<f64>().unwrap_or(0.0) / 1000.0;
         let mut rows = self.0.0.lock().unwrap();
         loop {
-            let mut changed: BTreeMap<&RowKey, (u64, Option<&str>)> = BTreeMap::new();
-            for (ver, key, value) in rows.log.iter().filter(|(v, k, _)| *v > after && k.0 == table) {
-                changed.insert(key, (*ver, value.as_deref()));
+            if rows.is_silent {
+                return Answer::Withhold;
             }
-            if !changed.is_empty() || now() >= until {
-                let mut list: Vec<_> = changed.into_iter().collect();
-                list.sort_by_key(|(_, (ver, _))| *ver);
-                let list: Vec<String> = list.into_iter().map(|(k, (ver, v))| row_json(k, v, ver)).collect();
+            let changed = rows.log.iter().filter(|(v, k, _)| *v > after && k.0 == table);
+            let list: Vec<String> = changed.map(|(ver, k, v)| row_json(k, v.as_deref(), *ver)).collect();
+            if !list.is_empty() || now() >= until {
                 let (list, ver, t) = (list.join(","), rows.ver, now());
                 return json_reply(200, format!(r#"{{"rows":[{list}],"ver":{ver},"now_s":{t}}}"#));
             }
@@ -246,6 +260,30 @@
         record(format!("endpoint {} of {} registers, {} born {}", self.id, self.service, self.addr, self.born));
     }
 
+    /// Keeps the entry alive as heartbeats do: it lapses after three heartbeats that the store has
+    /// not taken, also while the store is down, and the endpoint writes it again when the store is back.
+    /// A heartbeat changes only `sequence`, and so not the entry.
+    pub fn send_heartbeats(self: &Arc<Self>) {
+        let e = Arc::clone(self);
+        std::thread::spawn(move || {
+            let (mut last, mut is_registered) = (now(), true);
+            loop {
+                sleep_s(0.1);
+                if !e.store.is_silent() {
+                    last = now();
+                    if !is_registered {
+                        e.register();
+                        is_registered = true;
+                    }
+                } else if is_registered && now() - last > 3.0 * 0.87 {
+                    record(format!("the entry of {} lapses", e.id));
+                    e.store.put("servers", &e.id, None);
+                    is_registered = false;
+                }
+            }
+        });
+    }
+
     fn handle(&self, m: Message) -> Answer {
         match m.path() {
             "/-/grant" => self.grant(&m),
@@ -478,6 +516,15 @@
         self.child = Some(child);
     }
 
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            record(format!("daemon {} is killed", self.name));
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// Sends a signal, such as `TERM`.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
