--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 //! With `TROUBLE=0` in the environment the disruption is left out.
 
 mod base;
+mod foreign;
 mod forged;
 mod lapse;
 mod stop;
@@ -23,6 +24,7 @@
     let dir = dir.to_str().expect("a path").to_owned();
     base::record(format!("case {case}, trouble {trouble}"));
     let result = match case.as_str() {
+        "foreign" => foreign::play(&dir, run, trouble),
         "forged" => forged::play(&dir, run, trouble),
         "lapse" => lapse::play(&dir, run, trouble),
         "stop" => stop::play(&dir, run, trouble),
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -69,6 +69,12 @@
         self.0.1.notify_all();
     }
 
+    /// The value of a row as it was written; `None` if there is no such row.
+    pub fn value(&self, table: &str, name: &str) -> Option<String> {
+        let key = (table.to_owned(), String::new(), name.to_owned());
+        self.0.0.lock().unwrap().rows.get(&key).map(|(value, _)| value.clone())
+    }
+
     fn handle(&self, m: Message) -> Answer {
         sleep_s(0.004);
         if self.is_silent() {
@@ -284,6 +290,20 @@
         });
     }
 
+    /// Writes the entry every `heartbeat_s` (0.87 s). As the pages say, the entry changes only when more
+    /// than `sequence` changes, that is, when another writer has put something in its place.
+    pub fn write_heartbeats(self: &Arc<Self>) {
+        let e = Arc::clone(self);
+        std::thread::spawn(move || loop {
+            sleep_s(0.87);
+            let own = e.entry(&e.service, e.born);
+            if e.store.value("servers", &e.id) != Some(base64(own.as_bytes())) {
+                record(format!("the heartbeat of {} writes its entry again", e.id));
+                e.store.put("servers", &e.id, Some(&own));
+            }
+        });
+    }
+
     fn handle(&self, m: Message) -> Answer {
         match m.path() {
             "/-/grant" => self.grant(&m),
