--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -359,21 +359,43 @@
 /// A client's connection, which is kept from one request to the next.
 pub struct Connection {
     r: BufReader<TcpStream>,
+    /// The request that was sent last, for the record: its text and when it was sent.
+    sent: Option<(String, f64)>,
 }
 
 impl Connection {
     pub fn open(addr: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1))?;
         stream.set_nodelay(true)?;
-        Ok(Self { r: BufReader::new(stream) })
+        Ok(Self { r: BufReader::new(stream), sent: None })
     }
     pub fn send(&mut self, request: &Message) -> io::Result<()> {
-        self.r.get_mut().write_all(&request.bytes())
+        // Questions for readiness have no id and are not recorded.
+        self.sent = request.header("request-id").map(|id| {
+            let key = request.header("shard-key").map_or(String::new(), |k| format!(" key {k}"));
+            (format!("request {id} {} {}{key}", request.line[0], request.line[1]), now())
+        });
+        let result = self.r.get_mut().write_all(&request.bytes());
+        if result.is_err() {
+            if let Some((text, at)) = self.sent.take() {
+                record(format!("{text} could not be sent at {at:.3}"));
+            }
+        }
+        result
     }
     /// The complete answer; `Ok(None)` if the connection ended before its first byte.
     pub fn receive(&mut self, limit_s: f64) -> io::Result<Option<Message>> {
         self.r.get_mut().set_read_timeout(Some(Duration::from_secs_f64(limit_s)))?;
-        read_message(&mut self.r)
+        let answer = read_message(&mut self.r);
+        if let Some((text, at)) = self.sent.take() {
+            let status = match &answer {
+                Ok(Some(m)) => m.status().to_string(),
+                Ok(None) => "no answer, the connection was closed".into(),
+                Err(e) => format!("no answer, {e}"),
+            };
+            record(format!("{text} sent at {at:.3}: {status}"));
+        }
+        answer
     }
 }
 
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -410,6 +410,7 @@
             runs.push(Run { endpoint: self.id.clone(), id: id.clone(), key, from: t, until: f64::MAX });
             runs.len() - 1
         };
+        record(format!("{} of {} runs request {id}", self.id, self.service));
         sleep_s(work_ms / 1000.0);
         self.ledger.runs.lock().unwrap()[at].until = now();
         let load = {
