Ignore entries of undeclared services at an owner's address

Cause: the daemon's log of a run with KEEP=1 has, 2 ms after the entry, "Range changed its phase. owner=i-0a2 standing=Ended from=Held to=Free". The controller knew the declared services with keys only. It took any other service, also one that no configuration names, for a declared service without keys, whose endpoint refuses grants, and the entry for proof that the owner had ended. The decoder is not at fault: a service may be named by the next configuration, so an entry that is thrown away there would be missing then.

Change: the controller is told of all declared services, and looks for the newest entry at an address among those of declared services, at each use. So an entry counts from the configuration that names its service on, in either order, and no longer once a configuration drops the service. The same cause kept an endpoint from keys as long as such an entry had its address; that has a test too.

--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -62,12 +62,11 @@
             return;
         }
         log::info!(target: "config", version, routes; "Configuration in force.");
-        let keyed = self.builder.config().map_or_else(Vec::new, |config| {
-            let keyed = config.services.values().filter(|service| service.keyed);
-            keyed.map(|service| service.name.clone()).collect()
+        let services = self.builder.config().map_or_else(Vec::new, |config| {
+            config.services.values().cloned().collect()
         });
         let now = self.cx.clock.now();
-        self.controller.handle(Event::Services(keyed), now);
+        self.controller.handle(Event::Services(services), now);
     }
 
     fn apply_endpoint_rows(&mut self, update: &TableUpdate) {
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -22,7 +22,7 @@
 use super::{
     controller_lease::{ControllerLease, LeaseRow},
     load_stats::LoadStats,
-    model::{EndpointEntry, EndpointInstance, KeyRange},
+    model::{EndpointEntry, EndpointInstance, KeyRange, Service},
     owners::Owners,
     platform::{GrantCommand, GrantOutcome, ReleaseOutcome, RowWrite, WriteOutcome},
     rate_limit::Rate,
@@ -30,10 +30,10 @@
 };
 use crate::{
     clock::Millis,
-    collections::Map,
+    collections::{Map, Set},
     world::{Incarnation, ServiceName, VmName},
 };
-use endpoints::LatestInstance;
+use endpoints::RegisteredInstance;
 use std::{net::SocketAddr, sync::Arc};
 use tokens::TokenSequence;
 use writes::PendingWrite;
@@ -69,8 +69,8 @@
     KnownOwners(Vec<(ServiceName, Arc<Owners>)>),
     /// All endpoints that are registered now, the one with the newest row last.
     Endpoints(Vec<EndpointEntry>),
-    /// All keyed services that are declared now.
-    Services(Vec<ServiceName>),
+    /// All services that are declared now.
+    Services(Vec<Service>),
     /// The write with this id completed or timed out.
     Written(u64, WriteOutcome),
     /// A grant completed or timed out.
@@ -104,11 +104,14 @@
     /// Duration of the key leases that this controller grants.
     key_lease: Millis,
     services: Map<ServiceName, ServiceRanges>,
+    /// The declared services with keys.
     declared: Vec<ServiceName>,
+    /// The declared services without keys.
+    declared_plain: Set<ServiceName>,
     endpoints: Map<Arc<str>, EndpointEntry>,
     addrs: Map<EndpointInstance, SocketAddr>,
-    /// The instance at each address whose row is the newest.
-    latest_at: Map<SocketAddr, LatestInstance>,
+    /// The registered instances at each address, the one with the newest row last.
+    instances_at: Map<SocketAddr, Vec<RegisteredInstance>>,
     /// Share of its capacity that each endpoint lacks because it asked daemons for a pause.
     paused: Map<EndpointInstance, f64>,
     /// Limits that endpoints named.
@@ -167,9 +170,10 @@
             key_lease: KEY_LEASE.min(max_lease),
             services: Map::default(),
             declared: Vec::new(),
+            declared_plain: Set::default(),
             endpoints: Map::default(),
             addrs: Map::default(),
-            latest_at: Map::default(),
+            instances_at: Map::default(),
             paused: Map::default(),
             rate_limits: Map::default(),
             backoffs: Map::default(),
@@ -264,7 +268,7 @@
             Event::Owners(rows) => self.load_owners(rows, now),
             Event::KnownOwners(owners) => self.known_owners = owners.into_iter().collect(),
             Event::Endpoints(entries) => self.set_endpoints(entries),
-            Event::Services(services) => self.declared = services,
+            Event::Services(services) => self.set_services(services),
             Event::Written(id, outcome) => self.handle_written(id, outcome, now),
             Event::Granted(service, id, outcome) => self.handle_granted(&service, id, outcome, now),
             Event::Released(service, id, outcome) => {
@@ -313,6 +317,13 @@
         RangeId(self.last_id)
     }
 
+    fn set_services(&mut self, services: Vec<Service>) {
+        let (keyed, plain): (Vec<Service>, Vec<Service>) =
+            services.into_iter().partition(|service| service.keyed);
+        self.declared = keyed.into_iter().map(|service| service.name).collect();
+        self.declared_plain = plain.into_iter().map(|service| service.name).collect();
+    }
+
     fn add_declared_services(&mut self, now: Millis) {
         for service in self.declared.clone() {
             let has_endpoint = self
--- a/src/gateway/controller/endpoints.rs
+++ b/src/gateway/controller/endpoints.rs
@@ -6,18 +6,19 @@
     gateway::model::{EndpointEntry, EndpointInstance},
     world::ServiceName,
 };
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 impl Controller {
     pub(super) fn set_endpoints(&mut self, entries: Vec<EndpointEntry>) {
-        self.latest_at.clear();
+        self.instances_at.clear();
         for entry in &entries {
             self.addrs.insert(entry.instance.clone(), entry.addr);
-            let latest = LatestInstance {
+            let registered = RegisteredInstance {
                 instance: entry.instance.clone(),
                 service: entry.service.clone(),
             };
-            self.latest_at.insert(entry.addr, latest);
+            let at_address = self.instances_at.entry(entry.addr).or_default();
+            at_address.push(registered);
         }
         self.endpoints = entries
             .into_iter()
@@ -66,7 +67,7 @@
         instance: &EndpointInstance,
     ) -> Option<OwnerStatus> {
         let addr = self.addrs.get(instance)?;
-        let latest = self.latest_at.get(addr)?;
+        let latest = self.latest_at(*addr)?;
         let starts_later = latest.instance.started_at_ms > instance.started_at_ms;
         let is_registered = self.entry_of(instance).is_some();
         if latest.instance == *instance || !(starts_later || is_registered) {
@@ -74,7 +75,7 @@
         }
         // An endpoint of a service without keys refuses grants, so it has taken none for the
         // earlier instance.
-        let may_own_keys = latest.service == *service || self.declared.contains(&latest.service);
+        let may_own_keys = !self.declared_plain.contains(&latest.service);
         Some(if may_own_keys || !starts_later {
             OwnerStatus::Replaced {
                 by_same_service: latest.service == *service,
@@ -84,6 +85,17 @@
         })
     }
 
+    /// The instance at an address whose row is the newest. Rows of services that are not declared do
+    /// not count: whoever wrote them need not be an endpoint.
+    fn latest_at(&self, addr: SocketAddr) -> Option<&RegisteredInstance> {
+        let mut newest_first = self.instances_at.get(&addr)?.iter().rev();
+        newest_first.find(|registered| self.is_declared(&registered.service))
+    }
+
+    fn is_declared(&self, service: &ServiceName) -> bool {
+        self.declared_plain.contains(service) || self.declared.contains(service)
+    }
+
     /// The entry of an instance; `None` unless it is registered.
     fn entry_of(&self, instance: &EndpointInstance) -> Option<&EndpointEntry> {
         let entry = self.endpoints.get(&instance.name);
@@ -92,14 +104,14 @@
 
     /// Whether the row of the endpoint is the newest one with its address.
     pub(super) fn is_latest_at_address(&self, entry: &EndpointEntry) -> bool {
-        let latest = self.latest_at.get(&entry.addr);
+        let latest = self.latest_at(entry.addr);
         latest.is_some_and(|latest| latest.instance == entry.instance)
     }
 }
 
-/// The instance at an address whose row is the newest.
+/// An instance of an endpoint that is registered at an address.
 #[derive(Clone, Debug)]
-pub(super) struct LatestInstance {
+pub(super) struct RegisteredInstance {
     instance: EndpointInstance,
     service: ServiceName,
 }
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -1,6 +1,6 @@
 //! The controller: ownership under random faults in a simulation, and single rules.
 
-use super::simulation::Simulation;
+use super::{lives::service as declared, simulation::Simulation};
 use fireflygauge::{
     clock::Millis,
     collections::Map,
@@ -224,7 +224,7 @@
         sequence: 0,
     };
     controller.handle(Event::Lease(0, None), Millis(1));
-    controller.handle(Event::Services(vec![service]), Millis(1));
+    controller.handle(Event::Services(vec![declared("s", true)]), Millis(1));
     controller.handle(Event::Endpoints(vec![endpoint]), Millis(1));
     controller
 }
@@ -281,7 +281,8 @@
     let state = controller.lease_state();
     let row = state.row().cloned();
     successor.handle(Event::Lease(state.version(), row), Millis(4_000));
-    successor.handle(Event::Services(vec!["s".into()]), Millis(4_000));
+    let services = vec![declared("s", true), declared("plain", false)];
+    successor.handle(Event::Services(services), Millis(4_000));
     let replaced = vec![entry("e2", service, 1, 2), entry("e3", "s", 3, 1)];
     successor.handle(Event::Endpoints(replaced), Millis(4_000));
     let mut granted_to = Vec::new();
--- a/tests/gateway/controllers.rs
+++ b/tests/gateway/controllers.rs
@@ -1,7 +1,7 @@
 //! Guards against controllers that give keys away while others may still send grants, or that take
 //! too much for proved, beyond the random faults of the simulation.
 
-use super::lives::{Command, Deployment, STEP_MS, entry};
+use super::lives::{Command, Deployment, STEP_MS, entry, service};
 use fireflygauge::{
     clock::Millis,
     collections::Map,
@@ -61,7 +61,7 @@
         let (name, incarnation) = (VmName(name.into()), Incarnation::random());
         let addr = ([127, 0, 0, 1], 9).into();
         let mut controller = Controller::new(name, incarnation, addr, Millis(10_000), Millis::ZERO);
-        controller.handle(Event::Services(vec!["s".into()]), Millis(1));
+        controller.handle(Event::Services(vec![service("s", true)]), Millis(1));
         controller.handle(Event::Endpoints(entries.to_vec()), Millis(1));
         Self {
             controller,
@@ -195,19 +195,16 @@
 /// for another service without a restart.
 #[test_case("t", false; "service without keys")]
 #[test_case("t", true; "keyed service")]
-fn keys_move_from_an_owner_that_changes_its_service(service: &str, is_keyed: bool) {
+fn keys_move_from_an_owner_that_changes_its_service(other_service: &str, is_keyed: bool) {
     let other = EndpointEntry {
         addr: ([127, 0, 0, 1], 2).into(),
         ..entry("f", "s", 1)
     };
     let mut deployment = Deployment::new(vec![entry("e", "s", 1)]);
-    if is_keyed {
-        let declared = Event::Services(vec!["s".into(), service.into()]);
-        deployment.controller.handle(declared, Millis(1));
-    }
+    deployment.declare(vec![service("s", true), service(other_service, is_keyed)]);
     deployment.run(4_000);
     deployment.written_owners();
-    deployment.set_endpoints(vec![entry("e", service, 1), other]);
+    deployment.set_endpoints(vec![entry("e", other_service, 1), other]);
     deployment.commands.clear();
     deployment.run(1_000);
     assert_eq!(deployment.commands.first(), Some(&Command::Release));
@@ -229,7 +226,7 @@
         addr: ([127, 0, 0, 1], 2).into(),
         ..entry("f", "s", 1)
     };
-    deployment.set_endpoints(vec![entry("plain", "records", 2), other]);
+    deployment.set_endpoints(vec![entry("other", "plain", 2), other]);
     deployment.commands.clear();
     deployment.granted.clear();
     deployment.run(500);
--- /dev/null
+++ b/tests/gateway/foreign_entries.rs
@@ -0,0 +1,80 @@
+//! Guards against entries of other writers that count as proof that the owner of keys has ended.
+
+use super::lives::{Command, Deployment, entry, service};
+use fireflygauge::gateway::model::{EndpointEntry, Service};
+use test_case::test_case;
+
+/// A controller that has given all keys to the endpoint at port 1, with another one at port 2.
+fn owned() -> (Deployment, [EndpointEntry; 2]) {
+    let other = EndpointEntry {
+        addr: ([127, 0, 0, 1], 2).into(),
+        ..entry("f", "s", 1)
+    };
+    let mut deployment = Deployment::new(vec![entry("e", "s", 1)]);
+    deployment.run(4_000);
+    deployment.written_owners();
+    deployment.set_endpoints(vec![entry("e", "s", 1), other.clone()]);
+    deployment.commands.clear();
+    deployment.granted.clear();
+    (deployment, [entry("e", "s", 1), other])
+}
+
+fn with(entries: &[EndpointEntry], further: EndpointEntry) -> Vec<EndpointEntry> {
+    let mut all = entries.to_vec();
+    all.push(further);
+    all
+}
+
+fn declared(further: Option<&str>) -> Vec<Service> {
+    let mut services = vec![service("s", true)];
+    services.extend(further.map(|name| service(name, false)));
+    services
+}
+
+/// Guards against two endpoints with the same keys, because an entry of a service that no
+/// configuration names has the address of an owner that is alive.
+#[test]
+fn an_entry_of_an_undeclared_service_does_not_end_an_owner() {
+    let (mut deployment, entries) = owned();
+    deployment.set_endpoints(with(&entries, entry("i-77", "inventory", 9)));
+    deployment.run(3_000);
+    assert_eq!(
+        deployment.written_owners(),
+        Vec::<Vec<(String, u64)>>::new()
+    );
+    assert!(deployment.commands.iter().all(|c| *c == Command::Grant));
+    assert!(deployment.granted.iter().all(|(.., port)| *port == 1));
+}
+
+/// Guards against an endpoint that gets no keys as long as an entry of a service that no
+/// configuration names has its address.
+#[test]
+fn an_entry_of_an_undeclared_service_keeps_no_endpoint_from_keys() {
+    let entries = vec![entry("e", "s", 1), entry("i-77", "inventory", 9)];
+    let mut deployment = Deployment::new(entries);
+    deployment.run(4_000);
+    assert_eq!(deployment.written_owners(), [vec![("e".to_string(), 1)]]);
+}
+
+/// Guards against an owner whose successor at its address is overlooked, because the successor
+/// registered before the configuration that names its service was read; and against one that counts
+/// while no configuration names its service.
+#[test_case(&[Some("next"), None, Some("next")], true; "dropped and named again")]
+#[test_case(&[None, Some("next")], true; "entry before configuration")]
+#[test_case(&[Some("next")], true; "configuration before entry")]
+#[test_case(&[Some("next"), None], false; "dropped")]
+fn an_entry_counts_while_its_service_is_declared(
+    configurations: &[Option<&str>],
+    is_replaced: bool,
+) {
+    let (mut deployment, entries) = owned();
+    let (last, earlier) = configurations.split_last().expect("one at least");
+    for further in earlier {
+        deployment.declare(declared(*further));
+    }
+    deployment.set_endpoints(with(&entries, entry("n", "next", 9)));
+    deployment.declare(declared(*last));
+    deployment.run(1_000);
+    let is_moved = !deployment.written_owners().is_empty();
+    assert_eq!(is_moved, is_replaced, "{:?}", deployment.commands);
+}
--- a/tests/gateway/lives.rs
+++ b/tests/gateway/lives.rs
@@ -6,7 +6,7 @@
     collections::Map,
     gateway::{
         controller::{Action, Controller, Event, RangeId},
-        model::{EndpointEntry, EndpointInstance},
+        model::{EndpointEntry, EndpointInstance, Service},
         owners::Owners,
         platform::{GrantConnection, GrantOutcome, ReleaseOutcome, WriteOutcome},
     },
@@ -34,7 +34,17 @@
     }
 }
 
-/// A controller of the keyed service `s` with a store and endpoints that accept all commands.
+/// A declared service.
+pub fn service(name: &str, keyed: bool) -> Service {
+    Service {
+        name: name.into(),
+        keyed,
+        max_connections: 100,
+    }
+}
+
+/// A controller of the keyed service `s`, beside which `plain` is declared, with a store and
+/// endpoints that accept all commands.
 pub struct Deployment {
     pub controller: Controller,
     pub now_ms: u64,
@@ -42,6 +52,7 @@
     stored: Vec<(ServiceName, u64, Owners)>,
     pub write_outcome: fn(u64) -> WriteOutcome,
     pub grant_outcome: GrantOutcome,
+    pub release_outcome: ReleaseOutcome,
     pub commands: Vec<Command>,
     /// Service, range and port of each grant.
     pub granted: Vec<(ServiceName, RangeId, u16)>,
@@ -60,7 +71,8 @@
         let addr = ([127, 0, 0, 1], 9).into();
         let mut controller = Controller::new(name, incarnation, addr, Millis(10_000), Millis::ZERO);
         controller.handle(Event::Lease(0, None), Millis(1));
-        controller.handle(Event::Services(vec!["s".into()]), Millis(1));
+        let services = vec![service("s", true), service("plain", false)];
+        controller.handle(Event::Services(services), Millis(1));
         controller.handle(Event::Endpoints(entries), Millis(1));
         Self {
             controller,
@@ -68,6 +80,7 @@
             stored: Vec::new(),
             write_outcome: WriteOutcome::Committed,
             grant_outcome: GrantOutcome::Granted,
+            release_outcome: ReleaseOutcome::Released(None),
             commands: Vec::new(),
             granted: Vec::new(),
             connections: Vec::new(),
@@ -130,12 +143,17 @@
             }
             Action::Release(service, id, ..) => {
                 self.commands.push(Command::Release);
-                Event::Released(service, id, ReleaseOutcome::Released(None))
+                Event::Released(service, id, self.release_outcome.clone())
             }
             other => panic!("unexpected action {other:?}"),
         }
     }
 
+    pub fn declare(&mut self, services: Vec<Service>) {
+        let now = Millis(self.now_ms);
+        self.controller.handle(Event::Services(services), now);
+    }
+
     pub fn set_endpoints(&mut self, entries: Vec<EndpointEntry>) {
         let now = Millis(self.now_ms);
         self.controller.handle(Event::Endpoints(entries), now);
@@ -312,8 +330,7 @@
     let mut deployment = Deployment::new(vec![entry("e", "s", 1)]);
     deployment.run(4_000);
     let mut deployment = deployment.successor(vec![entry("other", "t", 2)]);
-    let declared = Event::Services(vec!["s".into(), "t".into()]);
-    deployment.controller.handle(declared, Millis(4_000));
+    deployment.declare(vec![service("s", true), service("t", true)]);
     deployment.run(3_500);
     assert_eq!(deployment.commands.first(), Some(&Command::Release));
     let granted = deployment.granted.iter();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod fake_endpoint;
 mod fake_platform;
+mod foreign_entries;
 mod handover;
 mod idle;
 mod incarnations;
--- a/tests/gateway/paused_owner.rs
+++ b/tests/gateway/paused_owner.rs
@@ -1,6 +1,7 @@
 //! Guards against a controller that takes an owner for broken because it has asked daemons for a
 //! pause, or that places keys as if an owner with a pause or a limit had all its capacity.
 
+use super::lives::service;
 use fireflygauge::{
     clock::Millis,
     collections::Map,
@@ -73,7 +74,7 @@
     let incarnation = Incarnation::random();
     let mut controller = Controller::new(me, incarnation, addr, Millis(10_000), Millis::ZERO);
     controller.handle(Event::Lease(0, None), Millis(1));
-    controller.handle(Event::Services(vec!["s".into()]), Millis(1));
+    controller.handle(Event::Services(vec![service("s", true)]), Millis(1));
     controller.handle(Event::Endpoints(endpoints), Millis(1));
     let times = 1..ASSIGNED_MS;
     let released = releases(
--- a/tests/gateway/receivers.rs
+++ b/tests/gateway/receivers.rs
@@ -1,6 +1,6 @@
 //! Guards against keys that are given away while the receiver of an earlier grant may hold them.
 
-use super::lives::{Command, Deployment, STEP_MS, entry};
+use super::lives::{Command, Deployment, STEP_MS, entry, service};
 use fireflygauge::{
     clock::Millis,
     collections::Map,
@@ -121,8 +121,7 @@
 #[test]
 fn a_presumed_grant_is_not_proved_at_another_service() {
     let mut deployment = Deployment::new(vec![entry("e", "s", 1)]);
-    let declared = Event::Services(vec!["s".into(), "t".into()]);
-    deployment.controller.handle(declared, Millis(1));
+    deployment.declare(vec![service("s", true), service("t", true)]);
     deployment.run(3_000);
     deployment.grant_outcome = GrantOutcome::Presumed;
     deployment.run(2_000);
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -11,6 +11,7 @@
 mod token_history;
 mod wide;
 
+use super::lives::service;
 use endpoint::{Endpoint, KeyLease, SERVICE};
 use fireflygauge::{
     clock::Millis,
@@ -125,7 +126,10 @@
         if let Some(bits) = self.token_bits {
             controller = controller.with_token_sequence(bits);
         }
-        controller.handle(Event::Services(vec![SERVICE.into()]), Millis(self.now));
+        controller.handle(
+            Event::Services(vec![service(SERVICE, true)]),
+            Millis(self.now),
+        );
         Daemon {
             controller,
             incarnation,
