Free keys on an answer from the owner's address, not on a row

What callers could see: two endpoints with the same keys (OWNER), where a row of a declared service without keys has the address of an owner that is alive, or where a third endpoint took a renewal at an address that was used again twice.

Cause: such a row counted as proof that the owner had ended (OwnerStatus::Ended), and its keys were free at once.

Change: the status Ended is gone. The keys are released at the address first, as for any later endpoint there. An endpoint without keys answers 400, which an endpoint with keys never does; the adapter reports NotSupported, and the keys are free, also after a grant without an answer, as its receiver has ended. Releases have connections of their own, so the answer is no late copy.

keys_of_a_replaced_endpoint_are_assigned_anew assumed that an endpoint without keys leaves releases unanswered, and that its row is proof. It now has three cases: answered with NotSupported (at once), unanswered (not before the lease ends), and the same service.

--- a/src/gateway/controller/commands.rs
+++ b/src/gateway/controller/commands.rs
@@ -124,7 +124,7 @@
             (Phase::Releasing { .. }, OwnerStatus::Replaced { .. }) if now < range.lease_end => {
                 range.phase = Phase::Releasing { planned: false };
             }
-            (_, OwnerStatus::Ended | OwnerStatus::Replaced { .. }) => range.phase = Phase::Free,
+            (_, OwnerStatus::Replaced { .. }) => range.phase = Phase::Free,
             (Phase::Releasing { planned: true }, OwnerStatus::Leaving) => {
                 range.phase = Phase::Releasing { planned: false };
             }
--- a/src/gateway/controller/endpoints.rs
+++ b/src/gateway/controller/endpoints.rs
@@ -73,15 +73,8 @@
         if latest.instance == *instance || !(starts_later || is_registered) {
             return None;
         }
-        // An endpoint of a service without keys refuses grants, so it has taken none for the
-        // earlier instance.
-        let may_own_keys = !self.declared_plain.contains(&latest.service);
-        Some(if may_own_keys || !starts_later {
-            OwnerStatus::Replaced {
-                by_same_service: latest.service == *service,
-            }
-        } else {
-            OwnerStatus::Ended
+        Some(OwnerStatus::Replaced {
+            by_same_service: latest.service == *service,
         })
     }
 
@@ -116,19 +109,17 @@
     service: ServiceName,
 }
 
-/// Status of an endpoint that owns keys.
+/// Status of an endpoint that owns keys, as far as the registry shows it. A row is a statement of
+/// whoever wrote it, so none of these ends a grant: that takes the end of the lease, or an answer
+/// from the owner's address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum OwnerStatus {
     /// It is registered for the service and not draining.
     Present,
     /// It is draining, its entry is gone or names another service; it may still hold its keys.
     Leaving,
-    /// A later instance at its address, of a service without keys, proves that it has ended. Its keys
-    /// are free at once, although that instance may have ended as well and a third one may have taken
-    /// a renewal.
-    Ended,
-    /// A later instance at its address proves that it has ended. Commands to it may have reached
-    /// the later one.
+    /// A later instance is registered at its address. Commands to the owner may have reached the
+    /// later one.
     Replaced {
         /// Whether the later one can own keys of the same service.
         by_same_service: bool,
--- a/src/gateway/controller/outcomes.rs
+++ b/src/gateway/controller/outcomes.rs
@@ -132,6 +132,11 @@
                 range.handover = handover;
                 range.lease_end = now;
             }
+            ReleaseOutcome::NotSupported => {
+                range.phase = Phase::Free;
+                range.handover = None;
+                range.lease_end = now;
+            }
             ReleaseOutcome::ConnectionRefused | ReleaseOutcome::Unknown => {
                 range.failures += 1;
                 range.next_command_at = now + RETRY_DELAY;
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -149,6 +149,9 @@
     /// The endpoint no longer owns the keys and runs no requests for them. Contains the state to
     /// hand over, if any.
     Released(Option<Arc<str>>),
+    /// The process at the address takes no commands on keys, so it owns none. It answered on a new
+    /// connection, so every endpoint that took an earlier command there has ended.
+    NotSupported,
     /// The connection was refused: nothing listens at the address, as seen from this daemon.
     ConnectionRefused,
     /// The endpoint may still own the keys.
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -248,11 +248,16 @@
 }
 
 /// Guards against keys that stay unserved until the last possible lease of a lost predecessor ends,
-/// although the address of their owner belongs to an endpoint of a service without keys, which
-/// answers no release.
-#[test_case("plain", true; "service without keys")]
-#[test_case("s", false; "same service")]
-fn keys_of_a_replaced_endpoint_are_assigned_anew(service: &str, at_once: bool) {
+/// although an endpoint of a service without keys answers at the address of their owner; and against
+/// keys that are assigned before, because a row alone says so.
+#[test_case("plain", ReleaseOutcome::NotSupported, true; "service without keys")]
+#[test_case("plain", ReleaseOutcome::Unknown, false; "service without keys, no answer")]
+#[test_case("s", ReleaseOutcome::Unknown, false; "same service")]
+fn keys_of_a_replaced_endpoint_are_assigned_anew(
+    service: &str,
+    release_outcome: ReleaseOutcome,
+    at_once: bool,
+) {
     let addr = ([127, 0, 0, 1], 1).into();
     let entry = |name: &str, service: &str, port: u16, started_at_ms: u64| EndpointEntry {
         instance: EndpointInstance {
@@ -296,7 +301,7 @@
                     Event::Granted(service, id, GrantOutcome::Granted)
                 }
                 Action::Release(service, id, _, _, _) => {
-                    Event::Released(service, id, ReleaseOutcome::Unknown)
+                    Event::Released(service, id, release_outcome.clone())
                 }
                 other => panic!("unexpected action {other:?}"),
             };
--- a/tests/gateway/foreign_entries.rs
+++ b/tests/gateway/foreign_entries.rs
@@ -1,7 +1,11 @@
-//! Guards against entries of other writers that count as proof that the owner of keys has ended.
+//! Guards against entries of other writers, and entries for addresses in use again, that count as
+//! proof that the owner of keys has ended.
 
-use super::lives::{Command, Deployment, entry, service};
-use fireflygauge::gateway::model::{EndpointEntry, Service};
+use super::lives::{Command, Deployment, STEP_MS, entry, service};
+use fireflygauge::gateway::{
+    model::{EndpointEntry, Service},
+    platform::{GrantOutcome, ReleaseOutcome},
+};
 use test_case::test_case;
 
 /// A controller that has given all keys to the endpoint at port 1, with another one at port 2.
@@ -65,7 +69,7 @@
 #[test_case(&[Some("next"), None], false; "dropped")]
 fn an_entry_counts_while_its_service_is_declared(
     configurations: &[Option<&str>],
-    is_replaced: bool,
+    is_released: bool,
 ) {
     let (mut deployment, entries) = owned();
     let (last, earlier) = configurations.split_last().expect("one at least");
@@ -75,6 +79,38 @@
     deployment.set_endpoints(with(&entries, entry("n", "next", 9)));
     deployment.declare(declared(*last));
     deployment.run(1_000);
-    let is_moved = !deployment.written_owners().is_empty();
-    assert_eq!(is_moved, is_replaced, "{:?}", deployment.commands);
+    let released = deployment.commands.contains(&Command::Release);
+    assert_eq!(released, is_released, "{:?}", deployment.commands);
+}
+
+/// Guards against keys that wait for a lease although their owner's address has answered that nobody
+/// owns keys there.
+#[test_case(GrantOutcome::Granted; "the last renewal was accepted")]
+#[test_case(GrantOutcome::Unknown; "the last renewal had no response")]
+fn keys_are_assigned_once_an_endpoint_without_keys_answers(last: GrantOutcome) {
+    let (mut deployment, [_, other]) = owned();
+    deployment.grant_outcome = last;
+    while deployment.granted.is_empty() {
+        deployment.run(STEP_MS);
+    }
+    deployment.grant_outcome = GrantOutcome::Granted;
+    deployment.release_outcome = ReleaseOutcome::NotSupported;
+    deployment.granted.clear();
+    deployment.set_endpoints(vec![other, entry("n", "plain", 9)]);
+    deployment.run(500);
+    assert!(deployment.commands.contains(&Command::Release));
+    let last_port = deployment.granted.last().map(|(.., port)| *port);
+    assert_eq!(last_port, Some(2), "{:?}", deployment.commands);
+}
+
+/// Guards against two endpoints with the same keys: an entry of a declared service without keys has
+/// the address of an owner that is alive and does not answer its release.
+#[test]
+fn a_row_alone_does_not_end_an_owner() {
+    let (mut deployment, entries) = owned();
+    deployment.release_outcome = ReleaseOutcome::Unknown;
+    deployment.set_endpoints(with(&entries, entry("i-77", "plain", 9)));
+    deployment.run(3_000);
+    let granted = deployment.granted.iter();
+    assert_eq!(granted.filter(|(.., port)| *port == 2).count(), 0);
 }
