Reach an owner of keys where it was granted them

What callers could see: two endpoints with the same keys (OWNER), where an entry with the name and start time of an owner has another address.

Cause: each entry set the address to which the renewals of its instance go. An entry of another writer, or a spoiled one, sent the renewals to another endpoint, which took them, while the owner held its lease. A successor did the same, since an entry went before the address in the row of owners.

Change: an owner keeps the address at which it was granted its keys, in a successor that of the row of owners. If its entry names another one, the keys are released at the first address, and nothing is granted at the second before. An endpoint under the same name with a later start is another instance, as before.

--- a/src/gateway/controller/assigning.rs
+++ b/src/gateway/controller/assigning.rs
@@ -63,7 +63,7 @@
             .endpoints
             .values()
             .filter(|entry| entry.service == *name && !entry.draining)
-            .filter(|entry| self.is_latest_at_address(entry))
+            .filter(|entry| self.is_reached_at_address(entry))
             .map(|entry| {
                 let backoff = self.backoffs.get(&entry.instance);
                 let backs_off = backoff.is_some_and(|backoff| now < backoff.until);
--- a/src/gateway/controller/endpoints.rs
+++ b/src/gateway/controller/endpoints.rs
@@ -10,9 +10,18 @@
 
 impl Controller {
     pub(super) fn set_endpoints(&mut self, entries: Vec<EndpointEntry>) {
+        let owned: Set<EndpointInstance> = self
+            .services
+            .values()
+            .flat_map(|managed| managed.ranges.iter())
+            .filter_map(|range| range.owner.clone())
+            .collect();
         self.instances_at.clear();
         for entry in &entries {
-            self.addrs.insert(entry.instance.clone(), entry.addr);
+            // An owner holds its keys at the address where it was granted them, whatever its row says.
+            if !owned.contains(&entry.instance) || !self.addrs.contains_key(&entry.instance) {
+                self.addrs.insert(entry.instance.clone(), entry.addr);
+            }
             let registered = RegisteredInstance {
                 instance: entry.instance.clone(),
                 service: entry.service.clone(),
@@ -24,12 +33,6 @@
             .into_iter()
             .map(|entry| (Arc::clone(&entry.instance.name), entry))
             .collect();
-        let owned: Set<EndpointInstance> = self
-            .services
-            .values()
-            .flat_map(|managed| managed.ranges.iter())
-            .filter_map(|range| range.owner.clone())
-            .collect();
         let endpoints = &self.endpoints;
         self.addrs.retain(|instance, _| {
             owned.contains(instance)
@@ -48,7 +51,9 @@
         if let Some(status) = self.status_at_address(service, instance) {
             return status;
         }
+        let addr = self.addrs.get(instance);
         match self.entry_of(instance) {
+            Some(entry) if addr.is_some_and(|addr| *addr != entry.addr) => OwnerStatus::Leaving,
             Some(entry) if !entry.draining && entry.service == *service => OwnerStatus::Present,
             // A later instance under its name at another address shows that it has ended, but yet
             // another one may have taken grants at its address.
@@ -95,10 +100,12 @@
         entry.filter(|entry| entry.instance == *instance)
     }
 
-    /// Whether the row of the endpoint is the newest one with its address.
-    pub(super) fn is_latest_at_address(&self, entry: &EndpointEntry) -> bool {
+    /// Whether the endpoint can be granted keys at the address in its row: the row is the newest one
+    /// with that address, and the endpoint holds no keys at another one.
+    pub(super) fn is_reached_at_address(&self, entry: &EndpointEntry) -> bool {
         let latest = self.latest_at(entry.addr);
         latest.is_some_and(|latest| latest.instance == entry.instance)
+            && self.addrs.get(&entry.instance) == Some(&entry.addr)
     }
 }
 
@@ -116,7 +123,8 @@
 pub(super) enum OwnerStatus {
     /// It is registered for the service and not draining.
     Present,
-    /// It is draining, its entry is gone or names another service; it may still hold its keys.
+    /// It is draining, its entry is gone or names another service or address; it may still hold its
+    /// keys.
     Leaving,
     /// A later instance is registered at its address. Commands to the owner may have reached the
     /// later one.
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -126,7 +126,7 @@
                 managed.on_hold_until = now + COMMAND_TIMEOUT + self.max_lease_time();
             }
             for owned in owners.ranges() {
-                self.addrs.entry(owned.owner.clone()).or_insert(owned.addr);
+                self.addrs.insert(owned.owner.clone(), owned.addr);
                 let range = ManagedRange {
                     owner: Some(owned.owner.clone()),
                     assignment_token: owned.token,
--- a/tests/gateway/foreign_entries.rs
+++ b/tests/gateway/foreign_entries.rs
@@ -114,3 +114,42 @@
     let granted = deployment.granted.iter();
     assert_eq!(granted.filter(|(.., port)| *port == 2).count(), 0);
 }
+
+/// Guards against two endpoints with the same keys: an entry with the name and start time of the
+/// owner, which is alive, has the address of another endpoint.
+#[test]
+fn an_entry_with_another_address_moves_no_grants() {
+    let (mut deployment, [owner, other]) = owned();
+    let moved = EndpointEntry {
+        addr: ([127, 0, 0, 1], 3).into(),
+        ..owner
+    };
+    deployment.set_endpoints(vec![moved, other]);
+    deployment.run(3_000);
+    assert_eq!(deployment.commands.first(), Some(&Command::Release));
+    assert_eq!(deployment.released, [1]);
+    let ports = deployment.granted.iter().map(|(.., port)| *port);
+    assert!(
+        ports.clone().all(|port| port == 2),
+        "{:?}",
+        deployment.granted
+    );
+}
+
+/// The same for a controller that takes over after the entry was written.
+#[test]
+fn a_successor_takes_the_address_from_the_owners() {
+    let mut deployment = Deployment::new(vec![entry("e", "s", 1)]);
+    deployment.run(4_000);
+    let moved = EndpointEntry {
+        addr: ([127, 0, 0, 1], 3).into(),
+        ..entry("e", "s", 1)
+    };
+    let mut deployment = deployment.successor(vec![moved]);
+    while deployment.commands.is_empty() {
+        deployment.run(STEP_MS);
+    }
+    let granted = deployment.granted.iter().map(|(.., port)| *port);
+    let ports: Vec<u16> = granted.chain(deployment.released.iter().copied()).collect();
+    assert_eq!(ports, [1]);
+}
--- a/tests/gateway/lives.rs
+++ b/tests/gateway/lives.rs
@@ -57,6 +57,8 @@
     /// Service, range and port of each grant.
     pub granted: Vec<(ServiceName, RangeId, u16)>,
     pub connections: Vec<GrantConnection>,
+    /// Port of each release.
+    pub released: Vec<u16>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -84,11 +86,12 @@
             commands: Vec::new(),
             granted: Vec::new(),
             connections: Vec::new(),
+            released: Vec::new(),
         }
     }
 
     /// A daemon that takes over from this controller, of which it hears nothing, after 2 s.
-    fn successor(mut self, entries: Vec<EndpointEntry>) -> Self {
+    pub fn successor(mut self, entries: Vec<EndpointEntry>) -> Self {
         let lease = self.controller.lease_state();
         let lease = Event::Lease(lease.version(), lease.row().cloned());
         let mut next = Self::new(entries);
@@ -141,8 +144,9 @@
                 self.granted.push((service.clone(), id, addr.port()));
                 Event::Granted(service, id, self.grant_outcome)
             }
-            Action::Release(service, id, ..) => {
+            Action::Release(service, id, addr, ..) => {
                 self.commands.push(Command::Release);
+                self.released.push(addr.port());
                 Event::Released(service, id, self.release_outcome.clone())
             }
             other => panic!("unexpected action {other:?}"),
