Refuse requests of a stop that may outlast the process

Change: gateway/stop.rs has all times of a stop, which follow from the time that the process has, and the decision which requests may still begin. Until 2.6 s, or half of that time if it is less, all do; then only those whose time limit ends before the process does. The others are refused at once as not run, on arrival, in a queue or before a retry, and told to return at once, since other daemons take them. A request at which an endpoint is at work when 0.1 s is left gets 504 in place of a closed connection.

the_first_request_of_a_late_connection_is_answered sends a deadline of 1 s now: without one its route allows 1.5 s, which is more than the stop of the test leaves, so it would be refused.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -37,6 +37,7 @@
 pub mod send;
 pub mod server;
 pub mod status;
+pub mod stop;
 pub mod store_version;
 pub mod table_watch;
 pub mod view;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,6 +13,7 @@
     reply::{self, RejectionReason},
     routes::RouteEntry,
     send::OutgoingRequest,
+    stop::StopSchedule,
     view::View,
 };
 use crate::{
@@ -49,6 +50,8 @@
     pub metrics: Metrics,
     /// Memory for buffered request and response bodies.
     pub body_memory: BodyMemory,
+    /// The times of the daemon's stop, once it has begun.
+    pub stop: watch::Receiver<Option<StopSchedule>>,
 }
 
 /// State of a request between its arrival and its response.
@@ -92,6 +95,9 @@
         };
         let route = &entry.route;
         let deadline = arrived + self.time_limit(&parts.headers, route);
+        if !self.may_begin(arrived, deadline) {
+            return self.reject(&parts, None, RejectionReason::Stopping, arrived, deadline);
+        }
         let (outcome, service) = match self
             .read_request(&view, route, &parts, body, deadline)
             .await
@@ -127,6 +133,12 @@
         requested_ms.map_or(route.timeout, |ms| Millis(ms).min(route.timeout))
     }
 
+    /// Whether a request that may take until `deadline` may begin at `now`.
+    fn may_begin(&self, now: Millis, deadline: Millis) -> bool {
+        let stop = *self.stop.borrow();
+        stop.is_none_or(|schedule| schedule.may_begin(now, deadline))
+    }
+
     fn requested_key(&self, headers: &HeaderMap) -> Option<Key> {
         let value = headers.get(&self.names.key)?;
         value.to_str().ok()?.trim().parse().ok()
--- a/src/gateway/forward/acquire.rs
+++ b/src/gateway/forward/acquire.rs
@@ -48,6 +48,9 @@
             if now >= request.deadline {
                 return Acquisition::Unavailable(RejectionReason::Late);
             }
+            if !self.may_begin(now, request.deadline) {
+                return Acquisition::Unavailable(RejectionReason::Stopping);
+            }
             let acquired = match request.key {
                 Some(key) => self.acquire_owner(service, key, request, &mut ticket, now),
                 None => self.acquire_any(service, request, &mut ticket, now),
--- a/src/gateway/forward/attempts.rs
+++ b/src/gateway/forward/attempts.rs
@@ -16,7 +16,7 @@
     },
 };
 use std::sync::atomic::Ordering;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Number of tried endpoints at which a request is given up if the last attempt sent nothing.
 const MAX_TRIED_UNSENT: usize = 4;
@@ -43,8 +43,13 @@
                 daemons: self.daemons.load(Ordering::Relaxed),
                 clock: self.clock,
             };
-            let sending = send::send(&backend, out, cx, left);
-            let Ok(result) = timeout(left, sending).await else {
+            let sending = timeout(left, send::send(&backend, out, cx, left));
+            let result = tokio::select! {
+                biased;
+                result = sending => result.ok(),
+                () = self.responses_due() => None,
+            };
+            let Some(result) = result else {
                 return Outcome::Refused(RejectionReason::Timeout);
             };
             let again = self.should_retry(request, &backend, &result);
@@ -57,6 +62,19 @@
         }
     }
 
+    /// Completes when a stop of the daemon leaves no more time than it takes to write responses.
+    async fn responses_due(&self) {
+        let mut stop = self.stop.clone();
+        // An error means that the sender was dropped, after the last request.
+        if let Ok(schedule) = stop.wait_for(Option::is_some).await.map(|stop| *stop)
+            && let Some(schedule) = schedule
+        {
+            sleep(self.clock.until(schedule.responses_due)).await;
+        } else {
+            std::future::pending().await
+        }
+    }
+
     /// The outcome, with the end of the pause if the request did not run because all endpoints that
     /// could serve it asked for one.
     fn with_pause(&self, request: &ActiveRequest<'_>, outcome: Outcome) -> Outcome {
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -67,6 +67,8 @@
         let now = self.clock.now();
         let retry_after = match reason {
             RejectionReason::Paused { until } => Some(until.since(now).max(Millis(1)).into()),
+            // Other daemons take the request at once.
+            RejectionReason::Stopping => Some(Millis(1).into()),
             RejectionReason::NoOwner => service
                 .and_then(|service| self.wait_for_owner(service, &parts.headers, now))
                 .or_else(|| retry_after(deadline.since(now))),
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -52,6 +52,8 @@
     Shed,
     /// The deadline passed before the request was sent.
     Late,
+    /// The daemon stops, and might end before the request does.
+    Stopping,
     /// The request was sent, and no response arrived before the deadline.
     Timeout,
     /// The request was sent, and it is unknown whether it ran.
@@ -76,7 +78,8 @@
             | Self::Paused { .. }
             | Self::Limited
             | Self::Shed
-            | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Late
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Unknown | Self::FailedAtEndpoint => StatusCode::BAD_GATEWAY,
         }
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -10,6 +10,7 @@
     rate_limit::PermitRequest,
     server,
     status::Status,
+    stop::StopSchedule,
     view::ViewBuilder,
 };
 use crate::{
@@ -30,7 +31,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
     time::Duration,
@@ -122,15 +123,15 @@
     let (control, control_ended) = start_control(options, control, platform, shutdown)?;
 
     let metrics = Metrics::default();
-    let stopping = Arc::new(AtomicBool::new(false));
     let status = Status {
         ready_path: Arc::clone(&options.ready_path),
         view: Arc::clone(&view),
         metrics: metrics.clone(),
-        stopping: Arc::clone(&stopping),
+        stopping: Arc::default(),
         daemons: Arc::clone(&daemons),
         clock,
     };
+    let (stop_schedule, stop_times) = watch::channel(None);
     let forwarder = Forwarder {
         view,
         changed: changes,
@@ -139,11 +140,12 @@
         daemons,
         metrics,
         body_memory: BodyMemory::of_process(options.memory_bytes),
+        stop: stop_times,
     };
     let runtime = current_thread()?;
     let ended = runtime.block_on(async {
         tokio::select! {
-            ended = serve(options, forwarder, status, stopping, stop) => ended,
+            ended = serve(options, forwarder, stop_schedule, status, stop) => ended,
             // Without it, endpoints that leave and new declarations would remain unknown.
             _ = control_ended => Err(eyre::eyre!("the control thread ended before the last request")),
         }
@@ -163,12 +165,13 @@
 async fn serve(
     options: &Options,
     forwarder: Forwarder,
+    stop_schedule: watch::Sender<Option<StopSchedule>>,
     status: Status,
-    stopping: Arc<AtomicBool>,
     mut stop: watch::Receiver<bool>,
 ) -> eyre::Result<()> {
     let callers = bind(options.caller_addr).await?;
     let status_listener = bind(options.status_addr).await?;
+    let stopping = Arc::clone(&status.stopping);
     tokio::spawn(serve_status(status, status_listener));
     log::info!(
         target: "entry", name:% = options.name, zone:% = options.zone,
@@ -182,7 +185,8 @@
         let _ = stop_signal.wait_for(|stop| *stop).await;
         stopping.store(true, Ordering::Relaxed);
     });
-    server::serve(forwarder, callers, stop.clone(), options.stop_limit).await;
+    let limit = options.stop_limit.into();
+    server::serve(forwarder, callers, stop.clone(), limit, stop_schedule).await;
     // The status address reports "not ready" to the load balancer until the process ends.
     let _ = stop.wait_for(|stop| *stop).await;
     Ok(())
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,20 +1,13 @@
 //! HTTP server for callers, with a graceful stop.
 
-use super::{forward::Forwarder, model::CallerLimits};
-use crate::entry::caller_connection;
+use super::{forward::Forwarder, model::CallerLimits, stop::StopSchedule};
+use crate::{clock::Millis, entry::caller_connection};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioTimer;
-use std::{
-    convert::Infallible,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -23,28 +16,23 @@
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long connections are still accepted after a stop signal: the load balancer needs two checks,
-/// one per second, to take the daemon out of rotation.
-const DEREGISTRATION_TIME: Duration = Duration::from_millis(2_600);
-/// How long connections are left open after the last one was accepted. A stop closes those on which
-/// nothing has arrived, and the first request of a new connection may be on its way.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Most headers of a request; hyper rejects requests with more.
 const MAX_HEADERS: usize = 256;
 
 /// Serves callers until `stop` turns true. Then waits until the requests in flight have ended, for
-/// at most `stop_limit`.
+/// at most `stop_limit`, and tells the request path the times of the stop.
 pub async fn serve(
     forwarder: Forwarder,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
-    stop_limit: Duration,
+    stop_limit: Millis,
+    stop_schedule: watch::Sender<Option<StopSchedule>>,
 ) {
+    let clock = forwarder.clock;
     let server = Server {
         forwarder,
-        stopping: Arc::default(),
         closing: watch::Sender::new(false),
     };
     tokio::select! {
@@ -52,33 +40,33 @@
         // An error means that the sender was dropped, which is a stop as well.
         _ = stop.wait_for(|stop| *stop) => {}
     }
-    server.stopping.store(true, Ordering::Relaxed);
-    log::info!(target: "request", connections = server.closing.receiver_count(); "Stopping.");
+    let now = clock.now();
+    let schedule = StopSchedule::new(now, stop_limit);
+    stop_schedule.send_replace(Some(schedule));
+    log::info!(target: "request", connections = server.closing.receiver_count(),
+        accepts_for:% = schedule.accept_until.since(now),
+        closes_in:% = schedule.close_at.since(now), ends_in:% = schedule.end.since(now);
+        "Stopping.");
     // This always ends by time-out, as the server accepts until it is cancelled.
-    let _ = timeout(
-        DEREGISTRATION_TIME.min(stop_limit),
-        server.accept_all(&listener),
-    )
-    .await;
+    let accepting = server.accept_all(&listener);
+    let _ = timeout(clock.until(schedule.accept_until), accepting).await;
     // Connections in the backlog would be reset when the listener closes, so they are accepted.
     while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
         server.spawn(stream);
     }
     drop(listener);
-    let left = stop_limit.saturating_sub(DEREGISTRATION_TIME);
-    let pause = FIRST_REQUEST_TIME.min(left);
-    sleep(pause).await;
-    let left = left - pause;
+    sleep(clock.until(schedule.close_at)).await;
     server.closing.send_replace(true);
+    let left = clock.until(schedule.end);
     if timeout(left, server.closing.closed()).await.is_err() {
-        log::warn!(target: "request", "Stop time limit reached; requests in flight are cut off.");
+        log::warn!(target: "request", connections = server.closing.receiver_count();
+            "Stop time limit reached; the connections left are closed.");
     }
 }
 
 #[derive(Debug)]
 struct Server {
     forwarder: Forwarder,
-    stopping: Arc<AtomicBool>,
     /// Tells the connections to close; each has a receiver until it has ended.
     closing: watch::Sender<bool>,
 }
@@ -102,15 +90,13 @@
             return;
         }
         let limits = self.forwarder.view.load().limits;
-        let (forwarder, stopping) = (self.forwarder.clone(), Arc::clone(&self.stopping));
+        let forwarder = self.forwarder.clone();
         let service = service_fn(move |req: Request<Incoming>| {
-            let (forwarder, stopping) = (forwarder.clone(), Arc::clone(&stopping));
+            let forwarder = forwarder.clone();
             async move {
                 let response = forwarder.handle(req).await;
-                Ok::<_, Infallible>(with_connection_close(
-                    response,
-                    stopping.load(Ordering::Relaxed),
-                ))
+                let is_stopping = forwarder.stop.borrow().is_some();
+                Ok::<_, Infallible>(with_connection_close(response, is_stopping))
             }
         });
         let mut builder = http1::Builder::new();
--- /dev/null
+++ b/src/gateway/stop.rs
@@ -0,0 +1,53 @@
+//! The times of a graceful stop, and which requests may still begin during it.
+//!
+//! The load balancer sends new connections for a while after the stop signal, and callers go on using
+//! kept ones. A request that begins late may outlast the process, which would cut it off.
+
+use crate::clock::Millis;
+
+/// How long connections are still accepted after a stop signal: the load balancer needs two checks,
+/// one per second, to take the daemon out of rotation.
+const DEREGISTRATION_TIME: Millis = Millis(2_600);
+/// How long connections are left open after the last one was accepted. A stop closes those on which
+/// nothing has arrived, and the first request of a new connection may be on its way.
+const FIRST_REQUEST_TIME: Millis = Millis(500);
+/// Time before the end of the process by which all responses have to be ready, so that they can be
+/// written.
+const RESPONSE_MARGIN: Millis = Millis(100);
+
+/// The times of a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopSchedule {
+    /// Until when requests begin whatever their time limit. This keeps at least half of the time for
+    /// them, and callers that the load balancer still sends here are served.
+    pub all_begin_until: Millis,
+    /// Until when connections are accepted.
+    pub accept_until: Millis,
+    /// When connections without a request are closed.
+    pub close_at: Millis,
+    /// By when all responses have to be ready.
+    pub responses_due: Millis,
+    /// When the process ends, unless the last request has ended before.
+    pub end: Millis,
+}
+
+impl StopSchedule {
+    /// The times of a stop that begins at `began` and may take `limit`.
+    pub fn new(began: Millis, limit: Millis) -> Self {
+        let accept_for = DEREGISTRATION_TIME.min(Millis(limit.0 * 3 / 4));
+        let open_for = FIRST_REQUEST_TIME.min(Millis((limit - accept_for).0 / 2));
+        Self {
+            all_begin_until: began + accept_for.min(Millis(limit.0 / 2)),
+            accept_until: began + accept_for,
+            close_at: began + accept_for + open_for,
+            responses_due: began + (limit - RESPONSE_MARGIN),
+            end: began + limit,
+        }
+    }
+
+    /// Whether a request may begin at `now`, or be sent to an endpoint, although it may take until
+    /// `deadline`.
+    pub fn may_begin(&self, now: Millis, deadline: Millis) -> bool {
+        now < self.all_begin_until || deadline <= self.responses_due
+    }
+}
--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -32,6 +32,8 @@
 
 const HOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limit of a stop.
+const STOP_LIMIT: Duration = Duration::from_secs(4);
 
 /// A daemon under test, on loopback.
 pub struct Daemon {
@@ -56,6 +58,11 @@
 
     /// Starts a daemon under this name.
     pub fn start_as(name: &str, platform: &FakePlatform) -> Self {
+        Self::start_with(name, platform, STOP_LIMIT)
+    }
+
+    /// Starts a daemon under this name that ends at most `stop_limit` after a stop signal.
+    pub fn start_with(name: &str, platform: &FakePlatform, stop_limit: Duration) -> Self {
         let options = Options {
             name: VmName(name.into()),
             zone: ZoneName("a".into()),
@@ -71,7 +78,7 @@
             drain_time: Millis(2_000),
             cores: 1.0,
             memory_bytes: 100_000_000,
-            stop_limit: Duration::from_secs(4),
+            stop_limit,
         };
         let (stop, stopped) = watch::channel(false);
         let (callers, status) = (options.caller_addr, options.status_addr);
@@ -195,6 +202,15 @@
 
 /// Starts a daemon with endpoints of the plain service on `platform`.
 pub async fn daemon_on(platform: &FakePlatform, all: &[Behavior]) -> (Daemon, Vec<FakeEndpoint>) {
+    daemon_with_stop_limit(platform, all, STOP_LIMIT).await
+}
+
+/// The same, with this time limit of a stop.
+pub async fn daemon_with_stop_limit(
+    platform: &FakePlatform,
+    all: &[Behavior],
+    stop_limit: Duration,
+) -> (Daemon, Vec<FakeEndpoint>) {
     let mut endpoints = Vec::new();
     for (i, behavior) in all.iter().enumerate() {
         let endpoint = FakeEndpoint::start(behavior.clone()).await;
@@ -202,7 +218,7 @@
         endpoints.push(endpoint);
     }
     platform.declare(1);
-    let daemon = Daemon::start(platform);
+    let daemon = Daemon::start_with("d", platform, stop_limit);
     daemon.wait_ready().await;
     (daemon, endpoints)
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -40,6 +40,7 @@
 mod routes;
 mod simulation;
 mod stop;
+mod stop_schedule;
 mod table_watch;
 mod unregistered_life;
 mod upgrades;
--- a/tests/gateway/stop.rs
+++ b/tests/gateway/stop.rs
@@ -2,8 +2,9 @@
 //! states "not run" for one that ran.
 
 use super::{
-    daemon::{Daemon, daemon_with},
+    daemon::{Daemon, daemon_with, daemon_with_stop_limit},
     fake_endpoint::{Behavior, FakeEndpoint},
+    fake_platform::FakePlatform,
 };
 use fireflygauge::http_client::{HttpClient, HttpError};
 use http::Request;
@@ -14,7 +15,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Processing time of the endpoints.
@@ -124,7 +125,7 @@
         stream = later;
         sleep(Duration::from_millis(20)).await;
     }
-    let request = b"GET /unsafe/1 HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n\r\n";
+    let request = b"GET /unsafe/1 HTTP/1.1\r\nhost: h\r\nx-id: 1\r\nx-deadline: 1000\r\n\r\n";
     stream.write_all(request).await.expect("the daemon reads");
     let answer = read_answer(&mut stream).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -150,6 +151,78 @@
     assert!(answer.contains("connection: close"), "{answer}");
 }
 
+/// Guards against a request on a kept connection that begins so late in a stop that the end of the
+/// process cuts it off, and against one that is refused although it will have ended by then.
+#[test_case(1_300, "", "503"; "may outlast the process")]
+#[test_case(300, "x-deadline: 900\r\n", "200"; "ends before the process in any case")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_request_is_answered(processing_ms: u64, deadline: &str, status: &str) {
+    let processing = Duration::from_millis(processing_ms);
+    let (daemon, endpoints) = daemon_with(&[Behavior::Slow(processing)]).await;
+    let mut stream = connect(&daemon).await;
+    let request = format!("GET /unsafe/1 HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n{deadline}\r\n");
+    let request = request.as_bytes();
+    stream.write_all(request).await.expect("the daemon reads");
+    let n = stream.read(&mut [0; 4096]).await.expect("a response");
+    assert!(n > 0);
+    daemon.stop();
+    // All requests begin for 2 s, and idle connections are open for 3.1 s.
+    sleep(Duration::from_millis(2_800)).await;
+    stream.write_all(request).await.expect("the daemon reads");
+    let sent_at = Instant::now();
+    let answer = read_answer(&mut stream).await;
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status}")),
+        "{answer}"
+    );
+    if status == "503" {
+        assert!(sent_at.elapsed() < Duration::from_millis(300), "at once");
+        assert!(answer.contains("retry-after: 0.001"), "{answer}");
+        assert_eq!(endpoints[0].runs(), 1);
+    }
+}
+
+/// Guards against a request that goes on waiting for a slot of an endpoint during a stop, although
+/// it may not end before the process does.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_queued_request_is_refused_once_it_may_outlast_the_process() {
+    let (platform, limit) = (FakePlatform::new(), Duration::from_millis(1_500));
+    let behavior = Behavior::Slow(Duration::from_millis(1_200));
+    let (daemon, _endpoints) = daemon_with_stop_limit(&platform, &[behavior], limit).await;
+    daemon.stop();
+    let mut streams = Vec::new();
+    for id in 0..5 {
+        // The others take all slots. This one may wait until 1 s; all requests begin until 0.75 s.
+        if id == 4 {
+            sleep(Duration::from_millis(400)).await;
+        }
+        let mut stream = connect(&daemon).await;
+        let request = format!("GET /unsafe/1 HTTP/1.1\r\nhost: h\r\nx-id: {id}\r\n\r\n");
+        let written = stream.write_all(request.as_bytes()).await;
+        written.expect("the daemon reads");
+        streams.push(stream);
+    }
+    let answer = read_answer(&mut streams[4]).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.ends_with("stopping\n"), "{answer}");
+}
+
+/// Guards against callers that get no response at all to a request at which an endpoint is at work
+/// when the time for a stop ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_flight_at_the_end_is_answered() {
+    let (platform, limit) = (FakePlatform::new(), Duration::from_secs(1));
+    let behavior = Behavior::Slow(Duration::from_millis(1_400));
+    let (daemon, _endpoints) = daemon_with_stop_limit(&platform, &[behavior], limit).await;
+    let mut stream = connect(&daemon).await;
+    let request = b"GET /unsafe/1 HTTP/1.1\r\nhost: h\r\nx-id: 1\r\n\r\n";
+    stream.write_all(request).await.expect("the daemon reads");
+    sleep(Duration::from_millis(50)).await;
+    daemon.stop();
+    let answer = read_answer(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+}
+
 async fn connect(daemon: &Daemon) -> TcpStream {
     TcpStream::connect(daemon.callers)
         .await
