Apply only the last change of an endpoint in an update

Cause: where one response of the store's feed has the removal of an entry and its return, the daemon registered the endpoint and applied the older removal behind it; 2.1 s later the endpoint was gone, and its entry did not change again. The log of a run has "Endpoint entries are missing. count=9 deferred=9 known=9" right after the store is back.

--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -113,7 +113,8 @@
     }
 
     /// Applies an update and returns the changes that were not known before, in the order of their
-    /// versions.
+    /// versions, and only the last one of each endpoint: an entry that was removed and is back in the
+    /// same update was not removed for the receiver.
     pub fn apply(&mut self, update: EndpointChanges) -> Vec<EndpointChange> {
         let mut changes = update.changes;
         let is_restoration =
@@ -159,6 +160,7 @@
         if !changes.is_empty() {
             self.drop_old_removals();
         }
+        keep_last_of_each(&mut changes);
         changes
     }
 
@@ -207,6 +209,14 @@
     }
 }
 
+/// Drops all changes of an endpoint but the last one.
+fn keep_last_of_each(changes: &mut Vec<EndpointChange>) {
+    let mut later = Set::default();
+    changes.reverse();
+    changes.retain(|change| later.insert(Arc::clone(&change.name)));
+    changes.reverse();
+}
+
 fn stamp(registration: &Registration) -> Option<Stamp> {
     match registration {
         Registration::Present(entry) => Some((entry.instance.started_at_ms, entry.sequence)),
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -137,6 +137,46 @@
     }
 }
 
+proptest! {
+    /// Guards against an endpoint that is dropped although its entry is back, or kept although it is
+    /// gone, depending on how the changes are divided into responses: the last change decides.
+    #[test]
+    fn the_last_change_of_an_endpoint_decides(
+        changes in prop::collection::vec((0..4_usize, any::<bool>()), 1..30),
+        lengths in prop::collection::vec(1..8_usize, 30),
+    ) {
+        let rows: Vec<EndpointChange> = (1..)
+            .zip(&changes)
+            .map(|(version, (name, registered))| row(*name, version, *registered))
+            .collect();
+        let (mut registry, mut kept) = (Registry::default(), BTreeMap::new());
+        let mut rest = &rows[..];
+        for length in lengths {
+            let (response, later) = rest.split_at(length.min(rest.len()));
+            rest = later;
+            let Some(last) = response.last() else {
+                break;
+            };
+            let applied = registry.apply(update(response.to_vec(), last.version, false));
+            // A receiver may register all endpoints before it removes others.
+            let (present, removed): (Vec<_>, Vec<_>) = applied
+                .into_iter()
+                .partition(|change| matches!(change.registration, Registration::Present(_)));
+            for change in present {
+                kept.insert(change.name, change.version);
+            }
+            for change in removed {
+                kept.remove(&change.name);
+            }
+        }
+        let expected: BTreeMap<_, _> = present(&registry)
+            .into_iter()
+            .map(|(name, version)| (format!("e{name}").into(), version))
+            .collect();
+        prop_assert_eq!(kept, expected);
+    }
+}
+
 /// Guards against memory that grows with every endpoint that ever existed, and against a daemon
 /// that keeps endpoints whose removal was dropped from the log.
 #[test]
