Reset the connections of commands when they are closed

Cause: a renewal that is sent into a cut counts as lost after 0.8 s, and its connection was closed in the ordinary way. Its bytes stayed in the send buffer and were delivered after the cut, when the keys had another owner; a lease counts from the arrival of the renewal.

Change: sockets of commands have a linger time of zero, so that closing one, for whatever reason, resets it and discards what was not acknowledged.

--- a/src/gateway/command_connections.rs
+++ b/src/gateway/command_connections.rs
@@ -2,7 +2,7 @@
 //! sent to the same life of an endpoint and to no other.
 
 use super::{
-    connection::{Pool, PooledConnection},
+    connection::{CloseMode, Pool, PooledConnection},
     platform::GrantConnection,
     send::{READY_TIMEOUT, closes_connection, keep_alive_timeout},
 };
@@ -106,7 +106,8 @@
         }
         let kept = endpoints.entry(addr).or_insert_with(|| {
             Arc::new(Kept {
-                pool: Pool::new(addr, MAX_KEPT, Arc::default()),
+                // A command that counts as lost must not be carried out later.
+                pool: Pool::new(addr, MAX_KEPT, Arc::default()).with_close_mode(CloseMode::Reset),
                 in_use: AtomicUsize::new(0),
                 last_used: Mutex::new(now),
             })
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -48,6 +48,17 @@
     idle_limit: Duration,
 }
 
+/// How the connections of a pool are closed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CloseMode {
+    /// What was written is still delivered.
+    #[default]
+    Graceful,
+    /// What was written and not acknowledged is discarded, also if the process ends. A network that
+    /// is cut off would deliver it once it is back.
+    Reset,
+}
+
 /// A connection for one exchange, either new or from the pool.
 pub struct PooledConnection {
     /// Sending half of the connection.
@@ -65,6 +76,7 @@
     addr: SocketAddr,
     /// Connections that the endpoint accepts from all daemons together.
     max_connections: usize,
+    close_mode: CloseMode,
     idle_limit: Arc<IdleLimit>,
     idle: Mutex<Vec<IdleConnection>>,
 }
@@ -76,11 +88,18 @@
         Self {
             addr,
             max_connections: max_connections as usize,
+            close_mode: CloseMode::default(),
             idle_limit,
             idle: Mutex::default(),
         }
     }
 
+    /// Closes connections in this way.
+    pub fn with_close_mode(mut self, close_mode: CloseMode) -> Self {
+        self.close_mode = close_mode;
+        self
+    }
+
     /// Takes the connection with the shortest idle time that is ready for an exchange out of the
     /// pool.
     pub fn take_idle(&self) -> Option<PooledConnection> {
@@ -137,6 +156,9 @@
         let connecting = TcpStream::connect(self.addr);
         let stream = timeout(left.min(CONNECT_TIMEOUT), connecting).await??;
         enable_loss_detection(&stream)?;
+        if self.close_mode == CloseMode::Reset {
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+        }
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
