Forget failures of a watch while another source supplies its table

Change: a watch that is off has no failures. The other source has been up to date meanwhile.

Result: a_failure_ends_when_another_source_takes_over failed before and passes.

--- a/src/gateway/table_watch.rs
+++ b/src/gateway/table_watch.rs
@@ -144,6 +144,8 @@
     loop {
         if *mode.borrow() == WatchMode::Off {
             position.forget();
+            // The other source has been up to date since, so a failure of before explains nothing.
+            watcher.failures = 0;
         }
         let Ok(current_mode) = mode
             .wait_for(|mode| *mode != WatchMode::Off)
--- a/tests/gateway/table_watch.rs
+++ b/tests/gateway/table_watch.rs
@@ -91,3 +91,39 @@
     let names: Vec<&str> = update.rows.rows.iter().map(|row| &*row.name).collect();
     assert_eq!((names, update.is_snapshot), (vec!["e3"], false));
 }
+
+/// Guards against endpoints that are used beyond their drain time, because their removal counts as
+/// that of an entry which the store lost: a failure of the watch from before another source took
+/// over was held against the store when the watch went on.
+#[tokio::test]
+async fn a_failure_ends_when_another_source_takes_over() {
+    let platform = FakePlatform::new();
+    let (mode_tx, mode) = watch::channel(WatchMode::Changes);
+    let (tx, mut updates) = mpsc::channel(8);
+    let options = WatchOptions {
+        table: Table::Endpoints,
+        mode,
+        known: Arc::default(),
+        daemons: Arc::new(AtomicUsize::new(1)),
+        store_fails: Arc::new(watch::Sender::new(false)),
+        clock: Clock::start(),
+    };
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    platform.register("e1", "plain", addr);
+    tokio::spawn(table_watch::watch_table(platform.clone(), options, tx));
+    assert!(updates.recv().await.expect("a snapshot").is_snapshot);
+    platform.set_failing(true);
+    sleep(Duration::from_millis(400)).await;
+    mode_tx.send_replace(WatchMode::Off);
+    // The watch pauses for up to half a second after a failed call.
+    sleep(Duration::from_millis(800)).await;
+    platform.set_failing(false);
+    mode_tx.send_replace(WatchMode::NoController);
+    platform.register("e2", "plain", addr);
+    let update = timeout(Duration::from_secs(5), updates.recv()).await;
+    let update = update
+        .expect("an update in time")
+        .expect("the watch goes on");
+    assert_eq!(update.rows.rows.len(), 2);
+    assert!(!update.after_failure);
+}
