Gateway: decide on a request by one function that can also only look

An explanation of where a request would go needs the decision of the request path without its effects, and the decision acquired slots, permits and tickets on the way.

acquire::Decision holds what is decided from: view, stop, number of daemons, time, the random samples, and a Claim (Take or Peek). Forwarder::acquire runs it with Take and waits as before. acquire_any and acquire_owner keep their names and order, and read nothing else. Backend::acquire names the obstacle, the rate limit separates looking from recording that a request asked, and the first random moments of turns and of requests without a controller are a phase that is drawn once. Rejected::return_window gives the bounds of a Retry-After, and the request path draws within them.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod body_memory;
 pub mod budget;
 pub mod caller_connections;
+pub mod claim;
 pub mod command_connections;
 pub mod connection;
 pub mod control;
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -6,6 +6,7 @@
 mod timing;
 
 use super::{
+    claim::{Claim, Counting, Obstacle},
     connection::Pool,
     cost::{CostEstimates, RequestClass},
     idle::IdleLimit,
@@ -198,42 +199,56 @@
     /// Acquires a slot for one request; false if the concurrency limit, the queue, the pacing, a
     /// requested pause or a named limit of the endpoint does not allow it at `now`.
     pub fn try_acquire(&self, now: Millis) -> bool {
-        self.try_acquire_beyond(now, |_| 0)
+        self.acquire(Claim::Take, Counting::All, now).is_ok()
     }
 
     /// Acquires a slot like [`Self::try_acquire`], but without counting requests in flight against the
     /// concurrency limit that take much longer than those from which it was learned.
     pub fn try_acquire_uncounted(&self, now: Millis) -> bool {
-        let slots = self.entry.slots;
-        self.try_acquire_beyond(now, |state| state.uncounted(slots, now))
+        self.acquire(Claim::Take, Counting::WithoutLong, now)
+            .is_ok()
     }
 
-    fn try_acquire_beyond(&self, now: Millis, uncounted: impl Fn(&State) -> u32) -> bool {
-        let pause_end = self.pause.end(now);
+    /// Acquires a slot for one request at `now`, or finds out whether it would.
+    ///
+    /// # Errors
+    /// What does not allow it.
+    pub fn acquire(&self, claim: Claim, counting: Counting, now: Millis) -> Result<(), Obstacle> {
+        let is_paused = self.pause.end(now).is_some();
         let mut state = self.state();
-        if pause_end.is_some() {
-            // Probes are not paced: there are few, and pacing starts at the end of the pause.
-            let allowed = self.pause.blocked_until(now).is_none()
-                && self.rate_limit.may_send(now)
-                && state.limit.try_acquire(now);
-            if allowed {
-                self.rate_limit.take_permit(now);
-                state.sent_since_last_report += 1;
-            }
-            return allowed;
+        // Probes are not paced: there are few, and pacing starts at the end of the pause.
+        if is_paused && self.pause.blocked_until(now).is_some() {
+            return Err(Obstacle::Paused);
+        }
+        if !is_paused && state.has_long_queue(now) {
+            return Err(Obstacle::LongQueue);
         }
-        if state.has_long_queue(now) || now < state.next_slot_at {
-            return false;
+        if !is_paused && now < state.next_slot_at {
+            return Err(Obstacle::Paced);
         }
-        let uncounted = uncounted(&state);
-        let acquired =
-            self.rate_limit.may_send(now) && state.limit.try_acquire_beyond(uncounted, now);
-        if acquired {
+        let uncounted = match counting {
+            Counting::WithoutLong if !is_paused => state.uncounted(self.entry.slots, now),
+            _ => 0,
+        };
+        let may_send = match claim {
+            Claim::Take => self.rate_limit.may_send(now),
+            Claim::Peek => self.rate_limit.would_send(now),
+        };
+        if !may_send {
+            return Err(Obstacle::RateLimited);
+        }
+        if !state.limit.has_room_beyond(uncounted, now) {
+            return Err(Obstacle::Full);
+        }
+        if claim == Claim::Take {
+            state.limit.try_acquire_beyond(uncounted, now);
             self.rate_limit.take_permit(now);
-            state.schedule_next(now);
+            if !is_paused {
+                state.schedule_next(now);
+            }
             state.sent_since_last_report += 1;
         }
-        acquired
+        Ok(())
     }
 
     /// Releases a slot and records the outcome of its request.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,10 +1,10 @@
 //! The request path: selects a route and an endpoint, forwards the request, retries it if allowed,
 //! and builds the response to the caller.
 
-mod acquire;
+pub mod acquire;
 mod attempts;
 mod outcome;
-mod rejection;
+pub mod rejection;
 
 use super::{
     body_memory::{BodyError, BodyEvent, BodyMemory},
@@ -15,7 +15,7 @@
     reply::{self, RejectionReason},
     routes::RouteEntry,
     send::OutgoingRequest,
-    stop::Stop,
+    stop::{self, Stop},
     view::View,
 };
 use crate::{
@@ -57,19 +57,26 @@
 }
 
 /// State of a request between its arrival and its response.
-struct ActiveRequest<'a> {
-    route: &'a Route,
-    service: ServiceName,
-    key: Option<Key>,
+#[derive(Clone, Debug)]
+pub struct ActiveRequest<'a> {
+    /// The route that matched.
+    pub route: &'a Route,
+    /// The service that the route's split chose.
+    pub service: ServiceName,
+    /// The key; `None` if the service has none.
+    pub key: Option<Key>,
     /// Estimated work.
-    cost: Estimate,
-    arrived: Millis,
+    pub cost: Estimate,
+    /// When it arrived.
+    pub arrived: Millis,
     /// Earlier one of the caller's deadline and the route's time-out.
-    deadline: Millis,
+    pub deadline: Millis,
     /// Until when the request may be queued for an endpoint.
-    queue_deadline: Millis,
-    tried: Vec<EndpointInstance>,
-    sends: u32,
+    pub queue_deadline: Millis,
+    /// Endpoints that it was sent to.
+    pub tried: Vec<EndpointInstance>,
+    /// Sends that may have run.
+    pub sends: u32,
 }
 
 impl ActiveRequest<'_> {
@@ -152,8 +159,7 @@
 
     /// Whether a request that may take until `deadline` may begin at `now`.
     fn may_begin(&self, now: Millis, deadline: Millis) -> bool {
-        let stop = *self.stop.borrow();
-        stop.is_none_or(|stop| stop.schedule.may_begin(now, deadline))
+        stop::may_begin(*self.stop.borrow(), now, deadline)
     }
 
     fn requested_key(&self, headers: &HeaderMap) -> Option<Key> {
--- a/src/gateway/forward/acquire.rs
+++ b/src/gateway/forward/acquire.rs
@@ -5,12 +5,14 @@
     clock::Millis,
     gateway::{
         backend::Backend,
+        claim::{Claim, Counting},
         leaving::choice,
         model::Key,
         pause::{Choice, PausedRequest},
         reply::RejectionReason,
-        selection,
-        view::ServiceView,
+        selection::{self, Wanted},
+        stop::{self, Stop},
+        view::{Member, ServiceView, View},
         wait_queue::{Ticket, WaitQueue},
     },
 };
@@ -34,45 +36,64 @@
 /// Why no slot could be acquired: the reason, the queue to wait in, and when to try again.
 type AcquireFailure = (RejectionReason, Option<Arc<WaitQueue>>, Option<Millis>);
 
+/// What becomes of a request now.
+#[derive(Debug)]
+pub enum Step {
+    /// A slot of this endpoint was acquired.
+    Send(Arc<Backend>),
+    /// The request is rejected.
+    Reject(RejectionReason),
+    /// The request is queued, and the decision is repeated by `until` at the latest.
+    Wait {
+        /// The reason of the rejection if the wait is in vain.
+        reason: RejectionReason,
+        /// The queue; `None` if only time helps.
+        queue: Option<Arc<WaitQueue>>,
+        /// When the decision is repeated at the latest.
+        until: Millis,
+    },
+}
+
+/// The decision on a request from the state at one time.
+pub struct Decision<'a> {
+    /// The current routes, endpoints and key owners.
+    pub view: &'a View,
+    /// The daemon's stop, once it has begun.
+    pub stop: Option<Stop>,
+    /// Number of daemons that share the endpoints.
+    pub daemons: usize,
+    /// Whether the request takes what is decided on.
+    pub claim: Claim,
+    /// Returns exponential variables with mean 1, which decide between the endpoints of a service
+    /// without keys.
+    pub sample: &'a (dyn Fn() -> f64 + Sync),
+    /// The time of the decision.
+    pub now: Millis,
+}
+
 impl Forwarder {
     /// Acquires a slot of an endpoint, and queues the request while none is available.
     pub(super) async fn acquire(&self, request: &ActiveRequest<'_>) -> Acquisition {
         let mut ticket: Option<Ticket> = None;
         let mut queue_deadline = request.queue_deadline;
         loop {
-            let view = self.view.load_full();
-            let Some(service) = view.services.get(&request.service) else {
-                return Acquisition::Unavailable(RejectionReason::NoEndpoint);
-            };
-            let now = self.clock.now();
-            if now >= request.deadline || request.cannot_end_in_time(0.0, now) {
-                return Acquisition::Unavailable(RejectionReason::Late);
-            }
-            if !self.may_begin(now, request.deadline) {
-                return Acquisition::Unavailable(RejectionReason::Stopping);
-            }
-            let acquired = match request.key {
-                Some(key) => self.acquire_owner(service, key, request, &mut ticket, now),
-                None => self.acquire_any(service, request, &mut ticket, now),
+            let decision = Decision {
+                view: &self.view.load_full(),
+                stop: *self.stop.borrow(),
+                daemons: self.daemons.load(Ordering::Relaxed),
+                claim: Claim::Take,
+                sample: &selection::random_sample,
+                now: self.clock.now(),
             };
-            let (reason, queue, until) = match acquired {
-                Ok(backend) => {
+            let (queue, until) = match decision.step(request, &mut ticket, &mut queue_deadline) {
+                Step::Send(backend) => {
                     // More slots may be available for other queued requests.
                     backend.queue.wake_one();
                     return Acquisition::Endpoint(backend);
                 }
-                Err(blocked) => blocked,
+                Step::Reject(reason) => return Acquisition::Unavailable(reason),
+                Step::Wait { queue, until, .. } => (queue, until),
             };
-            if let RejectionReason::Paused { until: end } = reason {
-                // The time in the queue counts from the end of the pause.
-                let queue_time = request.queue_deadline.since(request.arrived);
-                queue_deadline = (end + queue_time).min(request.deadline);
-            }
-            // A request that cannot be served in time must not wait.
-            if until == Some(now) || now >= queue_deadline {
-                return Acquisition::Unavailable(reason);
-            }
-            let until = until.unwrap_or(queue_deadline).min(queue_deadline);
             let pause = self
                 .clock
                 .until(until)
@@ -109,6 +130,70 @@
         // A time-out is an expected way to end the wait.
         let _ = timeout(pause, wakeup).await;
     }
+}
+
+impl Decision<'_> {
+    /// Decides on a request with this ticket, if it has one, that may be queued until
+    /// `queue_deadline`.
+    pub fn step(
+        &self,
+        request: &ActiveRequest<'_>,
+        ticket: &mut Option<Ticket>,
+        queue_deadline: &mut Millis,
+    ) -> Step {
+        let now = self.now;
+        let Some(service) = self.view.services.get(&request.service) else {
+            return Step::Reject(RejectionReason::NoEndpoint);
+        };
+        if now >= request.deadline || request.cannot_end_in_time(0.0, now) {
+            return Step::Reject(RejectionReason::Late);
+        }
+        if !stop::may_begin(self.stop, now, request.deadline) {
+            return Step::Reject(RejectionReason::Stopping);
+        }
+        let acquired = match request.key {
+            Some(key) => self.acquire_owner(service, key, request, ticket, now),
+            None => self.acquire_any(service, request, ticket, now),
+        };
+        let (reason, queue, until) = match acquired {
+            Ok(backend) => return Step::Send(backend),
+            Err(blocked) => blocked,
+        };
+        if let RejectionReason::Paused { until: end } = reason {
+            // The time in the queue counts from the end of the pause.
+            let queue_time = request.queue_deadline.since(request.arrived);
+            *queue_deadline = (end + queue_time).min(request.deadline);
+        }
+        // A request that cannot be served in time must not wait.
+        if until == Some(now) || now >= *queue_deadline {
+            return Step::Reject(reason);
+        }
+        Step::Wait {
+            reason,
+            queue,
+            until: until.unwrap_or(*queue_deadline).min(*queue_deadline),
+        }
+    }
+
+    fn choose_endpoint<'a>(
+        &self,
+        service: &'a ServiceView,
+        request: &ActiveRequest<'_>,
+    ) -> Option<&'a Member> {
+        let wanted = Wanted {
+            work_ms: request.cost.choice_ms,
+            tried: &request.tried,
+            daemons: self.daemons,
+        };
+        selection::choose_endpoint(service, wanted, self.claim, self.sample, self.now)
+    }
+
+    fn ticket(&self, queue: &WaitQueue, priority: u32, key: Option<Key>) -> Ticket {
+        match self.claim {
+            Claim::Take => queue.issue_ticket(priority, key),
+            Claim::Peek => queue.next_ticket(priority, key),
+        }
+    }
 
     fn acquire_any(
         &self,
@@ -126,17 +211,11 @@
         }
         let is_new = ticket.is_none();
         let ticket =
-            *ticket.get_or_insert_with(|| queue.issue_ticket(request.route.priority, None));
+            *ticket.get_or_insert_with(|| self.ticket(queue, request.route.priority, None));
         if !queue.has_earlier(ticket)
-            && let Some(member) = selection::acquire_endpoint(
-                service,
-                request.cost.choice_ms,
-                &request.tried,
-                self.daemons.load(Ordering::Relaxed),
-                now,
-            )
+            && let Some(member) = self.choose_endpoint(service, request)
         {
-            return Ok(member.backend);
+            return Ok(Arc::clone(&member.backend));
         }
         let is_hopeless = || {
             let mut usable = choice::usable_members(service, now);
@@ -180,7 +259,7 @@
         let queue = &backend.queue;
         let is_new = ticket.is_none();
         let priority = request.route.priority;
-        let ticket = *ticket.get_or_insert_with(|| queue.issue_ticket(priority, Some(key)));
+        let ticket = *ticket.get_or_insert_with(|| self.ticket(queue, priority, Some(key)));
         if let Some(until) = backend.pause.blocked_until(now) {
             let paused = PausedRequest {
                 queue_deadline: request.queue_deadline,
@@ -195,7 +274,10 @@
             let reason = RejectionReason::Paused { until };
             return Err((reason, Some(Arc::clone(queue)), Some(again_at)));
         }
-        let has_room = || backend.try_acquire(now) || backend.try_acquire_uncounted(now);
+        let has_room = || {
+            let acquire = |counting| backend.acquire(self.claim, counting, now).is_ok();
+            acquire(Counting::All) || acquire(Counting::WithoutLong)
+        };
         if !queue.has_earlier(ticket) && has_room() {
             return Ok(Arc::clone(backend));
         }
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -4,15 +4,18 @@
 use crate::{
     clock::Millis,
     gateway::{
+        claim::Claim,
         leaving::choice,
+        model::Key,
         reply::{self, RejectionReason},
+        view::{ServiceView, View},
     },
     world::ServiceName,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Response, request::Parts};
 use http_body_util::Full;
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 /// Shortest `Retry-After` of a rejected request, in milliseconds, unless its deadline is near.
 const MIN_RETRY_AFTER_MS: u64 = 120;
@@ -27,60 +30,81 @@
 /// the callers do not return all at once.
 const MAX_RETRY_JITTER_MS: u64 = 100;
 
-impl Forwarder {
+/// Bounds of the time after which a rejected caller may return. The time is drawn between them.
+pub type ReturnWindow = RangeInclusive<Millis>;
+
+/// A request that is rejected.
+#[derive(Clone, Copy, Debug)]
+pub struct Rejected<'a> {
+    /// The current routes, endpoints and key owners.
+    pub view: &'a View,
+    /// The service that the request was meant for, if that is known.
+    pub service: Option<&'a ServiceName>,
+    /// Key of the request.
+    pub key: Option<Key>,
+    /// Time left until its deadline.
+    pub left: Millis,
+    /// Whether the caller takes a place among those that were told to return.
+    pub claim: Claim,
+    /// The time of the rejection.
+    pub now: Millis,
+}
+
+impl Rejected<'_> {
+    /// When the caller may return; `None` if it has no time left to wait.
+    pub fn return_window(&self, reason: RejectionReason) -> Option<ReturnWindow> {
+        let only = |wait: Millis| Some(wait..=wait);
+        let specific = match reason {
+            RejectionReason::Paused { until } => only(until.since(self.now).max(Millis(1))),
+            // Other daemons take the request at once.
+            RejectionReason::Stopping => only(Millis(1)),
+            RejectionReason::NoOwner => self.wait_for_owner(),
+            RejectionReason::Limited => self.wait_for_permit(),
+            RejectionReason::Busy => self.wait_for_backlog(),
+            _ => None,
+        };
+        specific.or_else(|| retry_after(self.left))
+    }
+
+    fn service(&self) -> Option<&ServiceView> {
+        Some(self.view.services.get(self.service?)?)
+    }
+
     /// Time until the key of a request will have moved from its leaving owner; `None` if that
     /// cannot be told.
-    fn wait_for_owner(
-        &self,
-        service: &ServiceName,
-        headers: &HeaderMap,
-        now: Millis,
-    ) -> Option<Duration> {
-        let (view, key) = (self.view.load(), self.requested_key(headers)?);
-        let moved_by = choice::keys_moved_by(view.services.get(service)?, key, now)?;
-        let jitter = Millis(rand::random_range(0..=MAX_RETRY_JITTER_MS));
-        Some((moved_by.since(now) + jitter).into())
+    fn wait_for_owner(&self) -> Option<ReturnWindow> {
+        let moved_by = choice::keys_moved_by(self.service()?, self.key?, self.now)?;
+        let wait = moved_by.since(self.now);
+        Some(wait..=wait + Millis(MAX_RETRY_JITTER_MS))
     }
 
     /// Time until the key's owner can be sent the request, as far as the limit that it named decides;
     /// `None` if it names none, or if the caller would not wait.
-    fn wait_for_permit(
-        &self,
-        service: &ServiceName,
-        headers: &HeaderMap,
-        left: Millis,
-        now: Millis,
-    ) -> Option<Duration> {
-        let (view, key) = (self.view.load(), self.requested_key(headers)?);
-        let (_, owner) = view.services.get(service)?.member_of(key)?;
-        let longest = Millis(left.0 / HONOURED_DIVISOR);
-        let rate_limit = &owner.backend.rate_limit;
-        let returns_at = rate_limit.next_return(now + longest, now)?;
-        (longest > Millis::ZERO).then(|| returns_at.since(now).into())
+    fn wait_for_permit(&self) -> Option<ReturnWindow> {
+        let (_, owner) = self.service()?.member_of(self.key?)?;
+        let longest = Millis(self.left.0 / HONOURED_DIVISOR);
+        let (rate_limit, now) = (&owner.backend.rate_limit, self.now);
+        let returns_at = rate_limit.next_return(now + longest, self.claim, now)?;
+        let (earliest, latest) = returns_at.into_inner();
+        (longest > Millis::ZERO).then(|| earliest.since(now)..=latest.since(now))
     }
 
     /// Time until the key's owner has served the requests that wait for it, as far as the caller waits;
     /// `None` if the request has no key with an owner.
-    fn wait_for_backlog(
-        &self,
-        service: &ServiceName,
-        headers: &HeaderMap,
-        left: Millis,
-        now: Millis,
-    ) -> Option<Duration> {
-        let (view, key) = (self.view.load(), self.requested_key(headers)?);
-        let service = view.services.get(service).filter(|s| s.keyed)?;
-        let backend = &service.member_of(key)?.1.backend;
+    fn wait_for_backlog(&self) -> Option<ReturnWindow> {
+        let service = self.service().filter(|s| s.keyed)?;
+        let backend = &service.member_of(self.key?)?.1.backend;
         let (ahead, work) = (backend.queue.len(), backend.queue.work());
-        let backlog = Millis(backend.wait_ms(ahead, work, now) as u64);
-        let longest = Millis(left.0 / HONOURED_DIVISOR);
+        let backlog = Millis(backend.wait_ms(ahead, work, self.now) as u64);
+        let longest = Millis(self.left.0 / HONOURED_DIVISOR);
         let latest = Millis(MIN_RETRY_AFTER_MS).max(backlog).min(longest);
         // Callers that are told the same wait return at different times.
         let earliest = Millis(latest.0 - latest.0 / RETRY_JITTER_DIVISOR);
-        let wait = Millis(rand::random_range(earliest.0..=latest.0));
-        (wait > Millis::ZERO).then(|| wait.into())
+        (latest > Millis::ZERO).then_some(earliest..=latest)
     }
+}
 
+impl Forwarder {
     pub(super) fn reject(
         &self,
         parts: &Parts,
@@ -90,25 +114,16 @@
         deadline: Millis,
     ) -> Response<Full<Bytes>> {
         let now = self.clock.now();
-        let retry_after = match reason {
-            RejectionReason::Paused { until } => Some(until.since(now).max(Millis(1)).into()),
-            // Other daemons take the request at once.
-            RejectionReason::Stopping => Some(Millis(1).into()),
-            RejectionReason::NoOwner => service
-                .and_then(|service| self.wait_for_owner(service, &parts.headers, now))
-                .or_else(|| retry_after(deadline.since(now))),
-            RejectionReason::Limited => service
-                .and_then(|service| {
-                    self.wait_for_permit(service, &parts.headers, deadline.since(now), now)
-                })
-                .or_else(|| retry_after(deadline.since(now))),
-            RejectionReason::Busy => service
-                .and_then(|service| {
-                    self.wait_for_backlog(service, &parts.headers, deadline.since(now), now)
-                })
-                .or_else(|| retry_after(deadline.since(now))),
-            _ => retry_after(deadline.since(now)),
+        let view = self.view.load();
+        let rejected = Rejected {
+            view: &view,
+            service,
+            key: self.requested_key(&parts.headers),
+            left: deadline.since(now),
+            claim: Claim::Take,
+            now,
         };
+        let retry_after = rejected.return_window(reason).map(drawn_from);
         let response = reply::rejection(reason, retry_after);
         log::info!(
             target: "request", id:% = header_text(&parts.headers, &self.names.request_id),
@@ -116,7 +131,7 @@
             service:% = service.map_or("", |name| &name.0),
             reason:% = reason, status = response.status().as_u16(),
             after:% = now.since(arrived), left:% = deadline.since(now),
-            view = self.view.load().version;
+            view = view.version;
             "Request rejected."
         );
         let name: &'static str = reason.into();
@@ -134,13 +149,16 @@
 
 /// `Retry-After` of a rejected request with `left` until its deadline. Callers honour at most a
 /// third of the time that they have left.
-fn retry_after(left: Millis) -> Option<Duration> {
+fn retry_after(left: Millis) -> Option<ReturnWindow> {
     let longest = (left.0 / HONOURED_DIVISOR).min(MAX_RETRY_AFTER_MS);
     if longest == 0 {
         return None;
     }
     let shortest = MIN_RETRY_AFTER_MS.min(longest);
-    Some(Duration::from_millis(rand::random_range(
-        shortest..=longest,
-    )))
+    Some(Millis(shortest)..=Millis(longest))
+}
+
+fn drawn_from(window: ReturnWindow) -> Duration {
+    let (earliest, latest) = window.into_inner();
+    Duration::from_millis(rand::random_range(earliest.0..=latest.0))
 }
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -15,6 +15,7 @@
 mod life;
 mod lives;
 mod permits;
+mod phase;
 
 pub use announcement::{Announcement, announced};
 pub use cold::{ColdLimit, ColdRule};
--- a/src/gateway/rate_limit/cold.rs
+++ b/src/gateway/rate_limit/cold.rs
@@ -1,7 +1,7 @@
 //! What all daemons together may send to a cold endpoint, and the part of it that a daemon sends
 //! without asking anyone.
 
-use super::Rate;
+use super::{Rate, phase::Phase};
 use crate::clock::Millis;
 
 /// Probability that daemons which send independently of each other exceed the bound in some second.
@@ -110,23 +110,33 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Turns {
     next_at: Option<Millis>,
+    first: Phase,
 }
 
 impl Turns {
     /// Whether the daemon may send a request at `now`, if `daemons` send at `rate` together.
-    pub(super) fn is_open(&mut self, rate: Rate, daemons: usize, now: Millis) -> bool {
+    pub(super) fn is_open(&self, rate: Rate, daemons: usize, now: Millis) -> bool {
+        now >= self.next(rate, daemons, now)
+    }
+
+    /// Records that a request asked for a turn at `now`.
+    pub(super) fn advance(&mut self, rate: Rate, daemons: usize, now: Millis) {
+        self.next_at = Some(self.next(rate, daemons, now));
+    }
+
+    /// The current turn, or the next one.
+    fn next(&self, rate: Rate, daemons: usize, now: Millis) -> Millis {
         let interval_ms = interval_ms(rate, daemons);
-        let draw = || now + Millis(rand::random_range(0.0..=interval_ms) as u64);
-        let mut next = *self.next_at.get_or_insert_with(draw);
-        // The interval may have changed since the turn was drawn.
+        let first = || now + self.first.of(interval_ms);
+        let mut next = self.next_at.unwrap_or_else(first);
+        // The interval may have changed since the turn was set.
         next = next.min(now + Millis(interval_ms as u64));
         if next + TURN_LENGTH <= now {
             let interval = (interval_ms as u64).max(1);
             let missed = now.since(next + TURN_LENGTH).0 / interval + 1;
             next = next + Millis(missed * interval);
         }
-        self.next_at = Some(next);
-        now >= next
+        next
     }
 
     /// Uses the turn at `now`.
--- a/src/gateway/rate_limit/life.rs
+++ b/src/gateway/rate_limit/life.rs
@@ -5,10 +5,16 @@
     cold::{self, Turns},
     permits::Permits,
 };
-use crate::{clock::Millis, gateway::model::EndpointInstance};
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use crate::{
+    clock::Millis,
+    gateway::{claim::Claim, model::EndpointInstance},
+};
+use std::{
+    ops::RangeInclusive,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 /// A time for which a life is cold.
@@ -174,13 +180,21 @@
         if !self.had_limit.load(Ordering::Acquire) {
             return true;
         }
-        let may_send = self.state().may_send(&self.issuing, now);
+        let mut state = self.state();
+        state.record_asked(&self.issuing, now);
+        let may_send = state.may_send(&self.issuing, now);
+        drop(state);
         if !may_send {
             self.issuing.wake();
         }
         may_send
     }
 
+    /// Whether [`Self::may_send`] would allow a request. No permit is asked for.
+    pub fn would_send(&self, now: Millis) -> bool {
+        !self.had_limit.load(Ordering::Acquire) || self.state().may_send(&self.issuing, now)
+    }
+
     /// Uses a permit for a request that is about to be sent.
     pub fn take_permit(&self, now: Millis) {
         if !self.had_limit.load(Ordering::Acquire) {
@@ -230,9 +244,15 @@
     }
 
     /// When a caller that is rejected now may return, at the latest `latest`; `None` without a limit.
-    pub fn next_return(&self, latest: Millis, now: Millis) -> Option<Millis> {
+    pub fn next_return(
+        &self,
+        latest: Millis,
+        claim: Claim,
+        now: Millis,
+    ) -> Option<RangeInclusive<Millis>> {
         let interval = self.interval(now)?;
-        Some(self.state().permits.next_return(interval, latest, now))
+        let mut state = self.state();
+        Some(state.permits.next_return(interval, latest, claim, now))
     }
 
     /// Requests that were sent while a limit was in force.
@@ -271,12 +291,36 @@
         }
     }
 
-    fn may_send(&mut self, issuing: &Issuing, now: Millis) -> bool {
-        let needs_permit = self.permit_rate(now).is_some();
-        if needs_permit && self.permits.has_permit(now) {
-            return self.cold_at(now).is_none_or(|cold| cold.needs_permits)
-                || self.has_turn(issuing, now);
+    /// Records that a request asked to be sent at `now`: it may want a permit, and turns advance.
+    fn record_asked(&mut self, issuing: &Issuing, now: Millis) {
+        if self.permit_rate(now).is_some() {
+            self.permits.want(now);
+        }
+        if self.is_permitted(now) {
+            return;
         }
+        if let Some(rate) = self.turn_rate(issuing, now) {
+            self.turns.advance(rate, issuing.fleet(), now);
+        }
+        if let Some(limit) = self.limit
+            && self.has_turn(issuing, now)
+        {
+            self.permits.advance_unissued(limit.rate, issuing, now);
+        }
+    }
+
+    /// Whether a permit at `now` suffices, without a turn.
+    fn is_permitted(&self, now: Millis) -> bool {
+        self.permit_rate(now).is_some()
+            && self.permits.has_permit(now)
+            && self.cold_at(now).is_none_or(|cold| cold.needs_permits)
+    }
+
+    fn may_send(&self, issuing: &Issuing, now: Millis) -> bool {
+        if self.is_permitted(now) {
+            return true;
+        }
+        let needs_permit = self.permit_rate(now).is_some();
         if !self.has_turn(issuing, now) {
             return false;
         }
@@ -286,7 +330,7 @@
         }
     }
 
-    fn has_turn(&mut self, issuing: &Issuing, now: Millis) -> bool {
+    fn has_turn(&self, issuing: &Issuing, now: Millis) -> bool {
         let rate = self.turn_rate(issuing, now);
         rate.is_none_or(|rate| self.turns.is_open(rate, issuing.fleet(), now))
     }
--- a/src/gateway/rate_limit/permits.rs
+++ b/src/gateway/rate_limit/permits.rs
@@ -1,10 +1,11 @@
 //! Permits that a daemon holds for requests to one endpoint with a limit, and what it does without a
 //! controller that issues them.
 
-use super::{PermitReply, Rate, cold::LargestFleet};
-use crate::clock::Millis;
+use super::{PermitReply, Rate, cold::LargestFleet, phase::Phase};
+use crate::{clock::Millis, gateway::claim::Claim};
 use std::{
     collections::VecDeque,
+    ops::RangeInclusive,
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -107,37 +108,43 @@
     interval: Option<Millis>,
     /// When the next request may be sent without a controller.
     next_unissued_at: Option<Millis>,
+    first_unissued: Phase,
     /// Until when rejected callers were told to return.
     next_return_at: Millis,
 }
 
 impl Permits {
-    /// Whether there is a permit at `now`; if not, one is wanted.
-    pub(super) fn has_permit(&mut self, now: Millis) -> bool {
+    /// Whether there is a permit at `now`.
+    pub(super) fn has_permit(&self, now: Millis) -> bool {
+        self.valid_until.iter().any(|until| now < *until)
+    }
+
+    /// Records that a request asked for a permit at `now`: without any, one is wanted.
+    pub(super) fn want(&mut self, now: Millis) {
         while self.valid_until.front().is_some_and(|until| now >= *until) {
             self.valid_until.pop_front();
             self.extra = 0;
         }
-        let has_permit = !self.valid_until.is_empty();
-        self.is_wanted |= !has_permit;
-        has_permit
+        self.is_wanted |= self.valid_until.is_empty();
     }
 
-    /// Whether a request may be sent at `now`; if not, a permit is wanted.
-    pub(super) fn may_send(&mut self, rate: Rate, issuing: &Issuing, now: Millis) -> bool {
-        if self.has_permit(now) {
-            return true;
-        }
-        let Some(daemons) = issuing.unissued_daemons() else {
-            self.next_unissued_at = None;
-            return false;
-        };
-        let interval_ms = unissued_interval_ms(rate, daemons);
-        // The first moment is drawn, so that the daemons do not all send at once.
-        let next = *self
-            .next_unissued_at
-            .get_or_insert_with(|| now + Millis(rand::random_range(0.0..=interval_ms) as u64));
-        now >= next
+    /// Whether a request may be sent at `now`.
+    pub(super) fn may_send(&self, rate: Rate, issuing: &Issuing, now: Millis) -> bool {
+        let next = self.next_unissued(rate, issuing, now);
+        self.has_permit(now) || next.is_some_and(|next| now >= next)
+    }
+
+    /// Records that a request without a permit asked to be sent at `now`.
+    pub(super) fn advance_unissued(&mut self, rate: Rate, issuing: &Issuing, now: Millis) {
+        self.next_unissued_at = self.next_unissued(rate, issuing, now);
+    }
+
+    /// When the next request may be sent without a permit; `None` if a controller issues them. The
+    /// first moment is random, so that the daemons do not all send at once.
+    fn next_unissued(&self, rate: Rate, issuing: &Issuing, now: Millis) -> Option<Millis> {
+        let interval_ms = unissued_interval_ms(rate, issuing.unissued_daemons()?);
+        let first = || now + self.first_unissued.of(interval_ms);
+        Some(self.next_unissued_at.unwrap_or_else(first))
     }
 
     /// Uses one permit for a request that is sent at `now`. False if there was none.
@@ -207,15 +214,24 @@
     }
 
     /// When a caller that is rejected now may return, at the latest `latest`. Callers are told
-    /// different times, as far apart as permits; those beyond `latest` are spread at random.
-    pub(super) fn next_return(&mut self, interval: Millis, latest: Millis, now: Millis) -> Millis {
+    /// different times, as far apart as permits; those beyond `latest` are spread at random over the
+    /// times that are returned.
+    pub(super) fn next_return(
+        &mut self,
+        interval: Millis,
+        latest: Millis,
+        claim: Claim,
+        now: Millis,
+    ) -> RangeInclusive<Millis> {
         let next = self.next_return_at.max(now) + interval;
-        if next <= latest {
+        if next > latest {
+            let longest = latest.since(now).0;
+            return now + Millis(longest / 2)..=now + Millis(longest);
+        }
+        if claim == Claim::Take {
             self.next_return_at = next;
-            return next;
         }
-        let longest = latest.since(now).0;
-        now + Millis(rand::random_range(longest / 2..=longest))
+        next..=next
     }
 
     /// Forgets everything: the limit has ended.
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -2,7 +2,7 @@
 //! end.
 
 use super::{
-    backend::Backend,
+    claim::{Claim, Counting},
     leaving::choice,
     model::EndpointInstance,
     view::{Member, ServiceView},
@@ -28,6 +28,17 @@
 /// probability proportional to its estimated latency to the power of `-e`.
 const EXPONENT_BOUNDS: [f64; 2] = [2.0, 12.0];
 
+/// A request that needs an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Expected work, in milliseconds.
+    pub work_ms: f64,
+    /// Endpoints that the request was sent to.
+    pub tried: &'a [EndpointInstance],
+    /// Number of daemons that share the endpoints.
+    pub daemons: usize,
+}
+
 /// Acquires a slot of an endpoint that is not in `tried` for a request of `work_ms`, preferring those
 /// where it would end soon.
 ///
@@ -40,8 +51,45 @@
     daemons: usize,
     now: Millis,
 ) -> Option<Member> {
-    let exponent = (EXPONENT_TIMES_DAEMONS / daemons.max(1) as f64)
-        .clamp(EXPONENT_BOUNDS[0], EXPONENT_BOUNDS[1]);
+    let wanted = Wanted {
+        work_ms,
+        tried,
+        daemons,
+    };
+    choose_endpoint(service, wanted, Claim::Take, random_sample, now).cloned()
+}
+
+/// Chooses an endpoint like [`acquire_endpoint`]. `sample` returns an exponential variable with mean 1
+/// for each candidate in turn.
+pub fn choose_endpoint<'a>(
+    service: &'a ServiceView,
+    wanted: Wanted<'_>,
+    claim: Claim,
+    mut sample: impl FnMut() -> f64,
+    now: Millis,
+) -> Option<&'a Member> {
+    let exponent = exponent(wanted.daemons);
+    let mut ranked: Vec<(f64, &Member)> = candidates(service, wanted.tried, now)
+        .into_iter()
+        .map(|member| {
+            let weighted_ms = weighted_end_ms(member, wanted.work_ms, exponent, now);
+            (weighted_ms * sample().powf(1.0 / exponent), member)
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let with_room = |counting: Counting| {
+        let mut members = ranked.iter().map(|(_, member)| *member);
+        members.find(|member| member.backend.acquire(claim, counting, now).is_ok())
+    };
+    with_room(Counting::All).or_else(|| with_room(Counting::WithoutLong))
+}
+
+/// The endpoints that a request is sent to if they have room.
+pub fn candidates<'a>(
+    service: &'a ServiceView,
+    tried: &[EndpointInstance],
+    now: Millis,
+) -> Vec<&'a Member> {
     let usable = |member: &&Member| {
         !member.backend.is_replaced(now) && member.backend.pause.blocked_until(now).is_none()
     };
@@ -63,18 +111,14 @@
     if candidates.is_empty() {
         candidates = all;
     }
-    let mut ranked: Vec<(f64, &Member)> = candidates
-        .into_iter()
-        .map(|member| (score(member, work_ms, exponent, now), member))
-        .collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let with_room = |acquire: fn(&Backend, Millis) -> bool| {
-        let mut members = ranked.iter().map(|(_, member)| *member);
-        members.find(|member| acquire(&member.backend, now))
-    };
-    with_room(Backend::try_acquire)
-        .or_else(|| with_room(Backend::try_acquire_uncounted))
-        .cloned()
+    candidates
+}
+
+/// Exponent of the selection: a candidate with room gets a request with a probability proportional to
+/// its weighted end to the power of minus this.
+pub fn exponent(daemons: usize) -> f64 {
+    let exponent = EXPONENT_TIMES_DAEMONS / daemons.max(1) as f64;
+    exponent.clamp(EXPONENT_BOUNDS[0], EXPONENT_BOUNDS[1])
 }
 
 /// The earliest end of the requested pauses; `None` unless all usable endpoints are in one.
@@ -87,7 +131,8 @@
     ends?.into_iter().min()
 }
 
-fn score(member: &Member, work_ms: f64, exponent: f64, now: Millis) -> f64 {
+/// Estimated time until a request of `work_ms` ends, in milliseconds, weighted by zone and warm-up.
+pub fn weighted_end_ms(member: &Member, work_ms: f64, exponent: f64, now: Millis) -> f64 {
     let zone_factor = if member.is_local {
         1.0
     } else {
@@ -100,10 +145,11 @@
     } else {
         WARMUP_FACTOR
     };
-    // The minimum of exponential variables is each one with a probability proportional to its rate.
-    let sample = -rand::random_range(f64::MIN_POSITIVE..1.0).ln();
-    member.backend.estimated_end_ms(work_ms, now)
-        * zone_factor
-        * warmup_factor
-        * sample.powf(1.0 / exponent)
+    member.backend.estimated_end_ms(work_ms, now) * zone_factor * warmup_factor
+}
+
+/// An exponential variable with mean 1. The minimum of exponential variables is each one with a
+/// probability proportional to its rate.
+pub fn random_sample() -> f64 {
+    -rand::random_range(f64::MIN_POSITIVE..1.0).ln()
 }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -75,6 +75,12 @@
     }
 }
 
+/// Whether a request that may take until `deadline` may begin at `now`, or be sent to an endpoint.
+/// `stop` is the daemon's stop, once it has begun.
+pub fn may_begin(stop: Option<Stop>, now: Millis, deadline: Millis) -> bool {
+    stop.is_none_or(|stop| stop.schedule.may_begin(now, deadline))
+}
+
 /// Waits until all connections have ended, which are the receivers of `connections`. When responses
 /// are due, tells `stop` so, and then waits until they are written. That wait does not depend on how
 /// late the process runs. False if connections are left.
--- a/src/gateway/wait_queue.rs
+++ b/src/gateway/wait_queue.rs
@@ -82,11 +82,20 @@
 impl WaitQueue {
     /// Issues the next ticket for a request of this priority; 0 is the most urgent.
     pub fn issue_ticket(&self, priority: u32, key: Option<Key>) -> Ticket {
+        self.ticket(priority, key, ISSUED.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The ticket that [`Self::issue_ticket`] would issue.
+    pub fn next_ticket(&self, priority: u32, key: Option<Key>) -> Ticket {
+        self.ticket(priority, key, ISSUED.load(Ordering::Relaxed))
+    }
+
+    fn ticket(&self, priority: u32, key: Option<Key>, number: u64) -> Ticket {
         let waiting = key.and_then(|key| self.state().by_key.get(&key).copied());
         Ticket {
             priority,
             waiting_for_key: waiting.unwrap_or(0),
-            number: ISSUED.fetch_add(1, Ordering::Relaxed),
+            number,
             key,
         }
     }
--- a/src/routing/limit.rs
+++ b/src/routing/limit.rs
@@ -131,14 +131,19 @@
     /// Acquires a slot if the limit allows it at `now`, and `uncounted` requests in flight do not
     /// count against it.
     pub fn try_acquire_beyond(&mut self, uncounted: u32, now: Millis) -> bool {
-        let slots = (self.limit().max(1.0) as u32).saturating_add(uncounted);
-        let free = self.in_flight < slots && now >= self.next_send_at;
+        let free = self.has_room_beyond(uncounted, now);
         if free {
             self.in_flight += 1;
         }
         free
     }
 
+    /// Whether [`Self::try_acquire_beyond`] would acquire a slot.
+    pub fn has_room_beyond(&self, uncounted: u32, now: Millis) -> bool {
+        let slots = (self.limit().max(1.0) as u32).saturating_add(uncounted);
+        self.in_flight < slots && now >= self.next_send_at
+    }
+
     /// When pacing next allows a request; `None` if a slot is free now or a request has to end
     /// first.
     pub fn next_slot_at(&self, now: Millis) -> Option<Millis> {
