Send an idempotent request to a second endpoint while the first does not respond

Cause: a request waited at an endpoint that hung, or whose machine was busy for a moment, until its time was up. What was cut off was no sample, so such endpoints looked fast.

Change: hedging decides when a second attempt begins (nine of ten requests of the class have ended, and time for a second one is left), forward/hedge sends it to another endpoint with room, within three quarters of the retry budget. The first success counts, the other attempt is cancelled. What is cut off is recorded as a lower bound of the latency.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod decaying_mean;
 pub mod evacuation;
 pub mod forward;
+pub mod hedging;
 pub mod idle;
 pub mod incarnations;
 pub mod leaving;
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -288,6 +288,11 @@
         self.state().slowdown = (slowdown, now);
     }
 
+    /// Records that a request had no response after `elapsed`. The endpoint is at least that slow.
+    pub fn record_overdue(&self, class: &RequestClass, elapsed: Millis) {
+        self.state().record_overdue(class, elapsed);
+    }
+
     /// Whether the endpoint is ejected at `now` because it keeps failing.
     pub fn is_ejected(&self, now: Millis) -> bool {
         self.state().ejected_until.is_some_and(|until| now < until)
--- a/src/gateway/backend/state.rs
+++ b/src/gateway/backend/state.rs
@@ -233,6 +233,20 @@
         }
     }
 
+    /// Records that a request had no response after `elapsed`, which is a lower bound of its latency.
+    pub(super) fn record_overdue(&mut self, class: &RequestClass, elapsed: Millis) {
+        let ratio = self.costs.overdue_ratio(class, elapsed);
+        if let Some(ratio) = ratio.filter(|ratio| *ratio > self.relative_latency) {
+            self.add_relative_latency(ratio);
+        }
+    }
+
+    fn add_relative_latency(&mut self, ratio: f64) {
+        self.relative_latency += RELATIVE_LATENCY_WEIGHT * (ratio - self.relative_latency);
+        self.latency_samples.0 += 1;
+        self.latency_samples.1 += ratio;
+    }
+
     pub(super) fn record_outcome(
         &mut self,
         outcome: ExchangeOutcome,
@@ -249,9 +263,7 @@
                     slowdown: self.slowdown_at(now),
                 };
                 let ratio = self.costs.record(class, observation, now);
-                self.relative_latency += RELATIVE_LATENCY_WEIGHT * (ratio - self.relative_latency);
-                self.latency_samples.0 += 1;
-                self.latency_samples.1 += ratio;
+                self.add_relative_latency(ratio);
                 false
             }
             ExchangeOutcome::Failed | ExchangeOutcome::Lost => true,
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -11,6 +11,9 @@
 /// Share of the budget that daemons use. The rest is a margin, since the windows of the daemons are
 /// not aligned.
 const BUDGET_UTILIZATION: f64 = 0.7;
+/// Share of what daemons use that hedged requests may take. The rest is kept for requests whose
+/// attempt has failed.
+const HEDGE_SHARE: f64 = 0.75;
 
 /// Parameters of a service's retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,16 +56,31 @@
 
     /// Counts a retry and returns true if the budget, shared by `daemons`, allows it.
     pub fn try_retry(&mut self, daemons: usize, now: Millis) -> bool {
+        let is_allowed = self.has_left(1.0, daemons, now);
+        if is_allowed {
+            self.current_bucket(now).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// Whether the part of the budget for hedged requests allows a further one.
+    pub fn allows_hedge(&mut self, daemons: usize, now: Millis) -> bool {
+        self.has_left(HEDGE_SHARE, daemons, now)
+    }
+
+    /// Counts a hedged request.
+    pub fn count_hedge(&mut self, now: Millis) {
+        self.current_bucket(now).retries += 1;
+    }
+
+    /// Whether less than `share` of the budget is used up.
+    fn has_left(&mut self, share: f64, daemons: usize, now: Millis) -> bool {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
         let extra = self.rule.extra / daemons.max(1) as f64;
         let allowed = (f64::from(requests) * self.rule.ratio + extra) * BUDGET_UTILIZATION;
-        let is_allowed = f64::from(retries) + 1.0 <= allowed;
-        if is_allowed {
-            self.current_bucket(now).retries += 1;
-        }
-        is_allowed
+        f64::from(retries) + 1.0 <= allowed * share
     }
 
     fn current_bucket(&mut self, now: Millis) -> &mut Bucket {
--- a/src/gateway/cost/distribution.rs
+++ b/src/gateway/cost/distribution.rs
@@ -58,6 +58,18 @@
         0.0
     }
 
+    /// Upper end of the bucket with this quantile; 0 without samples.
+    pub fn high_quantile_ms(&self, quantile: f64) -> f64 {
+        let mut left = (1.0 - quantile) * self.weight;
+        for (bucket, weight) in self.weights.iter().enumerate().rev() {
+            left -= f64::from(*weight);
+            if left < 0.0 {
+                return start_of(bucket + 1);
+            }
+        }
+        0.0
+    }
+
     /// Expected rest of a request that has been running for `age_ms`: the mean residual of longer
     /// samples. Without any, it is expected to run as long again.
     pub fn residual_ms(&self, age_ms: f64) -> f64 {
--- a/src/gateway/cost/estimates.rs
+++ b/src/gateway/cost/estimates.rs
@@ -21,8 +21,12 @@
 const RATIO_BOUNDS: [f64; 2] = [0.2, 8.0];
 /// Samples that a class needs for a lower bound of its work.
 const MIN_SAMPLES_OF_BOUND: f64 = 20.0;
+/// Samples that a class needs for the work that most requests do not exceed.
+const MIN_SAMPLES_OF_MOST: f64 = 8.0;
 /// Quantile that is taken for the least work of a class.
 const LOW_QUANTILE: f64 = 0.05;
+/// Quantile of the work that most requests of a class do not exceed.
+const HIGH_QUANTILE: f64 = 0.9;
 
 /// A complete response, as far as the cost of its request is concerned.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,6 +64,8 @@
     pub choice_ms: f64,
     /// Work that nearly all requests of the class exceed, in milliseconds; 0 if unknown.
     pub least_ms: f64,
+    /// Work that most requests of the class do not exceed, in milliseconds; 0 if unknown.
+    pub most_ms: f64,
     /// Expected work as a multiple of the service's mean; 0 if nothing is known of the class.
     pub share: f64,
 }
@@ -142,6 +148,7 @@
             mean_ms,
             choice_ms: mean_ms.min(service_mean_ms),
             least_ms: own.map_or(0.0, |class| class.least_work_ms(now)),
+            most_ms: own.map_or(0.0, |class| class.most_work_ms(now)),
             share: mean_ms / service_mean_ms,
         }
     }
@@ -184,6 +191,16 @@
         ratio.clamp(RATIO_BOUNDS[0], RATIO_BOUNDS[1])
     }
 
+    /// Lower bound of the latency of a request that had no response after `elapsed`, as a multiple of
+    /// the mean latency of its class and within bounds; `None` if the class is unknown.
+    pub fn overdue_ratio(&self, class: &RequestClass, elapsed: Millis) -> Option<f64> {
+        let state = self.state();
+        let exact = state.classes.get(&class.exact);
+        let known = exact.or_else(|| state.routes.get(&class.route))?;
+        let ratio = elapsed.0 as f64 / known.latency.value()?.max(1.0);
+        Some(ratio.clamp(RATIO_BOUNDS[0], RATIO_BOUNDS[1]))
+    }
+
     /// Number of classes that are remembered.
     pub fn class_count(&self) -> usize {
         self.state().classes.len()
@@ -214,6 +231,15 @@
         self.work.low_quantile_ms(LOW_QUANTILE)
     }
 
+    /// Work that most requests do not exceed, in milliseconds; 0 if too little is known, or only from
+    /// long ago.
+    fn most_work_ms(&self, now: Millis) -> f64 {
+        if self.is_stale(now) || self.work.weight() < MIN_SAMPLES_OF_MOST {
+            return 0.0;
+        }
+        self.work.high_quantile_ms(HIGH_QUANTILE)
+    }
+
     fn is_stale(&self, now: Millis) -> bool {
         now.since(self.last_sample) >= STALE_AFTER
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,6 +3,7 @@
 
 mod acquire;
 mod attempts;
+mod hedge;
 mod outcome;
 mod rejection;
 
--- a/src/gateway/forward/attempts.rs
+++ b/src/gateway/forward/attempts.rs
@@ -12,16 +12,31 @@
         model::{Key, RetryPolicy},
         reply::RejectionReason,
         selection,
-        send::{self, Exchange, NotRun, OutgoingRequest, SendContext},
+        send::{Exchange, NotRun, OutgoingRequest},
         stop::Stop,
     },
 };
-use std::sync::atomic::Ordering;
-use tokio::time::timeout;
+use std::sync::{Arc, atomic::Ordering};
 
 /// Number of tried endpoints at which a request is given up if the last attempt sent nothing.
 const MAX_TRIED_UNSENT: usize = 4;
 
+/// An attempt that has ended.
+pub(super) struct Attempt {
+    pub(super) backend: Arc<Backend>,
+    pub(super) result: Exchange,
+}
+
+impl Attempt {
+    /// Whether the endpoint responded, and not with a server error.
+    pub(super) fn is_success(&self) -> bool {
+        match &self.result {
+            Exchange::Answered(response) => !response.status().is_server_error(),
+            Exchange::NotRun(_) | Exchange::MayHaveRun(_) => false,
+        }
+    }
+}
+
 impl Forwarder {
     /// Sends the request, and retries it until it succeeds or must not or cannot be retried.
     pub(super) async fn send_with_retries(
@@ -37,25 +52,22 @@
                     return self.with_pause(request, last.unwrap_or(Outcome::Refused(reason)));
                 }
             };
-            let left = self.clock.until(request.deadline);
-            let cx = SendContext {
-                names: &self.names,
-                body_memory: &self.body_memory,
-                daemons: self.daemons.load(Ordering::Relaxed),
-                clock: self.clock,
-            };
-            let sending = timeout(left, send::send(&backend, out, cx, left));
-            let result = tokio::select! {
-                biased;
-                result = sending => result.ok(),
-                () = self.responses_due() => None,
-            };
-            let Some(result) = result else {
-                return Outcome::Refused(RejectionReason::Timeout);
+            let sent = self.send_hedged(request, out, backend).await;
+            if let Some(failed) = sent.failed {
+                self.record_failure(request, &failed);
+                self.log_attempt(request, out, &failed, true);
+                last = Some(latest(
+                    last,
+                    to_outcome(failed.result, request.route.retry_policy),
+                ));
+            }
+            let Some(attempt) = sent.last else {
+                let answered = last.filter(|outcome| matches!(outcome, Outcome::Answered(_)));
+                return answered.unwrap_or(Outcome::Refused(RejectionReason::Timeout));
             };
-            let again = self.should_retry(request, &backend, &result);
-            self.log_attempt(request, out, &backend, &result, again);
-            let outcome = latest(last, to_outcome(result, request.route.retry_policy));
+            let again = self.should_retry(request, &attempt);
+            self.log_attempt(request, out, &attempt, again);
+            let outcome = latest(last, to_outcome(attempt.result, request.route.retry_policy));
             if !again {
                 return self.with_pause(request, outcome);
             }
@@ -93,36 +105,23 @@
         }
     }
 
-    /// Whether the request is retried after `result`.
-    fn should_retry(
-        &self,
-        request: &mut ActiveRequest<'_>,
-        backend: &Backend,
-        result: &Exchange,
-    ) -> bool {
-        let now = self.clock.now();
-        let idempotent = request.route.retry_policy == RetryPolicy::Allowed;
-        let may_have_run = match result {
-            Exchange::Answered(response) if !response.status().is_server_error() => return false,
-            Exchange::Answered(_) | Exchange::MayHaveRun(_) => true,
-            Exchange::NotRun(_) => false,
-        };
-        if may_have_run {
-            request.sends += 1;
+    /// Whether the request is retried after `attempt`, which is recorded if it failed.
+    fn should_retry(&self, request: &mut ActiveRequest<'_>, attempt: &Attempt) -> bool {
+        if attempt.is_success() {
+            return false;
         }
+        self.record_failure(request, attempt);
+        let may_have_run = !matches!(attempt.result, Exchange::NotRun(_));
+        let idempotent = request.route.retry_policy == RetryPolicy::Allowed;
         if may_have_run && (!idempotent || request.sends >= request.route.max_attempts) {
             return false;
         }
-        if let (Exchange::NotRun(NotRun::NotOwner), Some(key)) = (result, request.key) {
-            self.record_not_owner(request, backend, key, now);
-        } else {
-            request.tried.push(backend.entry.instance.clone());
-        }
+        let now = self.clock.now();
         if now >= request.deadline {
             return false;
         }
         let is_unsent = matches!(
-            result,
+            attempt.result,
             Exchange::NotRun(NotRun::NotSent | NotRun::Leaving | NotRun::Paused)
         );
         if is_unsent {
@@ -137,6 +136,20 @@
             .is_some_and(|service| service.state.try_retry(daemons, now))
     }
 
+    /// Records a failed attempt in the request.
+    fn record_failure(&self, request: &mut ActiveRequest<'_>, failed: &Attempt) {
+        if !matches!(failed.result, Exchange::NotRun(_)) {
+            request.sends += 1;
+        }
+        let backend = &failed.backend;
+        match (&failed.result, request.key) {
+            (Exchange::NotRun(NotRun::NotOwner), Some(key)) => {
+                self.record_not_owner(request, backend, key, self.clock.now());
+            }
+            _ => request.tried.push(backend.entry.instance.clone()),
+        }
+    }
+
     /// Holds back further requests for the key and those near it for a moment, because the endpoint
     /// no longer owns it: it is moving to another owner.
     fn record_not_owner(
@@ -159,12 +172,12 @@
         &self,
         request: &ActiveRequest<'_>,
         out: &OutgoingRequest,
-        backend: &Backend,
-        result: &Exchange,
+        attempt: &Attempt,
         again: bool,
     ) {
-        let result_text = match result {
-            Exchange::Answered(response) if !response.status().is_server_error() => return,
+        let backend = &attempt.backend;
+        let result_text = match &attempt.result {
+            _ if attempt.is_success() => return,
             Exchange::Answered(response) => format!("status-{}", response.status().as_u16()),
             Exchange::NotRun(reason) => format!("not-run/{reason}"),
             Exchange::MayHaveRun(reason) => format!("may-have-run/{reason}"),
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -145,6 +145,7 @@
                 text,
                 "fireflygauge_endpoints_cold{{service=\"{name}\"}} {cold}"
             );
+            service.state.hedges.write_metrics(&name.0, &mut text);
             let waiting = service.state.queue.len();
             let _ = writeln!(text, "fireflygauge_waiting{{service=\"{name}\"}} {waiting}");
         }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -9,6 +9,7 @@
     budget::{BudgetRule, RetryBudget},
     cost::CostEstimates,
     evacuation::Evacuations,
+    hedging::HedgeCounters,
     idle::IdleLimit,
     leaving::Source,
     model::{CallerLimits, EndpointInstance, Key},
@@ -82,6 +83,8 @@
     pub queue: Arc<WaitQueue>,
     /// What its requests are likely to cost.
     pub costs: Arc<CostEstimates>,
+    /// Hedged requests.
+    pub hedges: HedgeCounters,
     idle: Arc<IdleLimit>,
     pause_count: Arc<AtomicU64>,
     budget: Mutex<RetryBudget>,
@@ -95,6 +98,7 @@
         Self {
             queue: Arc::default(),
             costs: Arc::default(),
+            hedges: HedgeCounters::default(),
             idle: Arc::default(),
             pause_count: Arc::default(),
             budget: Mutex::new(RetryBudget::new(budget_rule)),
@@ -123,6 +127,18 @@
         budget.try_retry(daemons, now)
     }
 
+    /// Whether the retry budget allows a second attempt beside the first one.
+    pub fn allows_hedge(&self, daemons: usize, now: Millis) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.allows_hedge(daemons, now)
+    }
+
+    /// Counts a second attempt beside the first one for the retry budget.
+    pub fn count_hedge(&self, now: Millis) {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.count_hedge(now);
+    }
+
     /// Counts an endpoint that leaves, by the source of the first notice.
     pub fn count_notice(&self, source: Source) {
         self.notice_counts[source as usize].fetch_add(1, Ordering::Relaxed);
--- a/tests/gateway/fake_endpoint.rs
+++ b/tests/gateway/fake_endpoint.rs
@@ -23,6 +23,8 @@
     Ok,
     /// Runs it and responds after this time.
     Slow(Duration),
+    /// Runs it and responds after this time, but to so many first requests only.
+    HangsAfter(Duration, usize),
     /// Runs it and responds twice.
     Twice,
     /// Runs it and closes the connection.
@@ -227,6 +229,11 @@
                     sleep(*time).await;
                     ok
                 }
+                Behavior::HangsAfter(time, first) if number < *first => {
+                    sleep(*time).await;
+                    ok
+                }
+                Behavior::HangsAfter(..) => std::future::pending().await,
                 Behavior::Twice => ok.repeat(2),
                 Behavior::Lost => return,
                 Behavior::Truncated => {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod fake_platform;
 mod foreign_entries;
 mod handover;
+mod hedged_requests;
 mod hot_keys;
 mod idle;
 mod incarnations;
