--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,6 +3,7 @@
 
 pub mod acquire;
 mod attempts;
+mod hedge;
 mod outcome;
 pub mod rejection;
 
