Explain where a request would go: command, status path and tests

admission::{admit,assign} are taken out of Forwarder::handle and dispatch, so the explanation runs all of the decision with Claim::Peek: route, split, service, key, work, owner or endpoint, queue, rejection and Retry-After. GET /explain-route on the status address gives it as JSON, at most 10 a second and 32 endpoints; 'fireflygauge explain-route' asks one or all daemons. Views carry the age of configuration, declarations, endpoints and the controller's last reply. percent-encoding, which the lock file had, replaces the tool's own escaping.

A test compares explanation and taken decision over 3,000 random states, and the printed state before and after. With each of these changes made for a trial it failed: a slot, a permit request, a turn of the split and a return time that are taken all the same.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -2,6 +2,7 @@
 //! limit, latency, outlier ejection and pacing.
 
 mod denied;
+mod observed;
 mod state;
 mod timing;
 
@@ -19,6 +20,7 @@
     wait_queue::WaitQueue,
 };
 use crate::{clock::Millis, routing::limit::LimitSample};
+pub use observed::Observed;
 use state::State;
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -353,6 +353,13 @@
         self.apply_leaving(now);
         self.end_lost_evacuations(now);
         self.builder.step_pauses(now);
+        let freshness = self.builder.freshness();
+        if self.registry.version() > 0 {
+            freshness.set_endpoints_as_of(self.known_as_of());
+        }
+        if let Some(at) = self.last_reply_at {
+            freshness.set_controller_replied_at(at);
+        }
         self.builder.rate_limits().step(now);
         if self.controller.lease_state().is_holder() {
             let missing = self.pauses.missing_shares(self.daemons.len(), now);
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -37,6 +37,8 @@
             Table::Declarations => {
                 // Empty updates show how old a later evacuation can be.
                 self.apply_evacuation_rows(update);
+                let freshness = self.builder.freshness();
+                freshness.set_declarations_as_of(update.as_of);
                 if update.is_empty() {
                     return;
                 }
@@ -69,6 +71,8 @@
             return;
         }
         log::info!(target: "config", version, routes; "Configuration in force.");
+        let freshness = self.builder.freshness();
+        freshness.set_config_since(self.cx.clock.now());
         let services = self.builder.config().map_or_else(Vec::new, |config| {
             config.services.values().cloned().collect()
         });
--- a/src/gateway/cost/estimates.rs
+++ b/src/gateway/cost/estimates.rs
@@ -146,6 +146,15 @@
         }
     }
 
+    /// Decayed number of samples of a class and the time of the last one; those of its route if it has
+    /// none.
+    pub fn evidence(&self, class: &RequestClass) -> Option<(f64, Millis)> {
+        let state = self.state();
+        let exact = state.classes.get(&class.exact);
+        let known = exact.or_else(|| state.routes.get(&class.route))?;
+        Some((known.work.weight(), known.last_sample))
+    }
+
     /// Expected rest of a request that has been running for `age`, in milliseconds.
     pub fn remaining_ms(&self, class: &RequestClass, age: Millis) -> f64 {
         let state = self.state();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 //! and builds the response to the caller.
 
 pub mod acquire;
+pub mod admission;
 mod attempts;
 mod outcome;
 pub mod rejection;
@@ -9,13 +10,13 @@
 use super::{
     body_memory::{BodyError, BodyEvent, BodyMemory},
     caller_connections::ConnectionHandle,
+    claim::Claim,
     cost::{self, Estimate, RequestClass},
     model::{EndpointInstance, Key, Route},
     platform::HeaderNames,
     reply::{self, RejectionReason},
-    routes::RouteEntry,
     send::OutgoingRequest,
-    stop::{self, Stop},
+    stop::Stop,
     view::View,
 };
 use crate::{
@@ -23,6 +24,7 @@
     entry::metrics::Metrics,
     world::ServiceName,
 };
+use admission::{Admitted, Arrival, NotAdmitted, Unassigned};
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header, request::Parts};
@@ -32,9 +34,6 @@
 use std::sync::{Arc, atomic::AtomicUsize};
 use tokio::{sync::watch, time::timeout};
 
-/// Longest time that a request is queued, in percent of the route's latency objective.
-const MAX_QUEUE_TIME_PERCENT: u64 = 120;
-
 /// Forwards requests of callers to endpoints.
 #[derive(Clone, Debug)]
 pub struct Forwarder {
@@ -102,23 +101,20 @@
         let arrived = self.clock.now();
         let (parts, body) = req.into_parts();
         let view = self.view.load_full();
-        if view.version == 0 {
-            return self.reject(
-                &parts,
-                None,
-                RejectionReason::NotConfigured,
-                arrived,
-                arrived,
-            );
-        }
-        let Some(entry) = find_route(&view, &parts).cloned() else {
-            return self.reject(&parts, None, RejectionReason::NoRoute, arrived, arrived);
+        let arrival = Arrival {
+            host: host_of(&parts),
+            path: parts.uri.path(),
+            time_limit: self.requested_time_limit(&parts.headers),
+            at: arrived,
         };
-        let route = &entry.route;
-        let deadline = arrived + self.time_limit(&parts.headers, route);
-        if !self.may_begin(arrived, deadline) {
-            return self.reject(&parts, None, RejectionReason::Stopping, arrived, deadline);
-        }
+        let stop = *self.stop.borrow();
+        let admitted = match admission::admit(&view, arrival, stop) {
+            Ok(admitted) => admitted,
+            Err(NotAdmitted { reason, deadline }) => {
+                return self.reject(&parts, None, reason, arrived, deadline);
+            }
+        };
+        let (route, deadline) = (&admitted.entry.route, admitted.deadline);
         if !connection.begin_request(&parts.headers) {
             return self.reject(&parts, None, RejectionReason::NoMemory, arrived, deadline);
         }
@@ -126,10 +122,7 @@
             .read_request(&view, route, &parts, body, deadline, connection)
             .await
         {
-            Ok(out) => {
-                self.dispatch(&view, &entry, &parts, out, arrived, deadline)
-                    .await
-            }
+            Ok(out) => self.dispatch(&view, admitted, &parts, out, arrived).await,
             Err(reason) => (Outcome::Refused(reason), None),
         };
         match outcome {
@@ -148,18 +141,10 @@
         }
     }
 
-    /// Time limit of a request: the caller's, but no longer than the route's time-out.
-    fn time_limit(&self, headers: &HeaderMap, route: &Route) -> Millis {
-        let requested_ms = headers
-            .get(&self.names.deadline)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.trim().parse::<u64>().ok());
-        requested_ms.map_or(route.timeout, |ms| Millis(ms).min(route.timeout))
-    }
-
-    /// Whether a request that may take until `deadline` may begin at `now`.
-    fn may_begin(&self, now: Millis, deadline: Millis) -> bool {
-        stop::may_begin(*self.stop.borrow(), now, deadline)
+    /// Time limit that the caller states.
+    fn requested_time_limit(&self, headers: &HeaderMap) -> Option<Millis> {
+        let value = headers.get(&self.names.deadline)?;
+        value.to_str().ok()?.trim().parse().ok().map(Millis)
     }
 
     fn requested_key(&self, headers: &HeaderMap) -> Option<Key> {
@@ -180,7 +165,7 @@
     ) -> Result<OutgoingRequest, RejectionReason> {
         let id = parts.headers.get(&self.names.request_id);
         let id = id.ok_or(RejectionReason::BadRequest)?.clone();
-        let limit = usize::try_from(view.limits.max_body_bytes).unwrap_or(usize::MAX);
+        let limit = admission::max_body_bytes(view);
         let observer = |event| match event {
             BodyEvent::Holds(bytes) => {
                 connection.record_body(bytes);
@@ -217,46 +202,28 @@
     async fn dispatch(
         &self,
         view: &View,
-        entry: &RouteEntry,
+        admitted: Admitted<'_>,
         parts: &Parts,
         out: OutgoingRequest,
         arrived: Millis,
-        deadline: Millis,
     ) -> (Outcome, Option<ServiceName>) {
-        let route = &entry.route;
-        let Some(share) = entry.next_share() else {
-            return (Outcome::Refused(RejectionReason::NoEndpoint), None);
-        };
-        let name = share.service.clone();
-        let Some(service) = view.services.get(&name) else {
-            return (Outcome::Refused(RejectionReason::NoEndpoint), Some(name));
-        };
         let key = self.requested_key(&parts.headers);
-        if service.keyed && key.is_none() {
-            return (Outcome::Refused(RejectionReason::BadKey), Some(name));
-        }
-        let key = key.filter(|_| service.keyed);
-        service.state.count_request(key, arrived);
-        let max_queue_time = Millis(route.latency_objective.0 * MAX_QUEUE_TIME_PERCENT / 100);
-        let mut request = ActiveRequest {
-            route,
-            service: name.clone(),
-            key,
-            cost: service.state.costs.estimate(&out.class, arrived),
-            arrived,
-            deadline,
-            queue_deadline: (arrived + max_queue_time).min(deadline),
-            tried: Vec::new(),
-            sends: 0,
+        let assigned = admission::assign(view, admitted, &out.class, key, arrived, Claim::Take);
+        let mut request = match assigned {
+            Ok(request) => request,
+            Err(Unassigned { service, reason }) => return (Outcome::Refused(reason), service),
         };
+        let name = request.service.clone();
+        if let Some(service) = view.services.get(&name) {
+            service.state.count_request(request.key, arrived);
+        }
         (self.send_with_retries(&mut request, &out).await, Some(name))
     }
 }
 
-fn find_route<'a>(view: &'a View, parts: &Parts) -> Option<&'a Arc<RouteEntry>> {
-    let host = match parts.headers.get(header::HOST) {
-        Some(host) => host.to_str().ok()?,
-        None => parts.uri.host()?,
-    };
-    view.routes.find(host, parts.uri.path())
+fn host_of(parts: &Parts) -> Option<&str> {
+    match parts.headers.get(header::HOST) {
+        Some(host) => host.to_str().ok(),
+        None => parts.uri.host(),
+    }
 }
--- a/src/gateway/forward/acquire.rs
+++ b/src/gateway/forward/acquire.rs
@@ -195,6 +195,18 @@
         }
     }
 
+    /// Estimated time in the queue of a service without keys, in milliseconds; infinite if no endpoint
+    /// serves it.
+    pub fn wait_ms_for_any(&self, service: &ServiceView, ticket: Ticket) -> f64 {
+        let now = self.now;
+        let usable = unpaused_members(service, now);
+        let rate: f64 = usable
+            .iter()
+            .map(|m| 1.0 / m.backend.interval_ms(now))
+            .sum();
+        service.state.queue.work_ahead_of(ticket) / rate
+    }
+
     fn acquire_any(
         &self,
         service: &ServiceView,
@@ -218,13 +230,8 @@
             return Ok(Arc::clone(&member.backend));
         }
         let is_hopeless = || {
-            let mut usable = choice::usable_members(service, now);
-            usable.retain(|member| member.backend.pause.blocked_until(now).is_none());
-            let rate: f64 = usable
-                .iter()
-                .map(|m| 1.0 / m.backend.interval_ms(now))
-                .sum();
-            let wait_ms = queue.work_ahead_of(ticket) / rate;
+            let wait_ms = self.wait_ms_for_any(service, ticket);
+            let usable = unpaused_members(service, now);
             let ending_rate = usable.iter().map(|m| m.backend.ending_rate(now)).sum();
             request.exceeds_queue_time(wait_ms, now) || request.cannot_end_in_time(ending_rate, now)
         };
@@ -296,3 +303,9 @@
         Err((reason, Some(Arc::clone(queue)), None))
     }
 }
+
+fn unpaused_members(service: &ServiceView, now: Millis) -> Vec<&Member> {
+    let mut usable = choice::usable_members(service, now);
+    usable.retain(|member| member.backend.pause.blocked_until(now).is_none());
+    usable
+}
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -36,12 +36,21 @@
     /// The share that the next request goes to; `None` if there are no shares, or several without a
     /// positive weight.
     pub fn next_share(&self) -> Option<&Share> {
+        self.share_of(|| self.requests.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The share that [`Self::next_share`] would return.
+    pub fn peek_share(&self) -> Option<&Share> {
+        self.share_of(|| self.requests.load(Ordering::Relaxed))
+    }
+
+    fn share_of(&self, number: impl FnOnce() -> u64) -> Option<&Share> {
         let shares = &self.route.shares;
         if shares.len() < 2 {
             return shares.first();
         }
         let total: f64 = shares.iter().map(|share| share.weight).sum();
-        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        let number = number();
         let mut point = (number as f64 * GOLDEN_RATIO_FRACTION).fract() * total;
         for share in shares {
             if point < share.weight {
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -134,6 +134,7 @@
     let pool = MemoryPool::new(shares.pool);
     let limits = ListenerLimits::of_process(options.max_fds, shares, options.caller_bounds);
     let callers = CallerConnections::new(limits.callers, pool.clone());
+    let (stop_state, stop_states) = watch::channel(None);
     let status = Status {
         ready_path: Arc::clone(&options.ready_path),
         view: Arc::clone(&view),
@@ -142,9 +143,10 @@
         connections: CallerConnections::new(limits.status, pool.clone()),
         stopping: Arc::default(),
         daemons: Arc::clone(&daemons),
+        stop: stop_states.clone(),
+        explanations: Arc::default(),
         clock,
     };
-    let (stop_state, stop_states) = watch::channel(None);
     let forwarder = Forwarder {
         view,
         changed: changes,
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -1,13 +1,18 @@
-//! HTTP handler of the status address: readiness check, metrics, a JSON report, and an explanation of
-//! one key.
+//! HTTP handler of the status address: readiness check, metrics, a JSON report, and explanations of
+//! one key and of where a request would go.
 
 pub mod evacuations;
 pub mod explain;
+pub mod explain_route;
 pub mod server;
+mod throttle;
+
+pub use throttle::Throttle;
 
 use super::{
     caller_connections::CallerConnections,
     leaving::Source,
+    stop::Stop,
     view::{Member, View},
 };
 use crate::{
@@ -17,6 +22,7 @@
 };
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use explain_route::{ExplainContext, query::RouteQuery};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -27,6 +33,7 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
+use tokio::sync::watch;
 
 /// Serves the status address.
 #[derive(Clone, Debug)]
@@ -45,6 +52,10 @@
     pub daemons: Arc<AtomicUsize>,
     /// Whether the daemon is stopping.
     pub stopping: Arc<AtomicBool>,
+    /// The daemon's stop, once it has begun.
+    pub stop: watch::Receiver<Option<Stop>>,
+    /// Bounds how often it explains where a request would go.
+    pub explanations: Arc<Throttle>,
     /// Clock of the daemon.
     pub clock: Clock,
 }
@@ -70,6 +81,7 @@
             }
             "/metrics" => (StatusCode::OK, self.metrics_text()),
             "/status" => (StatusCode::OK, self.status_text()),
+            "/explain-route" => self.explain_route(req.uri().query().unwrap_or_default()),
             path => match path.strip_prefix("/explain/") {
                 Some(request) => self.explain(request),
                 None => (StatusCode::NOT_FOUND, String::new()),
@@ -161,6 +173,28 @@
         }
     }
 
+    fn explain_route(&self, query: &str) -> (StatusCode, String) {
+        let failure = |status, reason: &str| (status, json!({ "error": reason }).to_string());
+        let query = match RouteQuery::parse(query) {
+            Ok(query) => query,
+            Err(e) => return failure(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        let now = self.clock.now();
+        if !self.explanations.admit(now) {
+            let reason = "too many explanations were asked for; ask again in a second";
+            return failure(StatusCode::TOO_MANY_REQUESTS, reason);
+        }
+        let cx = ExplainContext {
+            view: &self.view.load(),
+            stop: *self.stop.borrow(),
+            daemons: self.daemons.load(Ordering::Relaxed),
+            sample: &explain_route::equal_sample,
+            now,
+        };
+        let explanation = explain_route::explain_route(cx, &query);
+        (StatusCode::OK, json!(explanation).to_string())
+    }
+
     fn status_text(&self) -> String {
         let (view, now) = (self.view.load(), self.clock.now());
         let services = view.services.values().map(|service| {
--- a/src/gateway/status/explain.rs
+++ b/src/gateway/status/explain.rs
@@ -204,7 +204,7 @@
 }
 
 /// The pause that an endpoint requested. Only its own responses to this daemon can request one.
-fn pause(member: &Member, now: Millis) -> Option<Restriction> {
+pub(super) fn pause(member: &Member, now: Millis) -> Option<Restriction> {
     let pause = member.backend.pause.in_progress(now)?;
     Some(Restriction {
         source: "response".into(),
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,8 +1,10 @@
 //! Immutable snapshot of routes, endpoints and key owners for the request thread.
 
 mod builder;
+mod freshness;
 
 pub use builder::ViewBuilder;
+pub use freshness::Freshness;
 
 use super::{
     backend::Backend,
@@ -35,6 +37,8 @@
     pub services: Map<ServiceName, Arc<ServiceView>>,
     /// The evacuated zones.
     pub evacuations: Evacuations,
+    /// How old the data is.
+    pub freshness: Arc<Freshness>,
 }
 
 /// Snapshot of a service.
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -2,7 +2,7 @@
 
 mod owners;
 
-use super::{Member, ServiceState, ServiceView, View, instance_of};
+use super::{Freshness, Member, ServiceState, ServiceView, View, instance_of};
 use crate::{
     clock::Millis,
     collections::Map,
@@ -44,6 +44,7 @@
     rate_limits: RateLimits,
     evacuations: Evacuations,
     cold_rule: Option<ColdRule>,
+    freshness: Arc<Freshness>,
 }
 
 #[derive(Debug)]
@@ -88,6 +89,7 @@
             rate_limits: RateLimits::default(),
             evacuations: Evacuations::new(Millis::ZERO),
             cold_rule: None,
+            freshness: Arc::default(),
         }
     }
 
@@ -102,6 +104,11 @@
         Self { cold_rule, ..self }
     }
 
+    /// How old the data is.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
     /// The evacuated zones.
     pub fn evacuations(&mut self) -> &mut Evacuations {
         &mut self.evacuations
@@ -315,6 +322,7 @@
             limits: config.limits,
             services,
             evacuations: self.evacuations.clone(),
+            freshness: Arc::clone(&self.freshness),
         }
     }
 
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -6,3 +6,4 @@
 pub mod options;
 pub mod output;
 pub mod report;
+pub mod route;
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -7,11 +7,18 @@
 };
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, time::Duration};
 
 /// Time limit for a report, per daemon.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Bytes that are escaped in path segments and query values: all but the unreserved ones of RFC 3986.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'~');
 /// Time limit for a change; the daemon resolves an in-doubt write within 5 s.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -53,6 +60,11 @@
         }
     }
 
+    /// The daemons.
+    pub fn servers(&self) -> &[SocketAddr] {
+        &self.servers
+    }
+
     /// Gets a report from the first daemon that returns one.
     ///
     /// # Errors
@@ -129,12 +141,5 @@
 
 /// Percent-encodes `text` for a path segment or a query value.
 pub fn escape(text: &str) -> String {
-    text.bytes()
-        .map(|byte| match byte {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
-                char::from(byte).to_string()
-            }
-            byte => format!("%{byte:02X}"),
-        })
-        .collect()
+    utf8_percent_encode(text, ESCAPED).to_string()
 }
--- a/src/operator/commands.rs
+++ b/src/operator/commands.rs
@@ -9,6 +9,7 @@
     },
     output::{self, Output},
     report::{AssignmentReport, ConfigReport, KeyReport, PresetReport, Status, TargetReport},
+    route,
 };
 use crate::{
     audit::AuditRecord,
@@ -146,6 +147,12 @@
             Command::Status => self.status().await,
             Command::Audit(args) => self.history(args).await,
             Command::Explain { reference } => self.explain(&reference).await,
+            Command::ExplainRoute(args) => {
+                let answers = route::ask(&self.client, &args).await?;
+                let text = || route::text(&answers);
+                self.output.print(&answers, text);
+                Ok(Exit::Done)
+            }
         }
     }
 
--- a/src/operator/options.rs
+++ b/src/operator/options.rs
@@ -22,7 +22,8 @@
   fireflygauge preset use peak --reason \"harvest week\"
   fireflygauge target drain rounds-4
   fireflygauge assignment where meadow-17
-  fireflygauge status --json";
+  fireflygauge status --json
+  fireflygauge explain-route --server 10.0.1.5:9101 --host shop --path /parts/77 --key 4711";
 
 /// Operates a fireflygauge deployment through the operator port of any daemon.
 #[derive(Clone, Debug, Parser)]
@@ -77,6 +78,38 @@
         /// The reference, as the caller quotes it.
         reference: String,
     },
+    /// Explains where a request would go now, and why, without sending it. Asks the status address of a
+    /// daemon that routes by key ranges (`fireflygauge-platform`).
+    ExplainRoute(RouteArgs),
+}
+
+/// The request to explain.
+#[derive(Clone, Debug, Args)]
+pub struct RouteArgs {
+    /// Host of the request.
+    #[arg(long)]
+    pub host: String,
+    /// Path of the request.
+    #[arg(long)]
+    pub path: String,
+    /// Method of the request.
+    #[arg(long, default_value = "GET")]
+    pub method: String,
+    /// Key of the request, for services that are divided by key.
+    #[arg(long)]
+    pub key: Option<String>,
+    /// Length of the body, in bytes.
+    #[arg(long, value_name = "N", default_value_t = 0)]
+    pub body_bytes: u64,
+    /// Time limit that the caller states; the route's time-out without it.
+    #[arg(long, value_name = "MS")]
+    pub deadline_ms: Option<u64>,
+    /// The service of the route's split to explain; the one that the next request goes to without it.
+    #[arg(long)]
+    pub service: Option<String>,
+    /// Asks all daemons of the list, not the first that answers.
+    #[arg(long)]
+    pub all: bool,
 }
 
 /// Commands on declarations.
--- a/src/operator/output.rs
+++ b/src/operator/output.rs
@@ -55,7 +55,10 @@
     let _ = writeln!(io::stdout().lock(), "{text}");
 }
 
-fn table<const N: usize>(header: [&str; N], rows: impl Iterator<Item = [String; N]>) -> String {
+pub(super) fn table<const N: usize>(
+    header: [&str; N],
+    rows: impl Iterator<Item = [String; N]>,
+) -> String {
     let mut table = Table::new();
     table.load_preset(NOTHING).set_header(header);
     for row in rows {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod evacuation_daemon;
 mod evacuation_moves;
 mod explain;
+mod explain_route;
 mod fake_endpoint;
 mod fake_platform;
 mod foreign_entries;
--- a/tests/operator_tool.rs
+++ b/tests/operator_tool.rs
@@ -159,6 +159,10 @@
 #[test_case(&["status"], 2; "no_server")]
 #[test_case(&["preset", "use", "peak", "--server", "127.0.0.1:1"], 2; "no_operator_name")]
 #[test_case(&["status", "--server", "127.0.0.1:1"], 4; "unreachable")]
+#[test_case(&["explain-route", "--server", "127.0.0.1:1", "--host", "h"], 2; "no_path")]
+#[test_case(&["explain-route", "--host", "h", "--path", "/x"], 2; "no_status_address")]
+#[test_case(&["explain-route", "--server", "127.0.0.1:1", "--host", "h", "--path", "/x"], 4; "status_unreachable")]
+#[test_case(&["explain-route", "--server", "127.0.0.1:1,127.0.0.1:2", "--all", "--host", "h", "--path", "/x"], 4; "all_unreachable")]
 #[test_case(&["--help"], 0; "help")]
 fn exit_code_without_a_daemon(args: &[&str], expected: i32) {
     let output = tool(args);
@@ -230,6 +234,9 @@
     daemon.store.fail_next_commit(CommitFault::LoseResponse);
     expect(&["preset", "use", "ordinary"], 0, "committed");
     assert_eq!(daemon.run_json(&["explain", "x"]).0, 1);
+    // An operator port is no status address.
+    let route = ["explain-route", "--host", "h", "--path", "/x"];
+    assert_eq!(daemon.run_json(&route).0, 1);
 }
 
 /// An unreachable daemon must not fail a command while another server of the list is reachable.
