Sheds of an endpoint that has room do not slow daemons down

A shed of an endpoint whose slots were taken counted as overload, also with an empty queue where endpoints queue 40 requests, so daemons paced themselves to one request in 4 s and rejected the rest as busy (about 500 a second). Callers were told to return after 120 to 500 ms although the next attempt was as likely to be served, and the retry budget was spent on callers at their first attempt.

Change: Shedding tells a shed in spite of room from overload. After one, callers of keyed services return at once, and retries for callers that state their usual time may use 0.4 of the budget; the rest is kept for those that have come back.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 pub mod memory_pool;
 pub mod model;
 pub mod owners;
+pub mod patience;
 pub mod pause;
 pub mod placement;
 pub mod platform;
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -2,6 +2,7 @@
 //! limit, latency, outlier ejection and pacing.
 
 mod denied;
+mod shedding;
 mod state;
 mod timing;
 
@@ -18,6 +19,7 @@
     wait_queue::WaitQueue,
 };
 use crate::{clock::Millis, routing::limit::LimitSample};
+pub use shedding::Shedding;
 use state::State;
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
@@ -81,6 +83,8 @@
     pub queue: Arc<WaitQueue>,
     /// What requests of the service are likely to cost.
     pub costs: Arc<CostEstimates>,
+    /// What its endpoints have shown about the requests that they shed.
+    pub shedding: Arc<Shedding>,
     /// Limit on the idle time of pooled connections.
     pub idle: Arc<IdleLimit>,
     /// Pause that the endpoint requested. Each life has a pause of its own.
@@ -113,6 +117,7 @@
     /// Notices that this life of the endpoint leaves.
     pub leaving: Arc<Life>,
     leaving_run: Arc<LeavingRun>,
+    shedding: Arc<Shedding>,
     /// Time from which no requests are sent, in milliseconds; `u64::MAX` unless the endpoint
     /// leaves.
     closes_at: AtomicU64,
@@ -132,6 +137,7 @@
             first_seen: now,
             leaving: shared.leaving,
             leaving_run: shared.leaving_run,
+            shedding: shared.shedding,
             closes_at: AtomicU64::new(u64::MAX),
             state: Mutex::new(State::new(max_in_flight, shared.costs)),
         }
@@ -250,14 +256,15 @@
         {
             let mut state = self.state();
             let is_full = load.is_some_and(Load::has_long_queue);
-            let is_busy = !load.is_some_and(Load::has_free_slot);
+            self.shedding.record(outcome, load);
+            let has_room = load.is_some_and(|load| self.shedding.has_room(load));
             let daemons_per_slot = daemons as f64 / f64::from(self.entry.slots.max(1));
             let share = state.costs.estimate(class, now).share;
             state.record_outcome(outcome, load, class, now);
             state.set_daemons(daemons, self.entry.slots, outcome);
             let is_paused = self.pause.end(now).is_some();
             if !is_paused {
-                state.adapt_interval(outcome, load, daemons_per_slot, now);
+                state.adapt_interval(outcome, load, has_room, daemons_per_slot, now);
             }
             if let Some(load) = load {
                 state.last_report = Some((load, now));
@@ -269,7 +276,7 @@
                 ExchangeOutcome::Answered(latency) => {
                     LimitSample::Served(normalized(latency, share))
                 }
-                ExchangeOutcome::Shed | ExchangeOutcome::Lost if is_busy => LimitSample::Shed,
+                ExchangeOutcome::Shed | ExchangeOutcome::Lost if !has_room => LimitSample::Shed,
                 _ => LimitSample::Other,
             };
             state.limit.release(sample, now);
@@ -283,6 +290,17 @@
         self.queue.wake_one();
     }
 
+    /// Whether a request that the endpoint has just shed is likely to be served if it is sent again at
+    /// once: the endpoint has room, nothing is paced or queued, and it does not shed nearly all requests.
+    pub fn serves_on_return(&self, now: Millis) -> bool {
+        let state = self.state();
+        let has_room = |load| self.shedding.has_room(load);
+        state.fresh_report(now).is_some_and(has_room)
+            && now >= state.next_slot_at
+            && self.queue.is_empty()
+            && self.shedding.is_worth_returning()
+    }
+
     /// Records how long work takes on the endpoint's machine at `now`.
     pub fn record_slowdown(&self, slowdown: Slowdown, now: Millis) {
         self.state().slowdown = (slowdown, now);
--- a/src/gateway/backend/state.rs
+++ b/src/gateway/backend/state.rs
@@ -173,19 +173,20 @@
         }
     }
 
-    /// Adapts the pacing to an outcome. An endpoint that sheds requests although it has free slots
+    /// Adapts the pacing to an outcome. An endpoint that sheds requests although it has room (`has_room`)
     /// fails at random, and slowing down would not help. A single lost connection does not show
     /// that the endpoint is overloaded.
     pub(super) fn adapt_interval(
         &mut self,
         outcome: ExchangeOutcome,
         load: Option<Load>,
+        has_room: bool,
         daemons_per_slot: f64,
         now: Millis,
     ) {
         let has_free_slot = load.is_some_and(Load::has_free_slot);
         match outcome {
-            ExchangeOutcome::Shed if has_free_slot => {}
+            ExchangeOutcome::Shed if has_room => {}
             ExchangeOutcome::Lost if self.consecutive_failures < 2 => {}
             ExchangeOutcome::Shed | ExchangeOutcome::Lost => {
                 self.lengthen_interval(2.0, daemons_per_slot, now)
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,7 +1,8 @@
 //! Retry budget: limits retries to a share of the requests in a sliding window.
 //!
 //! All daemons share the budget of a service. Each daemon uses the share that its own requests
-//! contribute, and an equal part of the fixed allowance.
+//! contribute, and an equal part of the fixed allowance. A part is kept for callers that have come
+//! back, and have few attempts left.
 
 use crate::clock::Millis;
 use std::collections::VecDeque;
@@ -12,6 +13,30 @@
 /// not aligned.
 const BUDGET_UTILIZATION: f64 = 0.7;
 
+/// Part of the budget that retries may use which the caller can make as well.
+const OPTIONAL_SHARE: f64 = 0.4;
+
+/// What becomes of the request without the retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryNeed {
+    /// The caller, which is at its first attempt, is told that it may return at once.
+    Optional,
+    /// The caller may give up, or would return later.
+    Needed,
+}
+
+impl RetryNeed {
+    /// The need after an endpoint shed the request. `returns_at_once` tells whether the caller would be
+    /// told to return at once, `has_returned` whether it seems to have made an attempt before.
+    pub fn after_shed(returns_at_once: bool, has_returned: bool) -> Self {
+        if returns_at_once && !has_returned {
+            Self::Optional
+        } else {
+            Self::Needed
+        }
+    }
+}
+
 /// Parameters of a service's retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetRule {
@@ -52,12 +77,16 @@
     }
 
     /// Counts a retry and returns true if the budget, shared by `daemons`, allows it.
-    pub fn try_retry(&mut self, daemons: usize, now: Millis) -> bool {
+    pub fn try_retry(&mut self, need: RetryNeed, daemons: usize, now: Millis) -> bool {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
         let retries: u32 = self.buckets.iter().map(|b| b.retries).sum();
         let extra = self.rule.extra / daemons.max(1) as f64;
         let allowed = (f64::from(requests) * self.rule.ratio + extra) * BUDGET_UTILIZATION;
+        let allowed = match need {
+            RetryNeed::Optional => allowed * OPTIONAL_SHARE,
+            RetryNeed::Needed => allowed,
+        };
         let is_allowed = f64::from(retries) + 1.0 <= allowed;
         if is_allowed {
             self.current_bucket(now).retries += 1;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -68,6 +68,8 @@
     deadline: Millis,
     /// Until when the request may be queued for an endpoint.
     queue_deadline: Millis,
+    /// Whether the caller seems to have made an attempt before.
+    has_returned: bool,
     tried: Vec<EndpointInstance>,
     sends: u32,
 }
@@ -143,11 +145,20 @@
 
     /// Time limit of a request: the caller's, but no longer than the route's time-out.
     fn time_limit(&self, headers: &HeaderMap, route: &Route) -> Millis {
-        let requested_ms = headers
-            .get(&self.names.deadline)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.trim().parse::<u64>().ok());
-        requested_ms.map_or(route.timeout, |ms| Millis(ms).min(route.timeout))
+        let stated = self.stated_time(headers);
+        stated.map_or(route.timeout, |stated| stated.min(route.timeout))
+    }
+
+    /// Time that the caller states to have; `None` if it does not.
+    fn stated_time(&self, headers: &HeaderMap) -> Option<Millis> {
+        let text = headers.get(&self.names.deadline)?.to_str().ok()?;
+        text.trim().parse().ok().map(Millis)
+    }
+
+    /// Whether the caller seems to have made an attempt before.
+    fn has_returned(&self, entry: &RouteEntry, headers: &HeaderMap, now: Millis) -> bool {
+        let stated = self.stated_time(headers);
+        stated.is_some_and(|stated| entry.patience.record(stated, now))
     }
 
     /// Whether a request that may take until `deadline` may begin at `now`.
@@ -240,6 +251,7 @@
             arrived,
             deadline,
             queue_deadline: (arrived + max_queue_time).min(deadline),
+            has_returned: self.has_returned(entry, &parts.headers, arrived),
             tried: Vec::new(),
             sends: 0,
         };
--- a/src/gateway/forward/attempts.rs
+++ b/src/gateway/forward/attempts.rs
@@ -9,6 +9,7 @@
     clock::Millis,
     gateway::{
         backend::Backend,
+        budget::RetryNeed,
         model::{Key, RetryPolicy},
         reply::RejectionReason,
         selection,
@@ -130,11 +131,12 @@
             // budget.
             return request.tried.len() < MAX_TRIED_UNSENT;
         }
+        let need = retry_need(request, backend, result, now);
         let view = self.view.load();
         let daemons = self.daemons.load(Ordering::Relaxed);
         view.services
             .get(&request.service)
-            .is_some_and(|service| service.state.try_retry(daemons, now))
+            .is_some_and(|service| service.state.try_retry(need, daemons, now))
     }
 
     /// Holds back further requests for the key and those near it for a moment, because the endpoint
@@ -178,3 +180,17 @@
         );
     }
 }
+
+/// How much the request needs a retry by this daemon.
+fn retry_need(
+    request: &ActiveRequest<'_>,
+    backend: &Backend,
+    result: &Exchange,
+    now: Millis,
+) -> RetryNeed {
+    if !matches!(result, Exchange::NotRun(NotRun::Shed)) {
+        return RetryNeed::Needed;
+    }
+    let returns_at_once = request.key.is_some() && backend.serves_on_return(now);
+    RetryNeed::after_shed(returns_at_once, request.has_returned)
+}
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -81,6 +81,21 @@
         (wait > Millis::ZERO).then(|| wait.into())
     }
 
+    /// Time until a request that the key's owner has shed may return, if that one sheds in spite of room;
+    /// `None` if it does not, or if the request has no key.
+    fn wait_after_shed(
+        &self,
+        service: &ServiceName,
+        headers: &HeaderMap,
+        now: Millis,
+    ) -> Option<Duration> {
+        let (view, key) = (self.view.load(), self.requested_key(headers)?);
+        let service = view.services.get(service).filter(|s| s.keyed)?;
+        let (_, owner) = service.owner_of(key, now)?;
+        let at_once = owner.backend.serves_on_return(now);
+        at_once.then(|| Millis(1).into())
+    }
+
     pub(super) fn reject(
         &self,
         parts: &Parts,
@@ -107,6 +122,9 @@
                     self.wait_for_backlog(service, &parts.headers, deadline.since(now), now)
                 })
                 .or_else(|| retry_after(deadline.since(now))),
+            RejectionReason::Shed => service
+                .and_then(|service| self.wait_after_shed(service, &parts.headers, now))
+                .or_else(|| retry_after(deadline.since(now))),
             _ => retry_after(deadline.since(now)),
         };
         let response = reply::rejection(reason, retry_after);
--- /dev/null
+++ b/src/gateway/patience.rs
@@ -0,0 +1,39 @@
+//! Whether a caller has come back: it states less time than callers of the route usually do.
+//!
+//! Callers make few attempts. Retries by a daemon, which are limited too, serve more of them if they
+//! are kept for callers that have made an attempt already.
+
+use crate::clock::Millis;
+use std::sync::{Mutex, PoisonError};
+
+/// Time after which the longest stated time is forgotten unless it is stated again.
+const FORGET_AFTER: Millis = Millis(10_000);
+
+/// Longest time that callers of one route state to have.
+#[derive(Debug, Default)]
+pub struct Patience {
+    state: Mutex<State>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    longest: Millis,
+    stated_at: Millis,
+}
+
+impl Patience {
+    /// Records the time that a caller states at `now`. True if it is less than others have stated
+    /// lately, as that of a caller is that has come back.
+    pub fn record(&self, stated: Millis, now: Millis) -> bool {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_outdated = now.since(state.stated_at) > FORGET_AFTER;
+        if stated >= state.longest || is_outdated {
+            *state = State {
+                longest: stated,
+                stated_at: now,
+            };
+            return false;
+        }
+        true
+    }
+}
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -1,6 +1,9 @@
 //! Route lookup by host and path prefix, and the traffic split of a route.
 
-use super::model::{Route, Share};
+use super::{
+    model::{Route, Share},
+    patience::Patience,
+};
 use crate::collections::Map;
 use std::sync::{
     Arc,
@@ -18,6 +21,8 @@
 pub struct RouteEntry {
     /// The declared route.
     pub route: Route,
+    /// Longest time that its callers state to have.
+    pub patience: Patience,
     requests: AtomicU64,
 }
 
@@ -29,6 +34,7 @@
     fn new(route: Route) -> Self {
         Self {
             route,
+            patience: Patience::default(),
             requests: AtomicU64::new(u64::from(rand::random::<u16>())),
         }
     }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -5,8 +5,8 @@
 pub use builder::ViewBuilder;
 
 use super::{
-    backend::Backend,
-    budget::{BudgetRule, RetryBudget},
+    backend::{Backend, Shedding},
+    budget::{BudgetRule, RetryBudget, RetryNeed},
     cost::CostEstimates,
     evacuation::Evacuations,
     idle::IdleLimit,
@@ -82,6 +82,7 @@
     pub queue: Arc<WaitQueue>,
     /// What its requests are likely to cost.
     pub costs: Arc<CostEstimates>,
+    shedding: Arc<Shedding>,
     idle: Arc<IdleLimit>,
     pause_count: Arc<AtomicU64>,
     budget: Mutex<RetryBudget>,
@@ -95,6 +96,7 @@
         Self {
             queue: Arc::default(),
             costs: Arc::default(),
+            shedding: Arc::default(),
             idle: Arc::default(),
             pause_count: Arc::default(),
             budget: Mutex::new(RetryBudget::new(budget_rule)),
@@ -118,9 +120,9 @@
     }
 
     /// Counts a retry and returns true if the retry budget allows it.
-    pub fn try_retry(&self, daemons: usize, now: Millis) -> bool {
+    pub fn try_retry(&self, need: RetryNeed, daemons: usize, now: Millis) -> bool {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.try_retry(daemons, now)
+        budget.try_retry(need, daemons, now)
     }
 
     /// Counts an endpoint that leaves, by the source of the first notice.
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -341,6 +341,7 @@
                     let shared = Shared {
                         queue,
                         costs: Arc::clone(&state.costs),
+                        shedding: Arc::clone(&state.shedding),
                         idle: Arc::clone(&state.idle),
                         pause: pauses.of(&known.entry.instance, &name, &state.pause_count),
                         rate_limit: rate_limits.of(&known.entry.instance),
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -2,7 +2,7 @@
 
 use fireflygauge::{
     clock::Millis,
-    gateway::budget::{BudgetRule, RetryBudget},
+    gateway::budget::{BudgetRule, RetryBudget, RetryNeed},
 };
 use test_case::test_case;
 
@@ -25,7 +25,7 @@
             budget.count_request(Millis(ms));
             requests.push(ms);
         }
-        while budget.try_retry(daemons, Millis(ms)) {
+        while budget.try_retry(RetryNeed::Needed, daemons, Millis(ms)) {
             retries.push(ms);
         }
     }
@@ -51,7 +51,7 @@
 #[test]
 fn retries_are_allowed_again_after_the_window() {
     let mut budget = RetryBudget::new(RULE);
-    while budget.try_retry(1, Millis(0)) {}
-    assert!(!budget.try_retry(1, Millis(9_000)));
-    assert!(budget.try_retry(1, Millis(11_000)));
+    while budget.try_retry(RetryNeed::Needed, 1, Millis(0)) {}
+    assert!(!budget.try_retry(RetryNeed::Needed, 1, Millis(9_000)));
+    assert!(budget.try_retry(RetryNeed::Needed, 1, Millis(11_000)));
 }
