--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,7 +1,8 @@
 //! Retry budget: limits retries to a share of the requests in a sliding window.
 //!
 //! All daemons share the budget of a service. Each daemon uses the share that its own requests
-//! contribute, and an equal part of the fixed allowance.
+//! contribute, and an equal part of the fixed allowance. A part is kept for callers that have come
+//! back, and have few attempts left.
 
 use crate::clock::Millis;
 use std::collections::VecDeque;
@@ -14,6 +15,29 @@
 /// Share of what daemons use that hedged requests may take. The rest is kept for requests whose
 /// attempt has failed.
 const HEDGE_SHARE: f64 = 0.75;
+/// Part of the budget that retries may use which the caller can make as well.
+const OPTIONAL_SHARE: f64 = 0.4;
+
+/// What becomes of the request without the retry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryNeed {
+    /// The caller, which is at its first attempt, is told that it may return at once.
+    Optional,
+    /// The caller may give up, or would return later.
+    Needed,
+}
+
+impl RetryNeed {
+    /// The need after an endpoint shed the request. `returns_at_once` tells whether the caller would be
+    /// told to return at once, `has_returned` whether it seems to have made an attempt before.
+    pub fn after_shed(returns_at_once: bool, has_returned: bool) -> Self {
+        if returns_at_once && !has_returned {
+            Self::Optional
+        } else {
+            Self::Needed
+        }
+    }
+}
 
 /// Parameters of a service's retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,8 +79,12 @@
     }
 
     /// Counts a retry and returns true if the budget, shared by `daemons`, allows it.
-    pub fn try_retry(&mut self, daemons: usize, now: Millis) -> bool {
-        let is_allowed = self.has_left(1.0, daemons, now);
+    pub fn try_retry(&mut self, need: RetryNeed, daemons: usize, now: Millis) -> bool {
+        let share = match need {
+            RetryNeed::Optional => OPTIONAL_SHARE,
+            RetryNeed::Needed => 1.0,
+        };
+        let is_allowed = self.has_left(share, daemons, now);
         if is_allowed {
             self.current_bucket(now).retries += 1;
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -73,6 +73,8 @@
     pub deadline: Millis,
     /// Until when the request may be queued for an endpoint.
     pub queue_deadline: Millis,
+    /// Whether the caller seems to have made an attempt before.
+    pub has_returned: bool,
     /// Endpoints that it was sent to.
     pub tried: Vec<EndpointInstance>,
     /// Sends that may have run.
@@ -214,6 +216,9 @@
             Ok(request) => request,
             Err(Unassigned { service, reason }) => return (Outcome::Refused(reason), service),
         };
+        if let Some(stated) = self.requested_time_limit(&parts.headers) {
+            request.has_returned = admitted.entry.patience.record(stated, arrived);
+        }
         let name = request.service.clone();
         if let Some(service) = view.services.get(&name) {
             service.state.count_request(request.key, arrived);
--- a/src/gateway/forward/admission.rs
+++ b/src/gateway/forward/admission.rs
@@ -151,6 +151,7 @@
         arrived,
         deadline,
         queue_deadline: (arrived + max_queue_time).min(deadline),
+        has_returned: false,
         tried: Vec::new(),
         sends: 0,
     })
--- a/src/gateway/forward/hedge.rs
+++ b/src/gateway/forward/hedge.rs
@@ -10,6 +10,7 @@
         model::RetryPolicy,
         selection,
         send::{self, OutgoingRequest, SendContext},
+        stop,
         view::{Member, ServiceView},
     },
 };
@@ -137,7 +138,7 @@
     ) -> Option<Arc<Backend>> {
         let (view, now) = (self.view.load_full(), self.clock.now());
         let service = view.services.get(&request.service)?;
-        if !self.may_begin(now, request.deadline) {
+        if !stop::may_begin(*self.stop.borrow(), now, request.deadline) {
             return None;
         }
         let second = self.choose_second(service, request, first, now);
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -61,6 +61,7 @@
             RejectionReason::NoOwner => self.wait_for_owner(),
             RejectionReason::Limited => self.wait_for_permit(),
             RejectionReason::Busy => self.wait_for_backlog(),
+            RejectionReason::Shed => self.wait_after_shed(),
             _ => None,
         };
         specific.or_else(|| retry_after(self.left))
@@ -102,6 +103,15 @@
         let earliest = Millis(latest.0 - latest.0 / RETRY_JITTER_DIVISOR);
         (latest > Millis::ZERO).then_some(earliest..=latest)
     }
+
+    /// Time until a request that the key's owner has shed may return, if that one sheds in spite of
+    /// room; `None` if it does not, or if the request has no key.
+    fn wait_after_shed(&self) -> Option<ReturnWindow> {
+        let service = self.service().filter(|s| s.keyed)?;
+        let (_, owner) = service.owner_of(self.key?, self.now)?;
+        let at_once = owner.backend.serves_on_return(self.now);
+        at_once.then_some(Millis(1)..=Millis(1))
+    }
 }
 
 impl Forwarder {
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -7,8 +7,8 @@
 pub use freshness::Freshness;
 
 use super::{
-    backend::Backend,
-    budget::{BudgetRule, RetryBudget},
+    backend::{Backend, Shedding},
+    budget::{BudgetRule, RetryBudget, RetryNeed},
     cost::CostEstimates,
     evacuation::Evacuations,
     hedging::HedgeCounters,
@@ -89,6 +89,7 @@
     pub costs: Arc<CostEstimates>,
     /// Hedged requests.
     pub hedges: HedgeCounters,
+    shedding: Arc<Shedding>,
     idle: Arc<IdleLimit>,
     pause_count: Arc<AtomicU64>,
     budget: Mutex<RetryBudget>,
@@ -103,6 +104,7 @@
             queue: Arc::default(),
             costs: Arc::default(),
             hedges: HedgeCounters::default(),
+            shedding: Arc::default(),
             idle: Arc::default(),
             pause_count: Arc::default(),
             budget: Mutex::new(RetryBudget::new(budget_rule)),
@@ -126,9 +128,9 @@
     }
 
     /// Counts a retry and returns true if the retry budget allows it.
-    pub fn try_retry(&self, daemons: usize, now: Millis) -> bool {
+    pub fn try_retry(&self, need: RetryNeed, daemons: usize, now: Millis) -> bool {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.try_retry(daemons, now)
+        budget.try_retry(need, daemons, now)
     }
 
     /// Whether the retry budget allows a second attempt beside the first one.
