Run idempotent requests that were sent ahead side by side

hyper reads the next request of a connection only once the former one has been answered, so a request that was sent ahead waited for all before it.

The stream between socket and hyper now hands hyper one request at a time and reads up to 8 KB ahead. Complete heads beyond doubt, of idempotent requests without a body, begin as tasks (8 at most); hyper parses the same bytes when their turn comes and gets the response of the task. gateway/sent_ahead.rs decides whether one more may begin. Responses keep their order; connection: close goes on the last response whose request has begun; dropping the connection aborts the tasks. The time limit of a request counts from when its head was read. What is held ahead is charged to the connection, which is not displaced while a request that was sent ahead is at work.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -4,8 +4,18 @@
 //! hyper closes a connection on which no request head is complete, even if the head has begun or
 //! lies unread in the socket. A daemon with little processor time has many such requests.
 //!
-//! hyper does not read while bytes of a further request are in its buffer, so it does not see that a
-//! caller which sent requests ahead has gone.
+//! hyper gets the bytes of one request at a time. What a caller sends ahead is read into a buffer, from
+//! which a server may begin requests ([`SentAhead`]).
+
+mod ahead;
+mod head;
+mod lane;
+mod stream;
+
+pub use ahead::{BegunRequest, BoxFuture, ReadAt, SentAhead};
+pub use head::{HeadScanner, Parsed, is_plain, parse as parse_head};
+pub use lane::{HeldAhead, MAX_READ_AHEAD_BYTES};
+pub use stream::StreamEvent;
 
 use http::{Request, Response};
 use hyper::{
@@ -14,26 +24,17 @@
     service::{Service, service_fn},
 };
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
+use lane::{Call, Lane};
 use std::{
     error::Error,
     future::{Future, poll_fn},
-    io::{self, Read},
-    net::Shutdown,
-    pin::{Pin, pin},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    task::{Context, Poll, ready},
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    task::Poll,
     time::Duration,
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
-    net::TcpStream,
-    sync::watch,
-    time::sleep,
-};
+use stream::{CallerStream, Progress};
+use tokio::{io::Interest, net::TcpStream, sync::watch, time::sleep};
 
 /// Time between two checks whether the caller of a request in flight has closed its connection.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -44,6 +45,9 @@
     /// The caller closed its connection.
     #[error("the caller closed its connection")]
     CallerGone,
+    /// hyper read another request than the one that has begun.
+    #[error("the request differs from the one that has begun")]
+    Mismatch,
     /// The service failed.
     #[error(transparent)]
     Failed(Box<dyn Error + Send + Sync>),
@@ -64,7 +68,7 @@
 where
     S: Service<Request<Incoming>, Response = Response<B>>,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
-    B: Body + 'static,
+    B: Body + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     serve_observed(stream, service, builder, closing, |_| ()).await
@@ -78,32 +82,54 @@
     stream: TcpStream,
     service: S,
     builder: &http1::Builder,
+    closing: watch::Receiver<bool>,
+    observer: O,
+) -> hyper::Result<()>
+where
+    S: Service<Request<Incoming>, Response = Response<B>>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    O: Fn(StreamEvent) + Unpin,
+{
+    serve_ahead(stream, service, None, builder, closing, observer).await
+}
+
+/// Like [`serve_observed`], and runs requests that were sent ahead as `ahead` says.
+///
+/// # Errors
+/// hyper's error if the connection fails.
+pub async fn serve_ahead<S, B, O>(
+    stream: TcpStream,
+    service: S,
+    ahead: Option<SentAhead<Response<B>>>,
+    builder: &http1::Builder,
     mut closing: watch::Receiver<bool>,
     observer: O,
 ) -> hyper::Result<()>
 where
     S: Service<Request<Incoming>, Response = Response<B>>,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
-    B: Body + 'static,
+    B: Body + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
     O: Fn(StreamEvent) + Unpin,
 {
     let stream = Arc::new(stream);
-    let socket = Arc::clone(&stream);
-    let service = service_fn(move |req| {
-        let (response, socket) = (service.call(req), Arc::clone(&socket));
-        async move {
-            tokio::select! {
-                biased;
-                response = response => response.map_err(|e| ServiceError::Failed(e.into())),
-                () = closed_by_caller(&socket) => Err(ServiceError::CallerGone),
-            }
-        }
-    });
+    let ahead = ahead.map(Arc::new);
+    let lane = Arc::new(Mutex::new(Lane::new(ahead.is_some())));
+    let calls = Calls {
+        socket: Arc::clone(&stream),
+        lane: Arc::clone(&lane),
+        ahead: ahead.clone(),
+    };
+    let service = service_fn(move |req| calls.call(&service, req));
     let progress = Arc::new(Progress::default());
     let io = CallerStream {
         stream,
         progress: Arc::clone(&progress),
+        lane: Arc::clone(&lane),
+        ahead,
+        reported: HeldAhead::default(),
         unflushed: false,
         observer,
     };
@@ -121,162 +147,89 @@
     if let Poll::Ready(result) = polled {
         return result;
     }
-    if !progress.unanswered.load(Ordering::Relaxed) {
+    let has_unanswered =
+        progress.unanswered.load(Ordering::Relaxed) || lock(&lane).has_unanswered();
+    if !has_unanswered {
         connection.as_mut().graceful_shutdown();
     }
     connection.await
 }
 
-/// Completes when the caller has closed the connection, whatever lies unread in the socket.
-async fn closed_by_caller(stream: &TcpStream) {
-    loop {
-        sleep(CLOSE_CHECK_INTERVAL).await;
-        let mut readiness = pin!(stream.ready(Interest::READABLE));
-        let polled = poll_fn(|cx| Poll::Ready(readiness.as_mut().poll(cx))).await;
-        if let Poll::Ready(Ok(ready)) = polled
-            && ready.is_read_closed()
-        {
-            return;
-        }
-    }
-}
-
-/// What happens on the stream of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StreamEvent {
-    /// This many bytes were read.
-    Read(usize),
-    /// Bytes were written.
-    Written,
-    /// The socket takes no more bytes.
-    WriteBlocked,
-    /// All bytes were written.
-    Flushed,
+/// Serves hyper's calls of the service.
+struct Calls<R> {
+    socket: Arc<TcpStream>,
+    lane: Arc<Mutex<Lane<R>>>,
+    ahead: Option<Arc<SentAhead<R>>>,
 }
 
-/// What has happened on a connection.
-#[derive(Debug, Default)]
-struct Progress {
-    /// Whether bytes were read since the last write.
-    unanswered: AtomicBool,
-    /// Whether to try each read even if the runtime has not yet seen that the socket is readable.
-    read_at_once: AtomicBool,
-}
-
-/// A stream that records its progress.
-struct CallerStream<O> {
-    stream: Arc<TcpStream>,
-    progress: Arc<Progress>,
-    /// Whether bytes were written since the last flush.
-    unflushed: bool,
-    observer: O,
-}
-
-impl<O: Fn(StreamEvent)> CallerStream<O> {
-    fn poll_read_ready(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Ok(length) => {
-                    buf.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
-    }
-
-    /// Writes with `try_write` once the socket takes bytes.
-    fn poll_write_ready(
-        &mut self,
-        cx: &mut Context<'_>,
-        try_write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            let ready = self.stream.poll_write_ready(cx);
-            if ready.is_pending() {
-                (self.observer)(StreamEvent::WriteBlocked);
-            }
-            ready!(ready)?;
-            match try_write(&self.stream) {
-                Ok(written) => {
-                    self.progress.unanswered.store(false, Ordering::Relaxed);
-                    self.unflushed = true;
-                    (self.observer)(StreamEvent::Written);
-                    return Poll::Ready(Ok(written));
+impl<B: Send + 'static> Calls<Response<B>> {
+    fn call<S>(
+        &self,
+        service: &S,
+        mut req: Request<Incoming>,
+    ) -> impl Future<Output = Result<Response<B>, ServiceError>> + use<S, B>
+    where
+        S: Service<Request<Incoming>, Response = Response<B>>,
+        S::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let ahead = self.ahead.clone();
+        let call = lock(&self.lane).call(&mut req, ahead.as_deref());
+        let serving = match call {
+            Call::Arrived => Ok(Serving::Arrived(service.call(req))),
+            Call::Begun(begun) => Ok(Serving::Begun(begun)),
+            Call::Mismatch => Err(ServiceError::Mismatch),
+        };
+        let (lane, socket) = (Arc::clone(&self.lane), Arc::clone(&self.socket));
+        async move {
+            let serving = serving?;
+            let deliver = ahead.as_deref().map(|ahead| &ahead.deliver);
+            let response = async {
+                match (serving, deliver) {
+                    (Serving::Arrived(running), _) => {
+                        running.await.map_err(|e| ServiceError::Failed(e.into()))
+                    }
+                    (Serving::Begun(begun), Some(deliver)) => Ok(deliver(begun).await),
+                    (Serving::Begun(begun), None) => Ok(begun.await),
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
-    }
-
-    /// Reads what is in the socket, without regard to what the runtime has seen of it.
-    fn read_at_once(&self, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let socket = SockRef::from(&*self.stream);
-        match (&*socket).read(buf.initialize_unfilled()) {
-            Ok(length) => {
-                buf.advance(length);
-                Poll::Ready(Ok(()))
+            };
+            let mut response = tokio::select! {
+                biased;
+                response = response => response?,
+                () = closed_by_caller(&socket) => return Err(ServiceError::CallerGone),
+            };
+            let mut lane = lock(&lane);
+            if let Some(ahead) = &ahead {
+                lane.close_if_last(&mut response, ahead);
             }
-            // The runtime wakes the task, since the regular read before this one is pending.
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Poll::Pending,
-            Err(e) => Poll::Ready(Err(e)),
+            lane.answer();
+            Ok(response)
         }
     }
 }
 
-impl<O: Fn(StreamEvent) + Unpin> AsyncRead for CallerStream<O> {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let mut read = self.poll_read_ready(cx, buf);
-        if read.is_pending() && self.progress.read_at_once.load(Ordering::Relaxed) {
-            read = self.read_at_once(buf);
-        }
-        ready!(read)?;
-        let read = buf.filled().len() - before;
-        if read > 0 {
-            self.progress.unanswered.store(true, Ordering::Relaxed);
-            (self.observer)(StreamEvent::Read(read));
-        }
-        Poll::Ready(Ok(()))
-    }
+/// A request that is being served.
+enum Serving<F, R> {
+    /// hyper read it before it began.
+    Arrived(F),
+    /// It began before hyper read it.
+    Begun(BegunRequest<R>),
 }
 
-impl<O: Fn(StreamEvent) + Unpin> AsyncWrite for CallerStream<O> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.poll_write_ready(cx, |stream| stream.try_write(buf))
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.poll_write_ready(cx, |stream| stream.try_write_vectored(bufs))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
+/// Locks the state of a connection, even if a task that panicked held the lock.
+fn lock<R>(lane: &Mutex<Lane<R>>) -> MutexGuard<'_, Lane<R>> {
+    lane.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
-    fn poll_flush(mut self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if std::mem::take(&mut self.unflushed) {
-            (self.observer)(StreamEvent::Flushed);
+/// Completes when the caller has closed the connection, whatever lies unread in the socket.
+async fn closed_by_caller(stream: &TcpStream) {
+    loop {
+        sleep(CLOSE_CHECK_INTERVAL).await;
+        let mut readiness = pin!(stream.ready(Interest::READABLE));
+        let polled = poll_fn(|cx| Poll::Ready(readiness.as_mut().poll(cx))).await;
+        if let Poll::Ready(Ok(ready)) = polled
+            && ready.is_read_closed()
+        {
+            return;
         }
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -40,6 +40,7 @@
 pub mod runtime;
 pub mod selection;
 pub mod send;
+pub mod sent_ahead;
 pub mod server;
 pub mod status;
 pub mod stop;
--- a/src/gateway/body_memory.rs
+++ b/src/gateway/body_memory.rs
@@ -82,6 +82,11 @@
         self.large.size() / LARGEST_RESPONSE_DIVISOR
     }
 
+    /// Whether at least half of the memory for small bodies is left.
+    pub fn is_half_free(&self) -> bool {
+        self.small.is_half_free()
+    }
+
     /// Reads a whole body of at most `limit` bytes. The result holds its memory until it is dropped.
     ///
     /// # Errors
--- a/src/gateway/caller_connections.rs
+++ b/src/gateway/caller_connections.rs
@@ -9,7 +9,7 @@
 use super::memory_pool::MemoryPool;
 use crate::{
     clock::{Clock, Millis},
-    entry::caller_connection::StreamEvent,
+    entry::caller_connection::{HeldAhead, StreamEvent},
 };
 use http::HeaderMap;
 use std::{
@@ -37,12 +37,21 @@
 /// and values.
 const HEADER_COPIES: usize = 3;
 
+/// Memory of the task of a request that was sent ahead, with the head of its response, in bytes.
+const AHEAD_TASK_BYTES: usize = 8 * 1024;
+
 /// Memory of the heads of a request, in bytes, without its buffer.
 fn head_bytes(headers: &HeaderMap) -> usize {
     let entries = headers.capacity() * HEADER_ENTRY_BYTES;
     HEADER_COPIES * entries + headers.len() * HEADER_NAME_BYTES
 }
 
+/// Memory for requests that were sent ahead, in bytes. The connection keeps a copy of each header map.
+fn ahead_bytes(held: HeldAhead) -> usize {
+    let entry = (HEADER_COPIES + 1) * HEADER_ENTRY_BYTES + HEADER_NAME_BYTES;
+    held.buffered + held.requests * AHEAD_TASK_BYTES + held.headers * entry
+}
+
 /// The connections of a listening address. Clones share them.
 #[derive(Clone, Debug)]
 pub struct CallerConnections {
@@ -180,6 +189,9 @@
             }
             StreamEvent::WriteBlocked => self.output.blocked.store(true, Ordering::Relaxed),
             StreamEvent::Flushed => self.account().record_flushed(self.key),
+            StreamEvent::HoldsAhead(held) => {
+                self.account().record_ahead(self.key, ahead_bytes(held));
+            }
         }
     }
 
@@ -195,6 +207,22 @@
         }
     }
 
+    /// Whether the socket does not take the output.
+    pub fn is_output_blocked(&self) -> bool {
+        self.output.blocked.load(Ordering::Relaxed)
+    }
+
+    /// Whether at least half of the memory for connections is left.
+    pub fn is_memory_half_free(&self) -> bool {
+        self.account().is_half_free()
+    }
+
+    /// Records that a request that was sent ahead is at work, until the result is dropped.
+    pub fn begin_ahead(&self) -> AheadAtWork {
+        self.account().begin_ahead(self.key);
+        AheadAtWork(self.clone())
+    }
+
     /// Records that a request head has arrived. False if there is no memory for it.
     pub fn begin_request(&self, headers: &HeaderMap) -> bool {
         let bytes = head_bytes(headers);
@@ -225,3 +253,13 @@
         self.connections.account()
     }
 }
+
+/// A request at work that was sent ahead.
+#[derive(Debug)]
+pub struct AheadAtWork(ConnectionHandle);
+
+impl Drop for AheadAtWork {
+    fn drop(&mut self) {
+        self.0.account().end_ahead(self.0.key);
+    }
+}
--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -76,6 +76,10 @@
     received: usize,
     head_bytes: usize,
     body_bytes: usize,
+    /// Memory for requests that were sent ahead, in bytes.
+    ahead_bytes: usize,
+    /// Requests at work that were sent ahead.
+    ahead_at_work: usize,
     /// Dropped to close the connection; `None` once it is closing.
     closer: Option<T>,
 }
@@ -84,7 +88,7 @@
     /// Memory of the connection without its body, in bytes.
     fn bytes(&self) -> usize {
         let buffered = self.received.min(MAX_BUFFERED_BYTES);
-        CONNECTION_BYTES + BUFFER_FACTOR * buffered + self.head_bytes
+        CONNECTION_BYTES + BUFFER_FACTOR * buffered + self.head_bytes + self.ahead_bytes
     }
 }
 
@@ -131,6 +135,8 @@
             received: 0,
             head_bytes: 0,
             body_bytes: 0,
+            ahead_bytes: 0,
+            ahead_at_work: 0,
             closer: Some(closer),
         };
         self.open += 1;
@@ -204,6 +210,31 @@
         self.make_room(key)
     }
 
+    /// Records the memory that is held for requests that were sent ahead.
+    pub fn record_ahead(&mut self, key: ConnectionKey, bytes: usize) {
+        self.update(key, |connection| connection.ahead_bytes = bytes);
+    }
+
+    /// Records that a request that was sent ahead begins. The connection is not closed to make room
+    /// until it ends.
+    pub fn begin_ahead(&mut self, key: ConnectionKey) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.ahead_at_work += 1;
+        }
+    }
+
+    /// Records that a request that was sent ahead has ended.
+    pub fn end_ahead(&mut self, key: ConnectionKey) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.ahead_at_work -= 1;
+        }
+    }
+
+    /// Whether at least half of the memory is left, for connections and in the pool.
+    pub fn is_half_free(&self) -> bool {
+        self.bytes <= self.limits.max_bytes / 2 && self.pool.is_half_free()
+    }
+
     /// Records the memory that the request body holds.
     pub fn record_body(&mut self, key: ConnectionKey, bytes: usize) {
         let Some(connection) = self.connections.get_mut(key) else {
@@ -347,7 +378,8 @@
         spared: ConnectionKey,
     ) -> impl Iterator<Item = (ConnectionKey, &Connection<T>)> {
         self.connections.iter().filter(move |(key, connection)| {
-            *key != spared && connection.closer.is_some() && connection.phase != Phase::Working
+            let is_at_work = connection.phase == Phase::Working || connection.ahead_at_work > 0;
+            *key != spared && connection.closer.is_some() && !is_at_work
         })
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,7 @@
     body_memory::{BodyError, BodyEvent, BodyMemory},
     caller_connections::ConnectionHandle,
     cost::{self, Estimate, RequestClass},
-    model::{EndpointInstance, Key, Route},
+    model::{EndpointInstance, Key, RetryPolicy, Route},
     platform::HeaderNames,
     reply::{self, RejectionReason},
     routes::RouteEntry,
@@ -20,16 +20,20 @@
 };
 use crate::{
     clock::{Clock, Millis},
-    entry::metrics::Metrics,
+    entry::{caller_connection::ReadAt, metrics::Metrics},
     world::ServiceName,
 };
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header, request::Parts};
+use http::{HeaderMap, Request, Response, Uri, header, request::Parts};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use outcome::Outcome;
-use std::sync::{Arc, atomic::AtomicUsize};
+use std::{
+    error::Error,
+    sync::{Arc, atomic::AtomicUsize},
+    time::Duration,
+};
 use tokio::{sync::watch, time::timeout};
 
 /// Longest time that a request is queued, in percent of the route's latency objective.
@@ -86,13 +90,18 @@
 }
 
 impl Forwarder {
-    /// Forwards a request and returns the response for the caller, which may be a rejection.
-    pub async fn handle(
+    /// Forwards a request and returns the response for the caller, which may be a rejection. The
+    /// progress of the request is recorded on `connection`, if it is its turn there.
+    pub async fn handle<B>(
         &self,
-        req: Request<Incoming>,
-        connection: &ConnectionHandle,
-    ) -> Response<Full<Bytes>> {
-        let arrived = self.clock.now();
+        req: Request<B>,
+        connection: Option<&ConnectionHandle>,
+    ) -> Response<Full<Bytes>>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let arrived = self.arrival(&req);
         let (parts, body) = req.into_parts();
         let view = self.view.load_full();
         if view.version == 0 {
@@ -104,7 +113,7 @@
                 arrived,
             );
         }
-        let Some(entry) = find_route(&view, &parts).cloned() else {
+        let Some(entry) = find_route(&view, &parts.uri, &parts.headers).cloned() else {
             return self.reject(&parts, None, RejectionReason::NoRoute, arrived, arrived);
         };
         let route = &entry.route;
@@ -112,7 +121,7 @@
         if !self.may_begin(arrived, deadline) {
             return self.reject(&parts, None, RejectionReason::Stopping, arrived, deadline);
         }
-        if !connection.begin_request(&parts.headers) {
+        if connection.is_some_and(|c| !c.begin_request(&parts.headers)) {
             return self.reject(&parts, None, RejectionReason::NoMemory, arrived, deadline);
         }
         let (outcome, service) = match self
@@ -141,6 +150,20 @@
         }
     }
 
+    /// Whether requests with this target and these headers may run more than once.
+    pub fn is_idempotent(&self, uri: &Uri, headers: &HeaderMap) -> bool {
+        let view = self.view.load();
+        let entry = find_route(&view, uri, headers);
+        entry.is_some_and(|entry| entry.route.retry_policy == RetryPolicy::Allowed)
+    }
+
+    /// When a request arrived, which may have waited for the responses before it.
+    fn arrival<B>(&self, req: &Request<B>) -> Millis {
+        let read_at = req.extensions().get::<ReadAt>();
+        let waited = read_at.map_or(Duration::ZERO, |ReadAt(at)| at.elapsed());
+        self.clock.now() - waited.into()
+    }
+
     /// Time limit of a request: the caller's, but no longer than the route's time-out.
     fn time_limit(&self, headers: &HeaderMap, route: &Route) -> Millis {
         let requested_ms = headers
@@ -163,24 +186,29 @@
 
     /// Buffers the request body. Fails if the body exceeds the configured limit or the memory that
     /// is left for bodies.
-    async fn read_request(
+    async fn read_request<B>(
         &self,
         view: &View,
         route: &Route,
         parts: &Parts,
-        body: Incoming,
+        body: B,
         deadline: Millis,
-        connection: &ConnectionHandle,
-    ) -> Result<OutgoingRequest, RejectionReason> {
+        connection: Option<&ConnectionHandle>,
+    ) -> Result<OutgoingRequest, RejectionReason>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
         let id = parts.headers.get(&self.names.request_id);
         let id = id.ok_or(RejectionReason::BadRequest)?.clone();
         let limit = usize::try_from(view.limits.max_body_bytes).unwrap_or(usize::MAX);
-        let observer = |event| match event {
-            BodyEvent::Holds(bytes) => {
+        let observer = |event| match (event, connection) {
+            (BodyEvent::Holds(bytes), Some(connection)) => {
                 connection.record_body(bytes);
                 false
             }
-            BodyEvent::Short => connection.release_body(),
+            (BodyEvent::Short, Some(connection)) => connection.release_body(),
+            (_, None) => false,
         };
         let reading = self.body_memory.collect_observed(body, limit, observer);
         let read = tokio::select! {
@@ -195,7 +223,9 @@
             Ok(Err(BodyError::Incomplete)) => return Err(RejectionReason::BadRequest),
             Err(_) => return Err(RejectionReason::Late),
         };
-        connection.begin_work();
+        if let Some(connection) = connection {
+            connection.begin_work();
+        }
         let (name, prefix, path) = (&*route.name, &*route.prefix, parts.uri.path());
         let class = RequestClass::new(name, prefix, parts.method.as_str(), path, body.len());
         Ok(OutgoingRequest {
@@ -247,10 +277,10 @@
     }
 }
 
-fn find_route<'a>(view: &'a View, parts: &Parts) -> Option<&'a Arc<RouteEntry>> {
-    let host = match parts.headers.get(header::HOST) {
+fn find_route<'a>(view: &'a View, uri: &Uri, headers: &HeaderMap) -> Option<&'a Arc<RouteEntry>> {
+    let host = match headers.get(header::HOST) {
         Some(host) => host.to_str().ok()?,
-        None => parts.uri.host()?,
+        None => uri.host()?,
     };
-    view.routes.find(host, parts.uri.path())
+    view.routes.find(host, uri.path())
 }
--- a/src/gateway/memory_pool.rs
+++ b/src/gateway/memory_pool.rs
@@ -84,6 +84,11 @@
         self.used.fetch_sub(bytes, Ordering::Relaxed);
     }
 
+    /// Whether at least half of the pool is left.
+    pub fn is_half_free(&self) -> bool {
+        self.used.load(Ordering::Relaxed) <= self.size / 2
+    }
+
     /// Bytes that were taken beyond the size of the pool.
     pub fn excess(&self) -> usize {
         self.used.load(Ordering::Relaxed).saturating_sub(self.size)
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,15 +1,19 @@
 //! HTTP server for callers, with a graceful stop.
 
 use super::{
-    caller_connections::CallerConnections,
+    caller_connections::{CallerConnections, ConnectionHandle},
     forward::Forwarder,
     model::CallerLimits,
+    sent_ahead::Conditions,
     stop::{self, Stop, StopSchedule},
 };
-use crate::{clock::Millis, entry::caller_connection};
+use crate::{
+    clock::Millis,
+    entry::caller_connection::{self, BegunRequest, BoxFuture, SentAhead},
+};
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
-use http_body_util::Full;
+use http::{Request, Response};
+use http_body_util::{Empty, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioTimer;
 use std::{convert::Infallible, time::Duration};
@@ -107,16 +111,19 @@
         let limits = self.forwarder.view.load().limits;
         let forwarder = self.forwarder.clone();
         let handle = connection.handle.clone();
-        let service = service_fn(move |req: Request<Incoming>| {
+        let service = {
             let (forwarder, handle) = (forwarder.clone(), handle.clone());
-            async move {
-                handle.output_taken().await;
-                let response = forwarder.handle(req, &handle).await;
-                handle.respond();
-                let is_stopping = forwarder.stop.borrow().is_some();
-                Ok::<_, Infallible>(with_connection_close(response, is_stopping))
-            }
-        });
+            service_fn(move |req: Request<Incoming>| {
+                let (forwarder, handle) = (forwarder.clone(), handle.clone());
+                async move {
+                    handle.output_taken().await;
+                    let response = forwarder.handle(req, Some(&handle)).await;
+                    handle.respond();
+                    Ok::<_, Infallible>(response)
+                }
+            })
+        };
+        let ahead = sent_ahead(forwarder, handle);
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
@@ -127,8 +134,14 @@
         tokio::spawn(async move {
             let handle = connection.handle.clone();
             let observer = move |event| handle.observe(event);
-            let served =
-                caller_connection::serve_observed(stream, service, &builder, closing, observer);
+            let served = caller_connection::serve_ahead(
+                stream,
+                service,
+                Some(ahead),
+                &builder,
+                closing,
+                observer,
+            );
             tokio::select! {
                 ended = served => if let Err(e) = ended {
                     log::debug!(target: "request", error:% = e; "Caller connection ended.");
@@ -146,13 +159,54 @@
     idle.max(limits.header_timeout.into()) + Duration::from_secs(1)
 }
 
-fn with_connection_close(
-    mut response: Response<Full<Bytes>>,
-    stopping: bool,
-) -> Response<Full<Bytes>> {
-    if stopping {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+/// How the requests that were sent ahead on a connection are run.
+fn sent_ahead(forwarder: Forwarder, handle: ConnectionHandle) -> SentAhead<Response<Full<Bytes>>> {
+    let routes = forwarder.clone();
+    let stop = forwarder.stop.clone();
+    let delivering = handle.clone();
+    SentAhead {
+        is_idempotent: Box::new(move |uri, headers| routes.is_idempotent(uri, headers)),
+        begin: Box::new(move |req, begun| begin_ahead(&forwarder, &handle, req, begun)),
+        deliver: Box::new(move |begun| Box::pin(deliver(begun, delivering.clone()))),
+        closes: Box::new(move || stop.borrow().is_some()),
     }
+}
+
+/// Begins a request that was sent ahead, unless it has to wait.
+fn begin_ahead(
+    forwarder: &Forwarder,
+    handle: &ConnectionHandle,
+    req: Request<()>,
+    begun: usize,
+) -> Option<BoxFuture<Response<Full<Bytes>>>> {
+    let conditions = Conditions {
+        begun,
+        is_stopping: forwarder.stop.borrow().is_some(),
+        is_output_blocked: handle.is_output_blocked(),
+        has_connection_memory: handle.is_memory_half_free(),
+        has_body_memory: forwarder.body_memory.is_half_free(),
+    };
+    if let Some(reason) = conditions.hold_reason() {
+        log::debug!(target: "request", path:% = req.uri().path(), reason:%, begun;
+            "Request that was sent ahead has to wait.");
+        return None;
+    }
+    let (forwarder, at_work) = (forwarder.clone(), handle.begin_ahead());
+    Some(Box::pin(async move {
+        let response = forwarder.handle(req.map(|()| Empty::new()), None).await;
+        drop(at_work);
+        response
+    }))
+}
+
+/// Waits for the response to a request that was sent ahead, once its turn has come.
+async fn deliver(
+    begun: BegunRequest<Response<Full<Bytes>>>,
+    handle: ConnectionHandle,
+) -> Response<Full<Bytes>> {
+    handle.output_taken().await;
+    handle.begin_work();
+    let response = begun.await;
+    handle.respond();
     response
 }
--- a/tests/gateway/fake_endpoint.rs
+++ b/tests/gateway/fake_endpoint.rs
@@ -23,6 +23,9 @@
     Ok,
     /// Runs it and responds after this time.
     Slow(Duration),
+    /// Runs it for as many milliseconds as the last segment of its path says, and responds. Ends the
+    /// work if the connection is closed.
+    SlowByPath,
     /// Runs it and responds twice.
     Twice,
     /// Runs it and closes the connection.
@@ -79,6 +82,7 @@
     /// When requests arrived, and the daemons that their headers name.
     arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
     connections: Arc<AtomicUsize>,
+    cancelled: Arc<AtomicUsize>,
     is_leaving: Arc<AtomicBool>,
     /// Limit that the responses name.
     limit: Arc<Mutex<Option<String>>>,
@@ -101,6 +105,7 @@
             runs: Arc::default(),
             arrivals: Arc::default(),
             connections: Arc::default(),
+            cancelled: Arc::default(),
             is_leaving: Arc::default(),
             limit: Arc::default(),
             stop: watch::Sender::new(false),
@@ -167,6 +172,11 @@
         self.connections.load(Ordering::SeqCst)
     }
 
+    /// Number of requests whose connection was closed while they ran.
+    pub fn cancelled(&self) -> usize {
+        self.cancelled.load(Ordering::SeqCst)
+    }
+
     /// Sets whether responses say that the endpoint leaves. If there are several responses to a
     /// request, only the first one says so.
     pub fn set_leaving(&self, is_leaving: bool) {
@@ -227,6 +237,16 @@
                     sleep(*time).await;
                     ok
                 }
+                Behavior::SlowByPath => {
+                    let mut rest = [0];
+                    tokio::select! {
+                        () = sleep(processing_time(&head)) => ok,
+                        _ = stream.read(&mut rest) => {
+                            self.cancelled.fetch_add(1, Ordering::SeqCst);
+                            return;
+                        }
+                    }
+                }
                 Behavior::Twice => ok.repeat(2),
                 Behavior::Lost => return,
                 Behavior::Truncated => {
@@ -306,6 +326,13 @@
     }
 }
 
+/// The last segment of the path of a request head, in milliseconds.
+fn processing_time(head: &str) -> Duration {
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    let segment = path.rsplit('/').next().unwrap_or_default();
+    Duration::from_millis(segment.parse().unwrap_or_default())
+}
+
 /// Value of a header of a request head; `name` ends with a colon and a space.
 fn header(head: &str, name: &str) -> String {
     let mut lines = head.lines();
