Discard what a caller sent behind the last response before closing

Closing a socket with unread bytes resets the connection, and the system then drops output that it has not sent yet. A caller that had sent much behind a response with connection: close lost the end of that response.

The stream now reads what is left, up to 128 KB, when it is shut down.

--- a/src/entry/caller_connection/stream.rs
+++ b/src/entry/caller_connection/stream.rs
@@ -23,6 +23,8 @@
 
 /// Most bytes that are read ahead in one call.
 const READ_AHEAD_CHUNK_BYTES: usize = 2 * 1024;
+/// Most unread bytes that are discarded before a connection is closed.
+const MAX_DISCARDED_BYTES: usize = 128 * 1024;
 
 /// What happens on the stream of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -158,6 +160,18 @@
         }
     }
 
+    /// Reads what is left in the socket. Closing a socket with unread bytes resets the connection, and
+    /// the caller may lose responses that it has not received yet.
+    fn discard_unread(&self) {
+        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        let socket = SockRef::from(&*self.stream);
+        for _ in 0..MAX_DISCARDED_BYTES / chunk.len() {
+            if !matches!((&*socket).read(&mut chunk), Ok(1..)) {
+                return;
+            }
+        }
+    }
+
     /// Reads what is in the socket, without regard to what the runtime has seen of it.
     fn read_at_once(&self, buf: &mut [u8]) -> Poll<io::Result<usize>> {
         let socket = SockRef::from(&*self.stream);
@@ -216,6 +230,8 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+        let shutdown = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
+        self.discard_unread();
+        Poll::Ready(shutdown)
     }
 }
--- a/src/gateway/caller_connections.rs
+++ b/src/gateway/caller_connections.rs
@@ -127,6 +127,11 @@
                 "fireflygauge_caller_connections_closed{{listener=\"{listener}\",reason=\"{reason}\"}} {count}"
             );
         }
+        let begun = account.begun_ahead();
+        let _ = writeln!(
+            text,
+            "fireflygauge_caller_requests_begun_ahead{{listener=\"{listener}\"}} {begun}"
+        );
         let bytes = account.bytes();
         let _ = writeln!(
             text,
--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -105,6 +105,7 @@
     /// Bodies of connections that are closing.
     closing_body_bytes: usize,
     closed: [u64; CloseReason::COUNT],
+    begun_ahead: u64,
 }
 
 impl<T> Account<T> {
@@ -120,6 +121,7 @@
             bytes: 0,
             closing_body_bytes: 0,
             closed: [0; CloseReason::COUNT],
+            begun_ahead: 0,
         }
     }
 
@@ -220,9 +222,15 @@
     pub fn begin_ahead(&mut self, key: ConnectionKey) {
         if let Some(connection) = self.connections.get_mut(key) {
             connection.ahead_at_work += 1;
+            self.begun_ahead += 1;
         }
     }
 
+    /// Number of requests that have begun before those ahead of them were answered.
+    pub fn begun_ahead(&self) -> u64 {
+        self.begun_ahead
+    }
+
     /// Records that a request that was sent ahead has ended.
     pub fn end_ahead(&mut self, key: ConnectionKey) {
         if let Some(connection) = self.connections.get_mut(key) {
--- a/tests/gateway/sent_ahead.rs
+++ b/tests/gateway/sent_ahead.rs
@@ -223,6 +223,26 @@
     assert_eq!(runs(&endpoints), 1);
 }
 
+/// Guards against a reset that takes the end of the last response away from a caller that has sent much
+/// behind it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_closing_response_arrives_whole() {
+    const LENGTH: usize = 500_000;
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signature: s\r\ncontent-length: {LENGTH}");
+    let response: &str = Box::leak(format!("{head}\r\n\r\n{}", "a".repeat(LENGTH)).into());
+    let (daemon, _endpoints) = daemon_with(&[Behavior::Sends(response, 1)]).await;
+    let mut caller = Caller::connect(&daemon).await;
+    let first = get(0, "/safe/0").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
+    caller.send(&(first + &gets(&["/safe/0"; 400]))).await;
+    let mut received = Vec::new();
+    let mut chunk = [0; 16 * 1024];
+    while let Ok(read @ 1..) = caller.stream.read(&mut chunk).await {
+        received.extend_from_slice(&chunk[..read]);
+        sleep(Duration::from_millis(2)).await;
+    }
+    assert!(received.len() > LENGTH, "{} bytes", received.len());
+}
+
 /// Guards against requests that go on at endpoints after their caller has left.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_closes_cancels_all_its_requests() {
