Charge callers' connections what they hold

Cause: A connection was charged 20 KB whatever it did. On which nothing had arrived it held 25 KB, from a request's head on 37 KB, and with a caller that does not read up to 135 KB with the buffers of its socket.

Change: 14 KB more are charged from the head on, and 112 KB while the socket takes no output. The future of a request is allocated when the request begins, not with the connection, which saves 9 KB for each idle connection.

--- a/src/gateway/caller_connections.rs
+++ b/src/gateway/caller_connections.rs
@@ -178,7 +178,11 @@
                     self.output.unblocked.notify_waiters();
                 }
             }
-            StreamEvent::WriteBlocked => self.output.blocked.store(true, Ordering::Relaxed),
+            StreamEvent::WriteBlocked => {
+                if !self.output.blocked.swap(true, Ordering::Relaxed) {
+                    self.account().record_blocked(self.key);
+                }
+            }
             StreamEvent::Flushed => self.account().record_flushed(self.key),
         }
     }
--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -9,6 +9,12 @@
 
 /// Memory of a connection on which nothing has arrived, in bytes: its task and hyper's buffers.
 pub const CONNECTION_BYTES: usize = 20 * 1024;
+/// Memory of a request from its head on, in bytes, besides what arrives: hyper replaces the buffer that
+/// the head shares, and the state of the request is allocated.
+const REQUEST_BYTES: usize = 14 * 1024;
+/// Memory of a connection whose socket takes no output, in bytes: the caller has filled both buffers of
+/// the socket, and one of the connection.
+const BLOCKED_BYTES: usize = 112 * 1024;
 /// Received bytes up to which the buffers of a connection grow.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024;
 /// Memory that received bytes take, as a multiple: a buffer is copied while it grows.
@@ -74,8 +80,11 @@
     progress_at: Millis,
     /// Bytes received since the connection was idle.
     received: usize,
-    head_bytes: usize,
+    /// Memory of the request in progress without its body.
+    request_bytes: usize,
     body_bytes: usize,
+    /// Whether the socket takes no output.
+    is_blocked: bool,
     /// Dropped to close the connection; `None` once it is closing.
     closer: Option<T>,
 }
@@ -84,7 +93,8 @@
     /// Memory of the connection without its body, in bytes.
     fn bytes(&self) -> usize {
         let buffered = self.received.min(MAX_BUFFERED_BYTES);
-        CONNECTION_BYTES + BUFFER_FACTOR * buffered + self.head_bytes
+        let blocked = if self.is_blocked { BLOCKED_BYTES } else { 0 };
+        CONNECTION_BYTES + BUFFER_FACTOR * buffered + self.request_bytes + blocked
     }
 }
 
@@ -129,8 +139,9 @@
             since: self.now,
             progress_at: self.now,
             received: 0,
-            head_bytes: 0,
+            request_bytes: 0,
             body_bytes: 0,
+            is_blocked: false,
             closer: Some(closer),
         };
         self.open += 1;
@@ -181,7 +192,17 @@
             self.enter(key, Phase::Response);
         }
         let now = self.now;
-        self.update(key, |connection| connection.progress_at = now);
+        self.update(key, |connection| {
+            connection.progress_at = now;
+            connection.is_blocked = false;
+        });
+    }
+
+    /// Records that the socket takes no output, and closes other connections if its buffers take too
+    /// much memory.
+    pub fn record_blocked(&mut self, key: ConnectionKey) {
+        self.update(key, |connection| connection.is_blocked = true);
+        self.make_room(key);
     }
 
     /// Records that all of a response was written.
@@ -189,7 +210,7 @@
         if self.phase(key) == Some(Phase::Response) {
             self.update(key, |connection| {
                 connection.received = 0;
-                connection.head_bytes = 0;
+                connection.request_bytes = 0;
                 connection.body_bytes = 0;
             });
             self.enter(key, Phase::Idle);
@@ -199,7 +220,8 @@
     /// Records that a request head of `head_bytes`, with its copies, has arrived. False if there is no
     /// memory for it.
     pub fn begin_request(&mut self, key: ConnectionKey, head_bytes: usize) -> bool {
-        self.update(key, |connection| connection.head_bytes = head_bytes);
+        let request_bytes = REQUEST_BYTES + head_bytes;
+        self.update(key, |connection| connection.request_bytes = request_bytes);
         self.enter(key, Phase::Body);
         self.make_room(key)
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -109,13 +109,14 @@
         let handle = connection.handle.clone();
         let service = service_fn(move |req: Request<Incoming>| {
             let (forwarder, handle) = (forwarder.clone(), handle.clone());
-            async move {
+            // hyper keeps room for the future in each connection, also in an idle one.
+            Box::pin(async move {
                 handle.output_taken().await;
                 let response = forwarder.handle(req, &handle).await;
                 handle.respond();
                 let is_stopping = forwarder.stop.borrow().is_some();
                 Ok::<_, Infallible>(with_connection_close(response, is_stopping))
-            }
+            })
         });
         let mut builder = http1::Builder::new();
         builder
