--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -115,12 +115,13 @@
             let (forwarder, handle) = (forwarder.clone(), handle.clone());
             service_fn(move |req: Request<Incoming>| {
                 let (forwarder, handle) = (forwarder.clone(), handle.clone());
-                async move {
+                // hyper keeps room for the future in each connection, also in an idle one.
+                Box::pin(async move {
                     handle.output_taken().await;
                     let response = forwarder.handle(req, Some(&handle)).await;
                     handle.respond();
                     Ok::<_, Infallible>(response)
-                }
+                })
             })
         };
         let ahead = sent_ahead(forwarder, handle);
