Callers of a key whose owner is gone return as late as they may

Cause: when endpoints of a keyed service are lost, their keys have no owner until their leases end, 3 to 5 s later.

Change: if the key's owner is not registered any more, Retry-After is a third of the time that the caller states, shortened by up to a quarter. A log line tells when endpoints shed requests in spite of room.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -19,7 +19,7 @@
     wait_queue::WaitQueue,
 };
 use crate::{clock::Millis, routing::limit::LimitSample};
-pub use shedding::Shedding;
+pub use shedding::{Shedding, SheddingChange};
 use state::State;
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
@@ -256,7 +256,9 @@
         {
             let mut state = self.state();
             let is_full = load.is_some_and(Load::has_long_queue);
-            self.shedding.record(outcome, load);
+            if let Some(change) = self.shedding.record(outcome, load) {
+                self.log_shedding(change, load);
+            }
             let has_room = load.is_some_and(|load| self.shedding.has_room(load));
             let daemons_per_slot = daemons as f64 / f64::from(self.entry.slots.max(1));
             let share = state.costs.estimate(class, now).share;
@@ -358,6 +360,12 @@
         self.state().relative_latency = f64::from(latency);
     }
 
+    fn log_shedding(&self, change: SheddingChange, load: Option<Load>) {
+        log::info!(target: "health", service:% = self.entry.service, change:? = change,
+            rate = self.shedding.rate(), endpoint:% = self.entry.instance.name, load:? = load;
+            "Endpoints shed requests in spite of room.");
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/gateway/backend/shedding.rs
+++ b/src/gateway/backend/shedding.rs
@@ -16,6 +16,20 @@
 /// full.
 const ROOM_DIVISOR: f64 = 2.0;
 
+/// Rate from which shedding in spite of room is logged.
+const LOGGED_FROM: f64 = 0.2;
+/// Rate below which it counts as over.
+const LOGGED_UNTIL: f64 = 0.05;
+
+/// A change that is worth a log line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SheddingChange {
+    /// Endpoints have begun to shed requests in spite of room.
+    Began,
+    /// They shed hardly any more.
+    Ended,
+}
+
 /// What the endpoints of one service have shown about the requests that they shed.
 #[derive(Debug, Default)]
 pub struct Shedding {
@@ -28,23 +42,40 @@
     longest_queue: f64,
     /// Share of requests that are shed in spite of room, smoothed.
     rate: f64,
+    is_logged: bool,
+}
+
+impl State {
+    fn change(&mut self) -> Option<SheddingChange> {
+        let change = match self.is_logged {
+            false if self.rate >= LOGGED_FROM => SheddingChange::Began,
+            true if self.rate < LOGGED_UNTIL => SheddingChange::Ended,
+            _ => return None,
+        };
+        self.is_logged = change == SheddingChange::Began;
+        Some(change)
+    }
 }
 
 impl Shedding {
     /// Records the outcome of a request and the load in the response.
-    pub fn record(&self, outcome: ExchangeOutcome, load: Option<Load>) {
-        let Some(load) = load else {
-            return;
-        };
+    pub fn record(&self, outcome: ExchangeOutcome, load: Option<Load>) -> Option<SheddingChange> {
+        let load = load?;
         let has_room = self.has_room(load);
         let mut state = self.state();
         state.longest_queue = state.longest_queue.max(load.waiting_per_slot());
         let sample = match outcome {
             ExchangeOutcome::Shed if has_room => 1.0,
             ExchangeOutcome::Answered(_) => 0.0,
-            _ => return,
+            _ => return None,
         };
         state.rate += SHED_RATE_WEIGHT * (sample - state.rate);
+        state.change()
+    }
+
+    /// Share of requests that endpoints shed in spite of room, smoothed.
+    pub fn rate(&self) -> f64 {
+        self.state().rate
     }
 
     /// Whether an endpoint with this load has a free slot, or a short queue where endpoints of the
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -42,6 +42,22 @@
         Some((moved_by.since(now) + jitter).into())
     }
 
+    /// Longest time that the caller waits, if the key's owner is not registered any more: its keys are
+    /// assigned only when its lease has ended, seconds later. `None` if it is registered.
+    fn wait_for_assignment(
+        &self,
+        service: &ServiceName,
+        headers: &HeaderMap,
+        arrived: Millis,
+        now: Millis,
+    ) -> Option<Duration> {
+        let (view, key) = (self.view.load(), self.requested_key(headers)?);
+        let service = view.services.get(service).filter(|s| s.keyed)?;
+        let left = (arrived + self.stated_time(headers)?).since(now);
+        let is_registered = service.member_of(key).is_some();
+        (!is_registered).then(|| spread(Millis(left.0 / HONOURED_DIVISOR)))?
+    }
+
     /// Time until the key's owner can be sent the request, as far as the limit that it named decides;
     /// `None` if it names none, or if the caller would not wait.
     fn wait_for_permit(
@@ -75,10 +91,7 @@
         let backlog = Millis(backend.wait_ms(ahead, work, now) as u64);
         let longest = Millis(left.0 / HONOURED_DIVISOR);
         let latest = Millis(MIN_RETRY_AFTER_MS).max(backlog).min(longest);
-        // Callers that are told the same wait return at different times.
-        let earliest = Millis(latest.0 - latest.0 / RETRY_JITTER_DIVISOR);
-        let wait = Millis(rand::random_range(earliest.0..=latest.0));
-        (wait > Millis::ZERO).then(|| wait.into())
+        spread(latest)
     }
 
     /// Time until a request that the key's owner has shed may return, if that one sheds in spite of room;
@@ -111,6 +124,7 @@
             RejectionReason::Stopping => Some(Millis(1).into()),
             RejectionReason::NoOwner => service
                 .and_then(|service| self.wait_for_owner(service, &parts.headers, now))
+                .or_else(|| self.wait_for_assignment(service?, &parts.headers, arrived, now))
                 .or_else(|| retry_after(deadline.since(now))),
             RejectionReason::Limited => service
                 .and_then(|service| {
@@ -144,6 +158,13 @@
     }
 }
 
+/// A time up to `latest`, since callers that are told the same time return all at once; `None` for 0.
+fn spread(latest: Millis) -> Option<Duration> {
+    let earliest = latest.0 - latest.0 / RETRY_JITTER_DIVISOR;
+    let wait = Millis(rand::random_range(earliest..=latest.0));
+    (wait > Millis::ZERO).then(|| wait.into())
+}
+
 /// Value of a header for logs; `-` if it is missing or not text.
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
--- a/tests/gateway/budget.rs
+++ b/tests/gateway/budget.rs
@@ -55,3 +55,11 @@
     assert!(!budget.try_retry(RetryNeed::Needed, 1, Millis(9_000)));
     assert!(budget.try_retry(RetryNeed::Needed, 1, Millis(11_000)));
 }
+
+/// Guards against a budget that is spent before callers come back.
+#[test]
+fn a_part_is_kept_for_callers_that_have_returned() {
+    let mut budget = RetryBudget::new(RULE);
+    while budget.try_retry(RetryNeed::Optional, 1, Millis(0)) {}
+    assert!(budget.try_retry(RetryNeed::Needed, 1, Millis(0)));
+}
