--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod lives;
 mod lives_observed;
 mod load_header;
+mod lost_owner;
 mod owners;
 mod patience;
 mod pause;
