--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -44,6 +44,9 @@
     pub key: Option<Key>,
     /// Time left until its deadline.
     pub left: Millis,
+    /// Time left of that which the caller states to have, which its route may cut short; `None` if it
+    /// states none.
+    pub stated_left: Option<Millis>,
     /// Whether the caller takes a place among those that were told to return.
     pub claim: Claim,
     /// The time of the rejection.
@@ -58,7 +61,9 @@
             RejectionReason::Paused { until } => only(until.since(self.now).max(Millis(1))),
             // Other daemons take the request at once.
             RejectionReason::Stopping => only(Millis(1)),
-            RejectionReason::NoOwner => self.wait_for_owner(),
+            RejectionReason::NoOwner => {
+                self.wait_for_owner().or_else(|| self.wait_for_assignment())
+            }
             RejectionReason::Limited => self.wait_for_permit(),
             RejectionReason::Busy => self.wait_for_backlog(),
             RejectionReason::Shed => self.wait_after_shed(),
@@ -79,6 +84,15 @@
         Some(wait..=wait + Millis(MAX_RETRY_JITTER_MS))
     }
 
+    /// Longest time that the caller waits, if the key's owner is not registered any more: its keys are
+    /// assigned only when its lease has ended, seconds later. `None` if it is registered.
+    fn wait_for_assignment(&self) -> Option<ReturnWindow> {
+        let service = self.service().filter(|s| s.keyed)?;
+        let is_registered = service.member_of(self.key?).is_some();
+        let longest = Millis(self.stated_left?.0 / HONOURED_DIVISOR);
+        spread(longest).filter(|_| !is_registered)
+    }
+
     /// Time until the key's owner can be sent the request, as far as the limit that it named decides;
     /// `None` if it names none, or if the caller would not wait.
     fn wait_for_permit(&self) -> Option<ReturnWindow> {
@@ -99,9 +113,7 @@
         let backlog = Millis(backend.wait_ms(ahead, work, self.now) as u64);
         let longest = Millis(self.left.0 / HONOURED_DIVISOR);
         let latest = Millis(MIN_RETRY_AFTER_MS).max(backlog).min(longest);
-        // Callers that are told the same wait return at different times.
-        let earliest = Millis(latest.0 - latest.0 / RETRY_JITTER_DIVISOR);
-        (latest > Millis::ZERO).then_some(earliest..=latest)
+        spread(latest)
     }
 
     /// Time until a request that the key's owner has shed may return, if that one sheds in spite of
@@ -125,11 +137,13 @@
     ) -> Response<Full<Bytes>> {
         let now = self.clock.now();
         let view = self.view.load();
+        let stated = self.requested_time_limit(&parts.headers);
         let rejected = Rejected {
             view: &view,
             service,
             key: self.requested_key(&parts.headers),
             left: deadline.since(now),
+            stated_left: stated.map(|stated| (arrived + stated).since(now)),
             claim: Claim::Take,
             now,
         };
@@ -168,6 +182,12 @@
     Some(Millis(shortest)..=Millis(longest))
 }
 
+/// Times up to `latest`, since callers that are told the same time return all at once; `None` for 0.
+fn spread(latest: Millis) -> Option<ReturnWindow> {
+    let earliest = Millis(latest.0 - latest.0 / RETRY_JITTER_DIVISOR);
+    (latest > Millis::ZERO).then_some(earliest..=latest)
+}
+
 fn drawn_from(window: ReturnWindow) -> Duration {
     let (earliest, latest) = window.into_inner();
     Duration::from_millis(rand::random_range(earliest.0..=latest.0))
--- a/src/gateway/status/explain_route.rs
+++ b/src/gateway/status/explain_route.rs
@@ -55,7 +55,7 @@
 
 /// Explains where the request of `query` would go.
 pub fn explain_route(cx: ExplainContext<'_>, query: &RouteQuery) -> RouteExplanation {
-    let mut explanation = empty(cx);
+    let mut explanation = empty(cx, query);
     let arrival = Arrival {
         host: Some(&query.host),
         path: &query.path,
@@ -66,7 +66,7 @@
         Ok(admitted) => admitted,
         Err(e) => {
             explanation.time_limit_ms = e.deadline.since(cx.now).0;
-            explanation.outcome = cx.rejection(None, query.key, e.reason, e.deadline);
+            explanation.outcome = cx.rejection(None, query, e.reason, e.deadline);
             return explanation;
         }
     };
@@ -75,7 +75,7 @@
     explanation.route = Some(matched_route(admitted));
     if query.body_bytes > admission::max_body_bytes(cx.view) {
         let reason = RejectionReason::BodyTooLarge;
-        explanation.outcome = cx.rejection(None, query.key, reason, deadline);
+        explanation.outcome = cx.rejection(None, query, reason, deadline);
         return explanation;
     }
     let class = class_of(admitted, query);
@@ -84,10 +84,10 @@
         None => admission::assign(cx.view, admitted, &class, query.key, cx.now, Claim::Peek),
     };
     match assigned {
-        Ok(request) => cx.explain_request(&request, &class, &mut explanation),
+        Ok(request) => cx.explain_request(&request, query, &class, &mut explanation),
         Err(e) => {
             let service = e.service.as_ref();
-            explanation.outcome = cx.rejection(service, query.key, e.reason, deadline);
+            explanation.outcome = cx.rejection(service, query, e.reason, deadline);
             explanation.service = e.service;
         }
     }
@@ -98,6 +98,7 @@
     fn explain_request(
         self,
         request: &ActiveRequest<'_>,
+        query: &RouteQuery,
         class: &RequestClass,
         explanation: &mut RouteExplanation,
     ) {
@@ -121,7 +122,7 @@
             },
             Step::Reject(reason) => {
                 let (service, deadline) = (Some(&request.service), request.deadline);
-                self.rejection(service, request.key, reason, deadline)
+                self.rejection(service, query, reason, deadline)
             }
         };
         explanation.service = Some(request.service.clone());
@@ -206,15 +207,16 @@
     fn rejection(
         self,
         service: Option<&ServiceName>,
-        key: Option<Key>,
+        query: &RouteQuery,
         reason: RejectionReason,
         deadline: Millis,
     ) -> RequestOutcome {
         let rejected = Rejected {
             view: self.view,
             service,
-            key,
+            key: query.key,
             left: deadline.since(self.now),
+            stated_left: query.time_limit,
             claim: Claim::Peek,
             now: self.now,
         };
@@ -228,11 +230,11 @@
 }
 
 /// An explanation of a request of which nothing is known yet.
-fn empty(cx: ExplainContext<'_>) -> RouteExplanation {
+fn empty(cx: ExplainContext<'_>, query: &RouteQuery) -> RouteExplanation {
     let (freshness, now) = (&cx.view.freshness, cx.now);
     let ms = |age: Option<Millis>| age.map(|age| age.0);
     RouteExplanation {
-        outcome: cx.rejection(None, None, RejectionReason::NotConfigured, now),
+        outcome: cx.rejection(None, query, RejectionReason::NotConfigured, now),
         data: DataAges {
             config_version: cx.view.version,
             config_in_force_ms: ms(freshness.config_age(now)),
--- a/tests/gateway/explain_route.rs
+++ b/tests/gateway/explain_route.rs
@@ -54,6 +54,7 @@
             service,
             key: query.key,
             left: deadline.since(cx.now),
+            stated_left: query.time_limit,
             claim: Claim::Take,
             now: cx.now,
         };
