Keep notices that a life gave before its registry entry was known

A life under the name and address of its predecessor may ask for a pause, or say that it leaves, before its entry is known.

Responses name no life and clocks are not compared, but the end of a process ends its connections. The pool of an endpoint now knows its open connections and when there were none. When a later life is registered at the same address within 2 s after a pause or after the first of an unbroken run of leaving responses, the notice is the later life's if a connection that was open then still is, and if all connections had ended before that one was opened. Otherwise it ends with the former life as before. Not decided: lives whose connections were closed meanwhile, as after Connection: close; and a life that vanished without closing its connections can leave its notice to a successor within these 2 s.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Since when all responses have said that the endpoint leaves.
+    pub fn leaving_since(&self) -> Option<Millis> {
+        self.leaving_run.since()
+    }
+
     /// Records that a response received at `now` asked for a pause of `announced`. True if a pause
     /// begins. Afterwards requests return one by one: the daemons, which may have been told the
     /// same end, start at random times, and each with one request in flight.
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -1,5 +1,7 @@
 //! Pool of HTTP/1.1 connections to one endpoint. Each connection carries one exchange at a time.
 
+mod open;
+
 use super::idle::{IdleLimit, MAX_IDLE};
 use crate::http_client::{
     CONNECT_TIMEOUT, KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, TCP_USER_TIMEOUT,
@@ -9,6 +11,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use open::OpenConnections;
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     io,
@@ -79,6 +82,7 @@
     close_mode: CloseMode,
     idle_limit: Arc<IdleLimit>,
     idle: Mutex<Vec<IdleConnection>>,
+    open: OpenConnections,
 }
 
 impl Pool {
@@ -91,6 +95,7 @@
             close_mode: CloseMode::default(),
             idle_limit,
             idle: Mutex::default(),
+            open: OpenConnections::default(),
         }
     }
 
@@ -148,6 +153,12 @@
         self.idle_limit.record_loss(idle);
     }
 
+    /// Whether a connection proves that the process at the address has been the same for `age`, and
+    /// that it may be another than the one before.
+    pub fn has_spanned(&self, age: Duration) -> bool {
+        self.open.span(age)
+    }
+
     /// Opens a new connection within `left`.
     ///
     /// # Errors
@@ -164,7 +175,9 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
+        let open = self.open.add();
         tokio::spawn(async move {
+            let _open = open;
             if let Err(e) = connection.await {
                 log::debug!(target: "request", error:% = e; "Endpoint connection ended.");
             }
--- a/src/gateway/leaving/run.rs
+++ b/src/gateway/leaving/run.rs
@@ -34,6 +34,12 @@
         began.map_or_else(Millis, |_| now)
     }
 
+    /// When the run began; `None` if the last response did not say that the endpoint leaves.
+    pub fn since(&self) -> Option<Millis> {
+        let since_ms = self.since_ms.load(Ordering::Acquire);
+        (since_ms != NONE).then_some(Millis(since_ms))
+    }
+
     /// Records a response to a request sent at `sent_at` that does not say that the endpoint leaves.
     /// If the request was sent before the run began, the endpoint may have written the response
     /// before that, and the run goes on.
--- a/src/gateway/pause.rs
+++ b/src/gateway/pause.rs
@@ -119,6 +119,18 @@
         true
     }
 
+    /// Records that a life requested this pause before it was registered.
+    pub fn inherit(&self, pause: RequestedPause) {
+        let mut state = self.state();
+        state.current = Some(Period {
+            started: pause.started,
+            until: pause.until,
+            probes: 0,
+            next_probe_at: pause.started + BELIEVED_FOR,
+        });
+        self.show(&state);
+    }
+
     /// The pause in progress at `now`; `None` if there is none. This takes no lock.
     pub fn in_progress(&self, now: Millis) -> Option<RequestedPause> {
         let shown = **self.shown.load().as_ref()?;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -142,6 +142,11 @@
         self.pause_count.load(Ordering::Relaxed)
     }
 
+    /// Counts the pauses that endpoints of the service begin.
+    fn pause_counter(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.pause_count)
+    }
+
     /// Requests by key since the last call.
     pub fn take_key_counts(&self) -> Vec<(Key, u32)> {
         let mut counts = self
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -1,6 +1,7 @@
 //! Builds views from the configuration, the registered endpoints and the owners.
 
 mod owners;
+mod unregistered;
 
 use super::{Freshness, Member, ServiceState, ServiceView, View, instance_of};
 use crate::{
@@ -136,6 +137,7 @@
     /// cancels a deferred removal.
     pub fn register(&mut self, entry: EndpointEntry, since: Millis, now: Millis) {
         let name = Arc::clone(&entry.instance.name);
+        let early = self.early_notices(&entry, now);
         self.pauses.end_earlier_lives(&entry.instance, now);
         self.rate_limits.end_earlier_lives(&entry.instance);
         let known = self.endpoints.remove(&name);
@@ -180,7 +182,8 @@
             removal_due: None,
             entry,
         };
-        self.endpoints.insert(name, registered);
+        self.endpoints.insert(name.clone(), registered);
+        self.apply_early_notices(&name, early, now);
     }
 
     /// Removes an entry. With `defer_until`, the entry is kept until then, and beyond if it is
