--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -9,12 +9,12 @@
 
 mod ahead;
 mod head;
-mod lane;
+mod pipeline;
 mod stream;
 
 pub use ahead::{BegunRequest, BoxFuture, ReadAt, SentAhead};
-pub use head::{HeadScanner, Parsed, is_plain, parse as parse_head};
-pub use lane::{HeldAhead, MAX_READ_AHEAD_BYTES};
+pub use head::{HeadScanner, Parsed, parse as parse_head};
+pub use pipeline::HeldAhead;
 pub use stream::StreamEvent;
 
 use http::{Request, Response};
@@ -24,7 +24,7 @@
     service::{Service, service_fn},
 };
 use hyper_util::rt::TokioIo;
-use lane::{Call, Lane};
+use pipeline::{Call, Pipeline};
 use std::{
     error::Error,
     future::{Future, poll_fn},
@@ -116,10 +116,10 @@
 {
     let stream = Arc::new(stream);
     let ahead = ahead.map(Arc::new);
-    let lane = Arc::new(Mutex::new(Lane::new(ahead.is_some())));
+    let pipeline = Arc::new(Mutex::new(Pipeline::new(ahead.is_some())));
     let calls = Calls {
         socket: Arc::clone(&stream),
-        lane: Arc::clone(&lane),
+        pipeline: Arc::clone(&pipeline),
         ahead: ahead.clone(),
     };
     let service = service_fn(move |req| calls.call(&service, req));
@@ -127,7 +127,7 @@
     let io = CallerStream {
         stream,
         progress: Arc::clone(&progress),
-        lane: Arc::clone(&lane),
+        pipeline: Arc::clone(&pipeline),
         ahead,
         reported: HeldAhead::default(),
         unflushed: false,
@@ -148,7 +148,7 @@
         return result;
     }
     let has_unanswered =
-        progress.unanswered.load(Ordering::Relaxed) || lock(&lane).has_unanswered();
+        progress.unanswered.load(Ordering::Relaxed) || lock(&pipeline).has_unanswered();
     if !has_unanswered {
         connection.as_mut().graceful_shutdown();
     }
@@ -158,7 +158,7 @@
 /// Serves hyper's calls of the service.
 struct Calls<R> {
     socket: Arc<TcpStream>,
-    lane: Arc<Mutex<Lane<R>>>,
+    pipeline: Arc<Mutex<Pipeline<R>>>,
     ahead: Option<Arc<SentAhead<R>>>,
 }
 
@@ -173,13 +173,13 @@
         S::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let ahead = self.ahead.clone();
-        let call = lock(&self.lane).call(&mut req, ahead.as_deref());
+        let call = lock(&self.pipeline).call(&mut req, ahead.as_deref());
         let serving = match call {
             Call::Arrived => Ok(Serving::Arrived(service.call(req))),
             Call::Begun(begun) => Ok(Serving::Begun(begun)),
             Call::Mismatch => Err(ServiceError::Mismatch),
         };
-        let (lane, socket) = (Arc::clone(&self.lane), Arc::clone(&self.socket));
+        let (pipeline, socket) = (Arc::clone(&self.pipeline), Arc::clone(&self.socket));
         async move {
             let serving = serving?;
             let deliver = ahead.as_deref().map(|ahead| &ahead.deliver);
@@ -197,11 +197,11 @@
                 response = response => response?,
                 () = closed_by_caller(&socket) => return Err(ServiceError::CallerGone),
             };
-            let mut lane = lock(&lane);
+            let mut pipeline = lock(&pipeline);
             if let Some(ahead) = &ahead {
-                lane.close_if_last(&mut response, ahead);
+                pipeline.close_if_last(&mut response, ahead);
             }
-            lane.answer();
+            pipeline.answer();
             Ok(response)
         }
     }
@@ -216,8 +216,8 @@
 }
 
 /// Locks the state of a connection, even if a task that panicked held the lock.
-fn lock<R>(lane: &Mutex<Lane<R>>) -> MutexGuard<'_, Lane<R>> {
-    lane.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<R>(pipeline: &Mutex<Pipeline<R>>) -> MutexGuard<'_, Pipeline<R>> {
+    pipeline.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Completes when the caller has closed the connection, whatever lies unread in the socket.
--- a/src/entry/caller_connection/lane.rs
+++ b/src/entry/caller_connection/pipeline.rs
@@ -68,7 +68,7 @@
 
 /// The state of a connection. `R` is the response of its service.
 #[derive(Debug)]
-pub struct Lane<R> {
+pub struct Pipeline<R> {
     position: Position,
     /// Bytes that were read and that hyper has not got, from the start of a head on.
     buf: Vec<u8>,
@@ -90,7 +90,7 @@
     waker: Option<Waker>,
 }
 
-impl<R> Lane<R> {
+impl<R> Pipeline<R> {
     /// A connection on which nothing has arrived. If `is_framed` is false, hyper gets all bytes as they
     /// arrive.
     pub fn new(is_framed: bool) -> Self {
--- a/src/entry/caller_connection/stream.rs
+++ b/src/entry/caller_connection/stream.rs
@@ -2,8 +2,8 @@
 
 use super::{
     ahead::SentAhead,
-    lane::{HeldAhead, Lane},
     lock,
+    pipeline::{HeldAhead, Pipeline},
 };
 use socket2::SockRef;
 use std::{
@@ -54,7 +54,7 @@
 pub struct CallerStream<O, R> {
     pub(super) stream: Arc<TcpStream>,
     pub(super) progress: Arc<Progress>,
-    pub(super) lane: Arc<Mutex<Lane<R>>>,
+    pub(super) pipeline: Arc<Mutex<Pipeline<R>>>,
     /// How requests that were sent ahead are run, if they are.
     pub(super) ahead: Option<Arc<SentAhead<R>>>,
     /// What was last reported as held for requests that were sent ahead.
@@ -68,17 +68,17 @@
     /// Reads for hyper what was read ahead, or else from the socket.
     fn poll_read_for_hyper(
         &self,
-        lane: &mut Lane<R>,
+        pipeline: &mut Pipeline<R>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut read = lane.take(buf.remaining(), |bytes| buf.put_slice(bytes));
+        let mut read = pipeline.take(buf.remaining(), |bytes| buf.put_slice(bytes));
         if read == 0 {
-            let most = lane.most_for_hyper().unwrap_or(usize::MAX);
+            let most = pipeline.most_for_hyper().unwrap_or(usize::MAX);
             let bytes = buf.initialize_unfilled_to(buf.remaining().min(most));
             let received = ready!(self.poll_read_socket(cx, bytes))?;
-            read = lane.pass(&bytes[..received]);
-            lane.push(&bytes[read..received]);
+            read = pipeline.pass(&bytes[..received]);
+            pipeline.push(&bytes[read..received]);
             buf.advance(read);
         }
         if read > 0 {
@@ -89,22 +89,26 @@
     }
 
     /// Reads ahead and begins what may begin. Completes only at the end of the stream.
-    fn poll_read_ahead(&self, lane: &mut Lane<R>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_read_ahead(
+        &self,
+        pipeline: &mut Pipeline<R>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
-        lane.wait(cx);
+        pipeline.wait(cx);
         let read = loop {
-            let room = lane.room().min(chunk.len());
+            let room = pipeline.room().min(chunk.len());
             if room == 0 {
                 break Poll::Pending;
             }
             match self.poll_read_socket(cx, &mut chunk[..room])? {
                 Poll::Ready(0) => break Poll::Ready(Ok(())),
-                Poll::Ready(received) => lane.push(&chunk[..received]),
+                Poll::Ready(received) => pipeline.push(&chunk[..received]),
                 Poll::Pending => break Poll::Pending,
             }
         };
         if let Some(ahead) = &self.ahead {
-            lane.begin(ahead);
+            pipeline.begin(ahead);
         }
         read
     }
@@ -189,14 +193,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let lane = Arc::clone(&self.lane);
-        let mut lane = lock(&lane);
-        let read = if lane.is_busy() {
-            self.poll_read_ahead(&mut lane, cx)
+        let pipeline = Arc::clone(&self.pipeline);
+        let mut pipeline = lock(&pipeline);
+        let read = if pipeline.is_busy() {
+            self.poll_read_ahead(&mut pipeline, cx)
         } else {
-            self.poll_read_for_hyper(&mut lane, cx, buf)
+            self.poll_read_for_hyper(&mut pipeline, cx, buf)
         };
-        self.report(lane.held());
+        self.report(pipeline.held());
         read
     }
 }
--- a/tests/gateway/request_ahead.rs
+++ b/tests/gateway/request_ahead.rs
@@ -2,8 +2,13 @@
 //! understand differently, and requests that begin while there is no room for them.
 
 use fireflygauge::{
+    clock::Millis,
     entry::caller_connection::{HeadScanner, Parsed, parse_head},
-    gateway::sent_ahead::{Conditions, HoldReason, MAX_BEGUN},
+    gateway::{
+        caller_connections::{Account, CONNECTION_BYTES, ConnectionLimits, Phase},
+        memory_pool::MemoryPool,
+        sent_ahead::{Conditions, HoldReason, MAX_BEGUN},
+    },
 };
 use proptest::prelude::*;
 use test_case::test_case;
@@ -84,3 +89,43 @@
         }
     }
 }
+
+const LIMITS: ConnectionLimits = ConnectionLimits {
+    max_connections: 2,
+    max_bytes: 4 * CONNECTION_BYTES,
+    stall_timeout: Millis(20_000),
+    response_timeout: Millis(120_000),
+};
+
+/// Guards against a connection that is closed for another one while a request that was sent ahead on it
+/// is at an endpoint.
+#[test]
+fn requests_ahead_are_not_displaced() {
+    let mut account = Account::new(LIMITS, MemoryPool::new(100 * CONNECTION_BYTES));
+    let first = account.admit("first").expect("there is room");
+    let second = account.admit("second").expect("there is room");
+    account.enter(second, Phase::Working);
+    account.enter(first, Phase::Response);
+    account.begin_ahead(first);
+    assert!(account.admit("third").is_none());
+    account.end_ahead(first);
+    assert!(account.admit("third").is_some());
+    assert_eq!(account.begun_ahead(), 1);
+}
+
+/// Guards against requests that were sent ahead and take the memory of those whose turn it is.
+#[test]
+fn memory_held_ahead_is_charged_and_returned() {
+    let pool = MemoryPool::new(100 * CONNECTION_BYTES);
+    let mut account = Account::new(LIMITS, pool.clone());
+    let key = account.admit("first").expect("there is room");
+    account.record_ahead(key, CONNECTION_BYTES);
+    assert!(account.is_half_free());
+    account.record_ahead(key, 2 * CONNECTION_BYTES);
+    assert!(!account.is_half_free());
+    assert_eq!(account.bytes(), 3 * CONNECTION_BYTES);
+    account.remove(key);
+    assert_eq!(account.bytes(), 0);
+    let all = pool.size();
+    assert!(pool.try_take(all), "the pool has all of its memory again");
+}
