Keep large bodies out of the heap

Cause: The buffer of a body grew in the heap, between buffers of connections that live longer. Once the allocator had seen a mapping of 1 MiB freed, it took such buffers from the heap too, and the holes stayed resident.

Change: From 64 KB on a buffer is an anonymous mapping (memmap2), which the system gets back at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 //! that holds the controller lease, it also assigns keys to endpoints.
 
 pub mod backend;
+pub mod body_buffer;
 pub mod body_memory;
 pub mod budget;
 pub mod caller_connections;
--- a/src/gateway/body_memory.rs
+++ b/src/gateway/body_memory.rs
@@ -5,7 +5,10 @@
 //! a budget of their own: bodies without end exhaust only the budget for large ones, and small
 //! bodies are still served.
 
-use super::memory_pool::{MemoryPool, MemoryShares};
+use super::{
+    body_buffer::BodyBuffer,
+    memory_pool::{MemoryPool, MemoryShares},
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -118,7 +121,7 @@
             small: 0,
             large: 0,
         };
-        let mut buf = Vec::new();
+        let mut buf = BodyBuffer::default();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| BodyError::Incomplete)?.into_data() else {
                 continue;
@@ -132,12 +135,12 @@
                 let capacity = next_capacity(length, announced, limit);
                 let additional = capacity - buf.capacity();
                 reserved.grow_or_wait(additional, &observer).await?;
-                buf.reserve_exact(capacity - buf.len());
+                buf.grow(capacity).map_err(|_| BodyError::NoMemory)?;
                 observer(BodyEvent::Holds(capacity));
             }
             buf.extend_from_slice(&data);
         }
-        Ok(reserved.attach(buf.into()))
+        Ok(reserved.attach(buf.into_bytes()))
     }
 }
 
