Charge a full receive buffer of a socket

Cause: What a caller has sent and the process has not read yet counts as memory of the process, and was charged only if the socket took no output. With 3,000 connections that sent bodies of 1 MiB, up to 23.7 MB were unread.

Change: A connection that has received more than its buffers hold is charged the receive buffer of its socket, 32 KB.

Most of it is in connections that are not accepted yet or were not read for the first time, which this does not bound.

--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -17,6 +17,9 @@
 const BLOCKED_BYTES: usize = 112 * 1024;
 /// Received bytes up to which the buffers of a connection grow.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024;
+/// Memory that the receive buffer of a socket takes, in bytes, once a caller sends more than the buffers
+/// of the connection hold. It fills up whenever the process reads late.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Memory that received bytes take, as a multiple: a buffer is copied while it grows.
 const BUFFER_FACTOR: usize = 2;
 /// Idle time from which a connection is closed before those that are in the middle of a request. The
@@ -94,7 +97,9 @@
     fn bytes(&self) -> usize {
         let buffered = self.received.min(MAX_BUFFERED_BYTES);
         let blocked = if self.is_blocked { BLOCKED_BYTES } else { 0 };
-        CONNECTION_BYTES + BUFFER_FACTOR * buffered + self.request_bytes + blocked
+        let is_full = buffered == MAX_BUFFERED_BYTES;
+        let unread = if is_full { RECEIVE_BUFFER_BYTES } else { 0 };
+        CONNECTION_BYTES + BUFFER_FACTOR * buffered + self.request_bytes + unread + blocked
     }
 }
 
