Find memory for responses beside a crowd's bodies

Cause: Bodies that stop short of their end held the memory for small bodies. A request that found none closed one of them, but the response of an endpoint did not: it was given up with 502, although the request had run. Ordinary requests got 502 until the bodies reached the time limit of their route.

Change: A response without memory closes the connection that has been receiving a body, or not reading its response, for the longest, and waits for its memory like a request.

--- a/src/gateway/body_memory.rs
+++ b/src/gateway/body_memory.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use std::{error::Error, pin::pin, sync::Arc, time::Duration};
+use std::{error::Error, fmt, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     sync::Notify,
     time::{Instant, timeout_at},
@@ -55,13 +55,27 @@
     Short,
 }
 
+/// Releases memory of a body; false if there is none to release.
+type ReleaseFn = Arc<dyn Fn() -> bool + Send + Sync>;
+
 /// Memory for buffered bodies, in bytes. Clones share it.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct BodyMemory {
     small: MemoryPool,
     large: MemoryPool,
     /// Notified when a body releases its memory.
     released: Arc<Notify>,
+    /// Called when a response finds no memory.
+    release: Option<ReleaseFn>,
+}
+
+impl fmt::Debug for BodyMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BodyMemory")
+            .field("small", &self.small)
+            .field("large", &self.large)
+            .finish_non_exhaustive()
+    }
 }
 
 impl BodyMemory {
@@ -77,6 +91,16 @@
             small: MemoryPool::new(shares.small_bodies),
             large: pool,
             released: Arc::default(),
+            release: None,
+        }
+    }
+
+    /// Calls `release` when a response finds no memory. A response that is given up may be that of a
+    /// request which ran, so unfinished requests and unread responses go first.
+    pub fn with_release(self, release: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        Self {
+            release: Some(Arc::new(release)),
+            ..self
         }
     }
 
@@ -85,7 +109,7 @@
         self.large.size() / LARGEST_RESPONSE_DIVISOR
     }
 
-    /// Reads a whole body of at most `limit` bytes. The result holds its memory until it is dropped.
+    /// Reads a whole response body of at most `limit` bytes. The result holds its memory until it is dropped.
     ///
     /// # Errors
     /// [`BodyError`] if the body is not complete, too large, or exceeds the memory that is left.
@@ -94,7 +118,11 @@
         B: Body<Data = Bytes>,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
-        self.collect_observed(body, limit, |_| false).await
+        let observer = |event| match event {
+            BodyEvent::Holds(_) => false,
+            BodyEvent::Short => self.release.as_ref().is_some_and(|release| release()),
+        };
+        self.collect_observed(body, limit, observer).await
     }
 
     /// Like [`Self::collect`], and tells `observer` what happens. On [`BodyEvent::Short`], it returns
--- a/src/gateway/caller_connections.rs
+++ b/src/gateway/caller_connections.rs
@@ -70,6 +70,11 @@
         Some(CallerConnection { handle, closed })
     }
 
+    /// Closes a connection that holds a body. True if memory of a body will be released.
+    pub fn release_body(&self) -> bool {
+        self.account().release_body(None)
+    }
+
     /// Closes connections without progress, and logs how many connections of the address `listener` were
     /// closed, until it is dropped.
     pub async fn sweep(self, listener: &'static str, clock: Clock) {
@@ -212,7 +217,7 @@
 
     /// Closes another connection that holds a body. True if memory of a body will be released.
     pub fn release_body(&self) -> bool {
-        self.account().release_body(self.key)
+        self.account().release_body(Some(self.key))
     }
 
     /// Records that the request is complete.
--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -93,6 +93,11 @@
 }
 
 impl<T> Connection<T> {
+    /// Whether closing the connection releases memory of a request or response body.
+    fn holds_body(&self) -> bool {
+        self.body_bytes > 0 || (self.phase == Phase::Response && self.is_blocked)
+    }
+
     /// Memory of the connection without its body, in bytes.
     fn bytes(&self) -> usize {
         let buffered = self.received.min(MAX_BUFFERED_BYTES);
@@ -259,15 +264,15 @@
         }
     }
 
-    /// Closes the connection, other than `spared`, that has been receiving a body for the longest. True
-    /// if memory of a body will be released.
-    pub fn release_body(&mut self, spared: ConnectionKey) -> bool {
+    /// Closes the connection, other than `spared`, that has been receiving a body, or not reading its
+    /// response, for the longest. True if memory of a body will be released.
+    pub fn release_body(&mut self, spared: Option<ConnectionKey>) -> bool {
         if self.closing_body_bytes > 0 {
             return true;
         }
         let oldest = self
             .candidates(spared)
-            .filter(|(_, connection)| connection.body_bytes > 0)
+            .filter(|(_, connection)| connection.holds_body())
             .min_by_key(|(_, connection)| connection.order)
             .map(|(key, _)| key);
         oldest.is_some_and(|key| self.close(key, CloseReason::Displaced))
@@ -371,16 +376,18 @@
     /// Open connections that may be closed for another one.
     fn candidates(
         &self,
-        spared: ConnectionKey,
+        spared: Option<ConnectionKey>,
     ) -> impl Iterator<Item = (ConnectionKey, &Connection<T>)> {
         self.connections.iter().filter(move |(key, connection)| {
-            *key != spared && connection.closer.is_some() && connection.phase != Phase::Working
+            Some(*key) != spared
+                && connection.closer.is_some()
+                && connection.phase != Phase::Working
         })
     }
 
     /// The connection that holds most of a body that is arriving.
     fn largest_body(&self, spared: ConnectionKey) -> Option<ConnectionKey> {
-        self.candidates(spared)
+        self.candidates(Some(spared))
             .filter(|(_, connection)| connection.body_bytes > LARGE_BODY_BYTES)
             .max_by_key(|(_, connection)| connection.body_bytes)
             .map(|(key, _)| key)
@@ -389,7 +396,7 @@
     /// The connection to close first: an idle one, or else the one that has been in its phase for the
     /// longest.
     fn victim(&self, spared: ConnectionKey) -> Option<ConnectionKey> {
-        self.candidates(spared)
+        self.candidates(Some(spared))
             .min_by_key(|(_, connection)| {
                 let is_idle = connection.phase == Phase::Idle
                     && self.now.since(connection.since) > FRESH_TIME;
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -134,6 +134,7 @@
     let pool = MemoryPool::new(shares.pool);
     let limits = ListenerLimits::of_process(options.max_fds, shares, options.caller_bounds);
     let callers = CallerConnections::new(limits.callers, pool.clone());
+    let displaced = callers.clone();
     let status = Status {
         ready_path: Arc::clone(&options.ready_path),
         view: Arc::clone(&view),
@@ -152,7 +153,7 @@
         clock,
         daemons,
         metrics,
-        body_memory: BodyMemory::new(shares, pool),
+        body_memory: BodyMemory::new(shares, pool).with_release(move || displaced.release_body()),
         stop: stop_states,
     };
     let runtime = current_thread()?;
--- a/tests/gateway/caller_connections.rs
+++ b/tests/gateway/caller_connections.rs
@@ -125,10 +125,24 @@
         .expect("the body is closed for it");
     assert_eq!(connections.closed(), [1]);
     // Its memory is on its way, so no other body is closed for it.
-    assert!(connections.account.release_body(small));
+    assert!(connections.account.release_body(Some(small)));
     assert_eq!(connections.closed(), [1]);
 }
 
+/// Guards against responses without memory because others are not read.
+#[test]
+fn unread_response_is_closed_for_a_response() {
+    let mut connections = Connections::new(LIMITS, &pool());
+    let working = connections.admit(Phase::Working).expect("there is room");
+    connections.account.record_body(working, 1_000);
+    connections.admit(Phase::Response).expect("there is room");
+    let unread = connections.admit(Phase::Response).expect("there is room");
+    connections.account.record_blocked(unread);
+    assert!(connections.account.release_body(None));
+    assert_eq!(connections.closed(), [2]);
+    assert!(!connections.account.release_body(None));
+}
+
 /// Guards against callers that keep a connection by neither sending nor reading, and against a limit
 /// for idle connections and for requests at an endpoint, which have other ones.
 #[test_case(Phase::Head, 21, true)]
