--- a/src/gateway/body_memory.rs
+++ b/src/gateway/body_memory.rs
@@ -5,11 +5,14 @@
 //! a budget of their own: bodies without end exhaust only the budget for large ones, and small
 //! bodies are still served.
 
-use super::memory_pool::{MemoryPool, MemoryShares};
+use super::{
+    body_buffer::BodyBuffer,
+    memory_pool::{MemoryPool, MemoryShares},
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use std::{error::Error, pin::pin, sync::Arc, time::Duration};
+use std::{error::Error, fmt, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     sync::Notify,
     time::{Instant, timeout_at},
@@ -52,13 +55,27 @@
     Short,
 }
 
+/// Releases memory of a body; false if there is none to release.
+type ReleaseFn = Arc<dyn Fn() -> bool + Send + Sync>;
+
 /// Memory for buffered bodies, in bytes. Clones share it.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct BodyMemory {
     small: MemoryPool,
     large: MemoryPool,
     /// Notified when a body releases its memory.
     released: Arc<Notify>,
+    /// Called when a response finds no memory.
+    release: Option<ReleaseFn>,
+}
+
+impl fmt::Debug for BodyMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BodyMemory")
+            .field("small", &self.small)
+            .field("large", &self.large)
+            .finish_non_exhaustive()
+    }
 }
 
 impl BodyMemory {
@@ -74,6 +91,16 @@
             small: MemoryPool::new(shares.small_bodies),
             large: pool,
             released: Arc::default(),
+            release: None,
+        }
+    }
+
+    /// Calls `release` when a response finds no memory. A response that is given up may be that of a
+    /// request which ran, so unfinished requests and unread responses go first.
+    pub fn with_release(self, release: impl Fn() -> bool + Send + Sync + 'static) -> Self {
+        Self {
+            release: Some(Arc::new(release)),
+            ..self
         }
     }
 
@@ -87,7 +114,7 @@
         self.small.is_half_free()
     }
 
-    /// Reads a whole body of at most `limit` bytes. The result holds its memory until it is dropped.
+    /// Reads a whole response body of at most `limit` bytes. The result holds its memory until it is dropped.
     ///
     /// # Errors
     /// [`BodyError`] if the body is not complete, too large, or exceeds the memory that is left.
@@ -96,7 +123,11 @@
         B: Body<Data = Bytes>,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
-        self.collect_observed(body, limit, |_| false).await
+        let observer = |event| match event {
+            BodyEvent::Holds(_) => false,
+            BodyEvent::Short => self.release.as_ref().is_some_and(|release| release()),
+        };
+        self.collect_observed(body, limit, observer).await
     }
 
     /// Like [`Self::collect`], and tells `observer` what happens. On [`BodyEvent::Short`], it returns
@@ -123,7 +154,7 @@
             small: 0,
             large: 0,
         };
-        let mut buf = Vec::new();
+        let mut buf = BodyBuffer::default();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| BodyError::Incomplete)?.into_data() else {
                 continue;
@@ -137,12 +168,12 @@
                 let capacity = next_capacity(length, announced, limit);
                 let additional = capacity - buf.capacity();
                 reserved.grow_or_wait(additional, &observer).await?;
-                buf.reserve_exact(capacity - buf.len());
+                buf.grow(capacity).map_err(|_| BodyError::NoMemory)?;
                 observer(BodyEvent::Holds(capacity));
             }
             buf.extend_from_slice(&data);
         }
-        Ok(reserved.attach(buf.into()))
+        Ok(reserved.attach(buf.into_bytes()))
     }
 }
 
--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -17,6 +17,9 @@
 const BLOCKED_BYTES: usize = 112 * 1024;
 /// Received bytes up to which the buffers of a connection grow.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024;
+/// Memory that the receive buffer of a socket takes, in bytes, once a caller sends more than the buffers
+/// of the connection hold. It fills up whenever the process reads late.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Memory that received bytes take, as a multiple: a buffer is copied while it grows.
 const BUFFER_FACTOR: usize = 2;
 /// Idle time from which a connection is closed before those that are in the middle of a request. The
@@ -94,12 +97,19 @@
 }
 
 impl<T> Connection<T> {
+    /// Whether closing the connection releases memory of a request or response body.
+    fn holds_body(&self) -> bool {
+        self.body_bytes > 0 || (self.phase == Phase::Response && self.is_blocked)
+    }
+
     /// Memory of the connection without its body, in bytes.
     fn bytes(&self) -> usize {
         let buffered = self.received.min(MAX_BUFFERED_BYTES);
         let blocked = if self.is_blocked { BLOCKED_BYTES } else { 0 };
+        let is_full = buffered == MAX_BUFFERED_BYTES;
+        let unread = if is_full { RECEIVE_BUFFER_BYTES } else { 0 };
         let request = self.request_bytes + self.ahead_bytes;
-        CONNECTION_BYTES + BUFFER_FACTOR * buffered + request + blocked
+        CONNECTION_BYTES + BUFFER_FACTOR * buffered + request + unread + blocked
     }
 }
 
@@ -294,15 +304,15 @@
         }
     }
 
-    /// Closes the connection, other than `spared`, that has been receiving a body for the longest. True
-    /// if memory of a body will be released.
-    pub fn release_body(&mut self, spared: ConnectionKey) -> bool {
+    /// Closes the connection, other than `spared`, that has been receiving a body, or not reading its
+    /// response, for the longest. True if memory of a body will be released.
+    pub fn release_body(&mut self, spared: Option<ConnectionKey>) -> bool {
         if self.closing_body_bytes > 0 {
             return true;
         }
         let oldest = self
             .candidates(spared)
-            .filter(|(_, connection)| connection.body_bytes > 0)
+            .filter(|(_, connection)| connection.holds_body())
             .min_by_key(|(_, connection)| connection.order)
             .map(|(key, _)| key);
         oldest.is_some_and(|key| self.close(key, CloseReason::Displaced))
@@ -406,17 +416,17 @@
     /// Open connections that may be closed for another one.
     fn candidates(
         &self,
-        spared: ConnectionKey,
+        spared: Option<ConnectionKey>,
     ) -> impl Iterator<Item = (ConnectionKey, &Connection<T>)> {
         self.connections.iter().filter(move |(key, connection)| {
             let is_at_work = connection.phase == Phase::Working || connection.ahead_at_work > 0;
-            *key != spared && connection.closer.is_some() && !is_at_work
+            Some(*key) != spared && connection.closer.is_some() && !is_at_work
         })
     }
 
     /// The connection that holds most of a body that is arriving.
     fn largest_body(&self, spared: ConnectionKey) -> Option<ConnectionKey> {
-        self.candidates(spared)
+        self.candidates(Some(spared))
             .filter(|(_, connection)| connection.body_bytes > LARGE_BODY_BYTES)
             .max_by_key(|(_, connection)| connection.body_bytes)
             .map(|(key, _)| key)
@@ -425,7 +435,7 @@
     /// The connection to close first: an idle one, or else the one that has been in its phase for the
     /// longest.
     fn victim(&self, spared: ConnectionKey) -> Option<ConnectionKey> {
-        self.candidates(spared)
+        self.candidates(Some(spared))
             .min_by_key(|(_, connection)| {
                 let is_idle = connection.phase == Phase::Idle
                     && self.now.since(connection.since) > FRESH_TIME;
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -135,6 +135,7 @@
     let limits = ListenerLimits::of_process(options.max_fds, shares, options.caller_bounds);
     let callers = CallerConnections::new(limits.callers, pool.clone());
     let (stop_state, stop_states) = watch::channel(None);
+    let displaced = callers.clone();
     let status = Status {
         ready_path: Arc::clone(&options.ready_path),
         view: Arc::clone(&view),
@@ -154,7 +155,7 @@
         clock,
         daemons,
         metrics,
-        body_memory: BodyMemory::new(shares, pool),
+        body_memory: BodyMemory::new(shares, pool).with_release(move || displaced.release_body()),
         stop: stop_states,
     };
     let runtime = current_thread()?;
