--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 //! that holds the controller lease, it also assigns keys to endpoints.
 
 pub mod backend;
+pub mod body_buffer;
 pub mod body_memory;
 pub mod budget;
 pub mod caller_connections;
@@ -31,6 +32,7 @@
 pub mod memory_pool;
 pub mod model;
 pub mod owners;
+pub mod patience;
 pub mod pause;
 pub mod placement;
 pub mod platform;
@@ -42,6 +44,7 @@
 pub mod runtime;
 pub mod selection;
 pub mod send;
+pub mod sent_ahead;
 pub mod server;
 pub mod status;
 pub mod stop;
--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -9,8 +9,17 @@
 
 /// Memory of a connection on which nothing has arrived, in bytes: its task and hyper's buffers.
 pub const CONNECTION_BYTES: usize = 20 * 1024;
+/// Memory of a request from its head on, in bytes, besides what arrives: hyper replaces the buffer that
+/// the head shares, and the state of the request is allocated.
+const REQUEST_BYTES: usize = 14 * 1024;
+/// Memory of a connection whose socket takes no output, in bytes: the caller has filled both buffers of
+/// the socket, and one of the connection.
+const BLOCKED_BYTES: usize = 112 * 1024;
 /// Received bytes up to which the buffers of a connection grow.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024;
+/// Memory that the receive buffer of a socket takes, in bytes, once a caller sends more than the buffers
+/// of the connection hold. It fills up whenever the process reads late.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Memory that received bytes take, as a multiple: a buffer is copied while it grows.
 const BUFFER_FACTOR: usize = 2;
 /// Idle time from which a connection is closed before those that are in the middle of a request. The
@@ -74,17 +83,33 @@
     progress_at: Millis,
     /// Bytes received since the connection was idle.
     received: usize,
-    head_bytes: usize,
+    /// Memory of the request in progress without its body.
+    request_bytes: usize,
     body_bytes: usize,
+    /// Memory for requests that were sent ahead, in bytes.
+    ahead_bytes: usize,
+    /// Requests at work that were sent ahead.
+    ahead_at_work: usize,
+    /// Whether the socket takes no output.
+    is_blocked: bool,
     /// Dropped to close the connection; `None` once it is closing.
     closer: Option<T>,
 }
 
 impl<T> Connection<T> {
+    /// Whether closing the connection releases memory of a request or response body.
+    fn holds_body(&self) -> bool {
+        self.body_bytes > 0 || (self.phase == Phase::Response && self.is_blocked)
+    }
+
     /// Memory of the connection without its body, in bytes.
     fn bytes(&self) -> usize {
         let buffered = self.received.min(MAX_BUFFERED_BYTES);
-        CONNECTION_BYTES + BUFFER_FACTOR * buffered + self.head_bytes
+        let blocked = if self.is_blocked { BLOCKED_BYTES } else { 0 };
+        let is_full = buffered == MAX_BUFFERED_BYTES;
+        let unread = if is_full { RECEIVE_BUFFER_BYTES } else { 0 };
+        let request = self.request_bytes + self.ahead_bytes;
+        CONNECTION_BYTES + BUFFER_FACTOR * buffered + request + unread + blocked
     }
 }
 
@@ -101,6 +126,7 @@
     /// Bodies of connections that are closing.
     closing_body_bytes: usize,
     closed: [u64; CloseReason::COUNT],
+    begun_ahead: u64,
 }
 
 impl<T> Account<T> {
@@ -116,6 +142,7 @@
             bytes: 0,
             closing_body_bytes: 0,
             closed: [0; CloseReason::COUNT],
+            begun_ahead: 0,
         }
     }
 
@@ -129,8 +156,11 @@
             since: self.now,
             progress_at: self.now,
             received: 0,
-            head_bytes: 0,
+            request_bytes: 0,
             body_bytes: 0,
+            ahead_bytes: 0,
+            ahead_at_work: 0,
+            is_blocked: false,
             closer: Some(closer),
         };
         self.open += 1;
@@ -181,7 +211,17 @@
             self.enter(key, Phase::Response);
         }
         let now = self.now;
-        self.update(key, |connection| connection.progress_at = now);
+        self.update(key, |connection| {
+            connection.progress_at = now;
+            connection.is_blocked = false;
+        });
+    }
+
+    /// Records that the socket takes no output, and closes other connections if its buffers take too
+    /// much memory.
+    pub fn record_blocked(&mut self, key: ConnectionKey) {
+        self.update(key, |connection| connection.is_blocked = true);
+        self.make_room(key);
     }
 
     /// Records that all of a response was written.
@@ -189,7 +229,7 @@
         if self.phase(key) == Some(Phase::Response) {
             self.update(key, |connection| {
                 connection.received = 0;
-                connection.head_bytes = 0;
+                connection.request_bytes = 0;
                 connection.body_bytes = 0;
             });
             self.enter(key, Phase::Idle);
@@ -199,11 +239,43 @@
     /// Records that a request head of `head_bytes`, with its copies, has arrived. False if there is no
     /// memory for it.
     pub fn begin_request(&mut self, key: ConnectionKey, head_bytes: usize) -> bool {
-        self.update(key, |connection| connection.head_bytes = head_bytes);
+        let request_bytes = REQUEST_BYTES + head_bytes;
+        self.update(key, |connection| connection.request_bytes = request_bytes);
         self.enter(key, Phase::Body);
         self.make_room(key)
     }
 
+    /// Records the memory that is held for requests that were sent ahead.
+    pub fn record_ahead(&mut self, key: ConnectionKey, bytes: usize) {
+        self.update(key, |connection| connection.ahead_bytes = bytes);
+    }
+
+    /// Records that a request that was sent ahead begins. The connection is not closed to make room
+    /// until it ends.
+    pub fn begin_ahead(&mut self, key: ConnectionKey) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.ahead_at_work += 1;
+            self.begun_ahead += 1;
+        }
+    }
+
+    /// Number of requests that have begun before those ahead of them were answered.
+    pub fn begun_ahead(&self) -> u64 {
+        self.begun_ahead
+    }
+
+    /// Records that a request that was sent ahead has ended.
+    pub fn end_ahead(&mut self, key: ConnectionKey) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.ahead_at_work -= 1;
+        }
+    }
+
+    /// Whether at least half of the memory is left, for connections and in the pool.
+    pub fn is_half_free(&self) -> bool {
+        self.bytes <= self.limits.max_bytes / 2 && self.pool.is_half_free()
+    }
+
     /// Records the memory that the request body holds.
     pub fn record_body(&mut self, key: ConnectionKey, bytes: usize) {
         let Some(connection) = self.connections.get_mut(key) else {
@@ -232,15 +304,15 @@
         }
     }
 
-    /// Closes the connection, other than `spared`, that has been receiving a body for the longest. True
-    /// if memory of a body will be released.
-    pub fn release_body(&mut self, spared: ConnectionKey) -> bool {
+    /// Closes the connection, other than `spared`, that has been receiving a body, or not reading its
+    /// response, for the longest. True if memory of a body will be released.
+    pub fn release_body(&mut self, spared: Option<ConnectionKey>) -> bool {
         if self.closing_body_bytes > 0 {
             return true;
         }
         let oldest = self
             .candidates(spared)
-            .filter(|(_, connection)| connection.body_bytes > 0)
+            .filter(|(_, connection)| connection.holds_body())
             .min_by_key(|(_, connection)| connection.order)
             .map(|(key, _)| key);
         oldest.is_some_and(|key| self.close(key, CloseReason::Displaced))
@@ -344,16 +416,17 @@
     /// Open connections that may be closed for another one.
     fn candidates(
         &self,
-        spared: ConnectionKey,
+        spared: Option<ConnectionKey>,
     ) -> impl Iterator<Item = (ConnectionKey, &Connection<T>)> {
         self.connections.iter().filter(move |(key, connection)| {
-            *key != spared && connection.closer.is_some() && connection.phase != Phase::Working
+            let is_at_work = connection.phase == Phase::Working || connection.ahead_at_work > 0;
+            Some(*key) != spared && connection.closer.is_some() && !is_at_work
         })
     }
 
     /// The connection that holds most of a body that is arriving.
     fn largest_body(&self, spared: ConnectionKey) -> Option<ConnectionKey> {
-        self.candidates(spared)
+        self.candidates(Some(spared))
             .filter(|(_, connection)| connection.body_bytes > LARGE_BODY_BYTES)
             .max_by_key(|(_, connection)| connection.body_bytes)
             .map(|(key, _)| key)
@@ -362,7 +435,7 @@
     /// The connection to close first: an idle one, or else the one that has been in its phase for the
     /// longest.
     fn victim(&self, spared: ConnectionKey) -> Option<ConnectionKey> {
-        self.candidates(spared)
+        self.candidates(Some(spared))
             .min_by_key(|(_, connection)| {
                 let is_idle = connection.phase == Phase::Idle
                     && self.now.since(connection.since) > FRESH_TIME;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 //! and builds the response to the caller.
 
 pub mod acquire;
+pub mod admission;
 mod attempts;
 mod hedge;
 mod outcome;
@@ -10,32 +11,34 @@
 use super::{
     body_memory::{BodyError, BodyEvent, BodyMemory},
     caller_connections::ConnectionHandle,
+    claim::Claim,
     cost::{self, Estimate, RequestClass},
-    model::{EndpointInstance, Key, Route},
+    model::{EndpointInstance, Key, RetryPolicy, Route},
     platform::HeaderNames,
     reply::{self, RejectionReason},
-    routes::RouteEntry,
     send::OutgoingRequest,
-    stop::{self, Stop},
+    stop::Stop,
     view::View,
 };
 use crate::{
     clock::{Clock, Millis},
-    entry::metrics::Metrics,
+    entry::{caller_connection::ReadAt, metrics::Metrics},
     world::ServiceName,
 };
+use admission::{Admitted, Arrival, NotAdmitted, Unassigned};
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header, request::Parts};
+use http::{HeaderMap, Request, Response, Uri, header, request::Parts};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use outcome::Outcome;
-use std::sync::{Arc, atomic::AtomicUsize};
+use std::{
+    error::Error,
+    sync::{Arc, atomic::AtomicUsize},
+    time::Duration,
+};
 use tokio::{sync::watch, time::timeout};
 
-/// Longest time that a request is queued, in percent of the route's latency objective.
-const MAX_QUEUE_TIME_PERCENT: u64 = 120;
-
 /// Forwards requests of callers to endpoints.
 #[derive(Clone, Debug)]
 pub struct Forwarder {
@@ -74,6 +77,8 @@
     pub deadline: Millis,
     /// Until when the request may be queued for an endpoint.
     pub queue_deadline: Millis,
+    /// Whether the caller seems to have made an attempt before.
+    pub has_returned: bool,
     /// Endpoints that it was sent to.
     pub tried: Vec<EndpointInstance>,
     /// Sends that may have run.
@@ -94,43 +99,42 @@
 }
 
 impl Forwarder {
-    /// Forwards a request and returns the response for the caller, which may be a rejection.
-    pub async fn handle(
+    /// Forwards a request and returns the response for the caller, which may be a rejection. The
+    /// progress of the request is recorded on `connection`, if it is its turn there.
+    pub async fn handle<B>(
         &self,
-        req: Request<Incoming>,
-        connection: &ConnectionHandle,
-    ) -> Response<Full<Bytes>> {
-        let arrived = self.clock.now();
+        req: Request<B>,
+        connection: Option<&ConnectionHandle>,
+    ) -> Response<Full<Bytes>>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
+        let arrived = self.arrival(&req);
         let (parts, body) = req.into_parts();
         let view = self.view.load_full();
-        if view.version == 0 {
-            return self.reject(
-                &parts,
-                None,
-                RejectionReason::NotConfigured,
-                arrived,
-                arrived,
-            );
-        }
-        let Some(entry) = find_route(&view, &parts).cloned() else {
-            return self.reject(&parts, None, RejectionReason::NoRoute, arrived, arrived);
+        let arrival = Arrival {
+            host: host_of(&parts.uri, &parts.headers),
+            path: parts.uri.path(),
+            time_limit: self.requested_time_limit(&parts.headers),
+            at: arrived,
         };
-        let route = &entry.route;
-        let deadline = arrived + self.time_limit(&parts.headers, route);
-        if !self.may_begin(arrived, deadline) {
-            return self.reject(&parts, None, RejectionReason::Stopping, arrived, deadline);
-        }
-        if !connection.begin_request(&parts.headers) {
+        let stop = *self.stop.borrow();
+        let admitted = match admission::admit(&view, arrival, stop) {
+            Ok(admitted) => admitted,
+            Err(NotAdmitted { reason, deadline }) => {
+                return self.reject(&parts, None, reason, arrived, deadline);
+            }
+        };
+        let (route, deadline) = (&admitted.entry.route, admitted.deadline);
+        if connection.is_some_and(|c| !c.begin_request(&parts.headers)) {
             return self.reject(&parts, None, RejectionReason::NoMemory, arrived, deadline);
         }
         let (outcome, service) = match self
             .read_request(&view, route, &parts, body, deadline, connection)
             .await
         {
-            Ok(out) => {
-                self.dispatch(&view, &entry, &parts, out, arrived, deadline)
-                    .await
-            }
+            Ok(out) => self.dispatch(&view, admitted, &parts, out, arrived).await,
             Err(reason) => (Outcome::Refused(reason), None),
         };
         match outcome {
@@ -149,18 +153,25 @@
         }
     }
 
-    /// Time limit of a request: the caller's, but no longer than the route's time-out.
-    fn time_limit(&self, headers: &HeaderMap, route: &Route) -> Millis {
-        let requested_ms = headers
-            .get(&self.names.deadline)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|text| text.trim().parse::<u64>().ok());
-        requested_ms.map_or(route.timeout, |ms| Millis(ms).min(route.timeout))
+    /// Whether requests with this target and these headers may run more than once.
+    pub fn is_idempotent(&self, uri: &Uri, headers: &HeaderMap) -> bool {
+        let view = self.view.load();
+        let host = host_of(uri, headers);
+        let entry = host.and_then(|host| view.routes.find(host, uri.path()));
+        entry.is_some_and(|entry| entry.route.retry_policy == RetryPolicy::Allowed)
+    }
+
+    /// When a request arrived, which may have waited for the responses before it.
+    fn arrival<B>(&self, req: &Request<B>) -> Millis {
+        let read_at = req.extensions().get::<ReadAt>();
+        let waited = read_at.map_or(Duration::ZERO, |ReadAt(at)| at.elapsed());
+        self.clock.now() - waited.into()
     }
 
-    /// Whether a request that may take until `deadline` may begin at `now`.
-    fn may_begin(&self, now: Millis, deadline: Millis) -> bool {
-        stop::may_begin(*self.stop.borrow(), now, deadline)
+    /// Time limit that the caller states.
+    fn requested_time_limit(&self, headers: &HeaderMap) -> Option<Millis> {
+        let value = headers.get(&self.names.deadline)?;
+        value.to_str().ok()?.trim().parse().ok().map(Millis)
     }
 
     fn requested_key(&self, headers: &HeaderMap) -> Option<Key> {
@@ -170,24 +181,29 @@
 
     /// Buffers the request body. Fails if the body exceeds the configured limit or the memory that
     /// is left for bodies.
-    async fn read_request(
+    async fn read_request<B>(
         &self,
         view: &View,
         route: &Route,
         parts: &Parts,
-        body: Incoming,
+        body: B,
         deadline: Millis,
-        connection: &ConnectionHandle,
-    ) -> Result<OutgoingRequest, RejectionReason> {
+        connection: Option<&ConnectionHandle>,
+    ) -> Result<OutgoingRequest, RejectionReason>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+    {
         let id = parts.headers.get(&self.names.request_id);
         let id = id.ok_or(RejectionReason::BadRequest)?.clone();
-        let limit = usize::try_from(view.limits.max_body_bytes).unwrap_or(usize::MAX);
-        let observer = |event| match event {
-            BodyEvent::Holds(bytes) => {
+        let limit = admission::max_body_bytes(view);
+        let observer = |event| match (event, connection) {
+            (BodyEvent::Holds(bytes), Some(connection)) => {
                 connection.record_body(bytes);
                 false
             }
-            BodyEvent::Short => connection.release_body(),
+            (BodyEvent::Short, Some(connection)) => connection.release_body(),
+            (_, None) => false,
         };
         let reading = self.body_memory.collect_observed(body, limit, observer);
         let read = tokio::select! {
@@ -202,7 +218,9 @@
             Ok(Err(BodyError::Incomplete)) => return Err(RejectionReason::BadRequest),
             Err(_) => return Err(RejectionReason::Late),
         };
-        connection.begin_work();
+        if let Some(connection) = connection {
+            connection.begin_work();
+        }
         let (name, prefix, path) = (&*route.name, &*route.prefix, parts.uri.path());
         let class = RequestClass::new(name, prefix, parts.method.as_str(), path, body.len());
         Ok(OutgoingRequest {
@@ -218,46 +236,31 @@
     async fn dispatch(
         &self,
         view: &View,
-        entry: &RouteEntry,
+        admitted: Admitted<'_>,
         parts: &Parts,
         out: OutgoingRequest,
         arrived: Millis,
-        deadline: Millis,
     ) -> (Outcome, Option<ServiceName>) {
-        let route = &entry.route;
-        let Some(share) = entry.next_share() else {
-            return (Outcome::Refused(RejectionReason::NoEndpoint), None);
-        };
-        let name = share.service.clone();
-        let Some(service) = view.services.get(&name) else {
-            return (Outcome::Refused(RejectionReason::NoEndpoint), Some(name));
-        };
         let key = self.requested_key(&parts.headers);
-        if service.keyed && key.is_none() {
-            return (Outcome::Refused(RejectionReason::BadKey), Some(name));
-        }
-        let key = key.filter(|_| service.keyed);
-        service.state.count_request(key, arrived);
-        let max_queue_time = Millis(route.latency_objective.0 * MAX_QUEUE_TIME_PERCENT / 100);
-        let mut request = ActiveRequest {
-            route,
-            service: name.clone(),
-            key,
-            cost: service.state.costs.estimate(&out.class, arrived),
-            arrived,
-            deadline,
-            queue_deadline: (arrived + max_queue_time).min(deadline),
-            tried: Vec::new(),
-            sends: 0,
+        let assigned = admission::assign(view, admitted, &out.class, key, arrived, Claim::Take);
+        let mut request = match assigned {
+            Ok(request) => request,
+            Err(Unassigned { service, reason }) => return (Outcome::Refused(reason), service),
         };
+        if let Some(stated) = self.requested_time_limit(&parts.headers) {
+            request.has_returned = admitted.entry.patience.record(stated, arrived);
+        }
+        let name = request.service.clone();
+        if let Some(service) = view.services.get(&name) {
+            service.state.count_request(request.key, arrived);
+        }
         (self.send_with_retries(&mut request, &out).await, Some(name))
     }
 }
 
-fn find_route<'a>(view: &'a View, parts: &Parts) -> Option<&'a Arc<RouteEntry>> {
-    let host = match parts.headers.get(header::HOST) {
-        Some(host) => host.to_str().ok()?,
-        None => parts.uri.host()?,
-    };
-    view.routes.find(host, parts.uri.path())
+fn host_of<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> Option<&'a str> {
+    match headers.get(header::HOST) {
+        Some(host) => host.to_str().ok(),
+        None => uri.host(),
+    }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,12 +1,14 @@
 //! Immutable snapshot of routes, endpoints and key owners for the request thread.
 
 mod builder;
+mod freshness;
 
 pub use builder::ViewBuilder;
+pub use freshness::Freshness;
 
 use super::{
-    backend::Backend,
-    budget::{BudgetRule, RetryBudget},
+    backend::{Backend, Shedding},
+    budget::{BudgetRule, RetryBudget, RetryNeed},
     cost::CostEstimates,
     evacuation::Evacuations,
     hedging::HedgeCounters,
@@ -36,6 +38,8 @@
     pub services: Map<ServiceName, Arc<ServiceView>>,
     /// The evacuated zones.
     pub evacuations: Evacuations,
+    /// How old the data is.
+    pub freshness: Arc<Freshness>,
 }
 
 /// Snapshot of a service.
@@ -85,6 +89,7 @@
     pub costs: Arc<CostEstimates>,
     /// Hedged requests.
     pub hedges: HedgeCounters,
+    shedding: Arc<Shedding>,
     idle: Arc<IdleLimit>,
     pause_count: Arc<AtomicU64>,
     budget: Mutex<RetryBudget>,
@@ -99,6 +104,7 @@
             queue: Arc::default(),
             costs: Arc::default(),
             hedges: HedgeCounters::default(),
+            shedding: Arc::default(),
             idle: Arc::default(),
             pause_count: Arc::default(),
             budget: Mutex::new(RetryBudget::new(budget_rule)),
@@ -122,9 +128,9 @@
     }
 
     /// Counts a retry and returns true if the retry budget allows it.
-    pub fn try_retry(&self, daemons: usize, now: Millis) -> bool {
+    pub fn try_retry(&self, need: RetryNeed, daemons: usize, now: Millis) -> bool {
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
-        budget.try_retry(daemons, now)
+        budget.try_retry(need, daemons, now)
     }
 
     /// Whether the retry budget allows a second attempt beside the first one.
@@ -154,6 +160,11 @@
         self.pause_count.load(Ordering::Relaxed)
     }
 
+    /// Counts the pauses that endpoints of the service begin.
+    fn pause_counter(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.pause_count)
+    }
+
     /// Requests by key since the last call.
     pub fn take_key_counts(&self) -> Vec<(Key, u32)> {
         let mut counts = self
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -1,8 +1,9 @@
 //! Builds views from the configuration, the registered endpoints and the owners.
 
 mod owners;
+mod unregistered;
 
-use super::{Member, ServiceState, ServiceView, View, instance_of};
+use super::{Freshness, Member, ServiceState, ServiceView, View, instance_of};
 use crate::{
     clock::Millis,
     collections::Map,
@@ -44,6 +45,7 @@
     rate_limits: RateLimits,
     evacuations: Evacuations,
     cold_rule: Option<ColdRule>,
+    freshness: Arc<Freshness>,
 }
 
 #[derive(Debug)]
@@ -88,6 +90,7 @@
             rate_limits: RateLimits::default(),
             evacuations: Evacuations::new(Millis::ZERO),
             cold_rule: None,
+            freshness: Arc::default(),
         }
     }
 
@@ -102,6 +105,11 @@
         Self { cold_rule, ..self }
     }
 
+    /// How old the data is.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
     /// The evacuated zones.
     pub fn evacuations(&mut self) -> &mut Evacuations {
         &mut self.evacuations
@@ -129,6 +137,7 @@
     /// cancels a deferred removal.
     pub fn register(&mut self, entry: EndpointEntry, since: Millis, now: Millis) {
         let name = Arc::clone(&entry.instance.name);
+        let early = self.early_notices(&entry, now);
         self.pauses.end_earlier_lives(&entry.instance, now);
         self.rate_limits.end_earlier_lives(&entry.instance);
         let known = self.endpoints.remove(&name);
@@ -173,7 +182,8 @@
             removal_due: None,
             entry,
         };
-        self.endpoints.insert(name, registered);
+        self.endpoints.insert(name.clone(), registered);
+        self.apply_early_notices(&name, early, now);
     }
 
     /// Removes an entry. With `defer_until`, the entry is kept until then, and beyond if it is
@@ -315,6 +325,7 @@
             limits: config.limits,
             services,
             evacuations: self.evacuations.clone(),
+            freshness: Arc::clone(&self.freshness),
         }
     }
 
@@ -341,6 +352,7 @@
                     let shared = Shared {
                         queue,
                         costs: Arc::clone(&state.costs),
+                        shedding: Arc::clone(&state.shedding),
                         idle: Arc::clone(&state.idle),
                         pause: pauses.of(&known.entry.instance, &name, &state.pause_count),
                         rate_limit: rate_limits.of(&known.entry.instance),
--- a/tests/gateway/hedged_requests.rs
+++ b/tests/gateway/hedged_requests.rs
@@ -8,7 +8,7 @@
 use fireflygauge::{
     clock::Millis,
     gateway::{
-        budget::{BudgetRule, RetryBudget},
+        budget::{BudgetRule, RetryBudget, RetryNeed},
         cost::Estimate,
         hedging::hedge_after,
     },
@@ -52,7 +52,7 @@
         hedges += 1;
     }
     assert!(hedges > 0);
-    assert!(budget.try_retry(1, Millis(1)));
+    assert!(budget.try_retry(RetryNeed::Needed, 1, Millis(1)));
 }
 
 /// Guards against an idempotent request that gets no response in time because its endpoint hangs.
