A daemon that is cut off names the usual time to return for a lost owner

Cause: a daemon without controller or store told callers of a key whose owner it does not know to return after a third of their time, although other daemons may serve them sooner; so did one for keys that were never assigned.

Change: only if the key was assigned to an endpoint that is not registered any more, and the daemon is not cut off.

Measured: 39 tests of this and of leaving and lost owners pass.

--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -43,7 +43,7 @@
     }
 
     /// Longest time that the caller waits, if the key's owner is not registered any more: its keys are
-    /// assigned only when its lease has ended, seconds later. `None` if it is registered.
+    /// assigned only when its lease has ended, seconds later. `None` otherwise.
     fn wait_for_assignment(
         &self,
         service: &ServiceName,
@@ -54,8 +54,7 @@
         let (view, key) = (self.view.load(), self.requested_key(headers)?);
         let service = view.services.get(service).filter(|s| s.keyed)?;
         let left = (arrived + self.stated_time(headers)?).since(now);
-        let is_registered = service.member_of(key).is_some();
-        (!is_registered).then(|| spread(Millis(left.0 / HONOURED_DIVISOR)))?
+        spread(Millis(left.0 / HONOURED_DIVISOR)).filter(|_| service.has_lost_owner(key))
     }
 
     /// Time until the key's owner can be sent the request, as far as the limit that it named decides;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -167,6 +167,13 @@
             .binary_search_by(|member| instance_of(member).cmp(&range.owner));
         Some((range, &self.members[at.ok()?]))
     }
+
+    /// Whether `key` was assigned to an endpoint that is not registered any more. A daemon that is cut off
+    /// cannot tell: others may know the next owner.
+    pub fn has_lost_owner(&self, key: Key) -> bool {
+        let is_assigned = self.owners.range_of(key).is_some();
+        is_assigned && self.member_of(key).is_none() && !self.is_cut_off
+    }
 }
 
 fn instance_of(member: &Member) -> &EndpointInstance {
--- a/tests/gateway/random_shedding.rs
+++ b/tests/gateway/random_shedding.rs
@@ -2,13 +2,13 @@
 //! requests at random. It guards against callers that are not served although slots are free: because
 //! daemons slow down, callers return late, or the retry budget is spent before they return.
 
+use crate::leaving::{entry, local};
 use fireflygauge::{
     clock::Millis,
     gateway::{
         backend::{Backend, ExchangeOutcome, Load, Shared, Shedding},
         budget::{BudgetRule, RetryBudget, RetryNeed},
         cost::WorkId,
-        model::{EndpointEntry, EndpointInstance},
     },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -79,19 +79,7 @@
 }
 
 fn backend(shedding: &Arc<Shedding>) -> Backend {
-    let entry = EndpointEntry {
-        instance: EndpointInstance {
-            name: "e".into(),
-            started_at_ms: 1,
-        },
-        service: "s".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        zone: "a".into(),
-        slots: SLOTS,
-        draining: false,
-        remaining_warmup: Millis::ZERO,
-        sequence: 0,
-    };
+    let entry = entry(false, local(1));
     let shared = Shared {
         shedding: Arc::clone(shedding),
         ..Shared::default()
