Endpoint sets: a few endpoints for each daemon and service without keys

Cause: a daemon spread the requests of a service without keys over all endpoints, so it used each once in many seconds, opened a connection for more than half of them and knew little of an endpoint's load.

Change: gateway/endpoint_set. The endpoints of a zone are ordered by a hash; a daemon uses some from its position on. Members that are full, failing, slow, cold, paused or leaving are replaced at once. Idle connections are kept until 1 s before the stated limit (1.5 s before) and for 15 s at most (8 s before).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod cost;
 pub mod current_instances;
 pub mod decaying_mean;
+pub mod endpoint_set;
 pub mod evacuation;
 pub mod forward;
 pub mod idle;
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -6,7 +6,7 @@
 mod timing;
 
 use super::{
-    connection::Pool,
+    connection::{ConnectionCounts, Pool},
     cost::{CostEstimates, RequestClass},
     idle::IdleLimit,
     leaving::{life::Life, run::LeavingRun},
@@ -32,6 +32,9 @@
 /// Most requests of one daemon in flight at an endpoint, as a multiple of its slots.
 const MAX_IN_FLIGHT_PER_SLOT: u32 = 2;
 
+/// Failure rate from which an endpoint counts as failing.
+const FAILING_RATE: f64 = 0.3;
+
 /// Load that an endpoint reports in its responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Load {
@@ -89,6 +92,8 @@
     pub rate_limit: Arc<RateLimit>,
     /// Connections that one endpoint accepts from all daemons together.
     pub max_connections: u32,
+    /// Counts of its connections.
+    pub connections: Arc<ConnectionCounts>,
     /// Notices that this life of the endpoint leaves.
     pub leaving: Arc<Life>,
     /// Responses from its name and address, also those of former lives.
@@ -124,7 +129,8 @@
     pub fn new(entry: EndpointEntry, shared: Shared, now: Millis) -> Self {
         let max_in_flight = entry.slots * MAX_IN_FLIGHT_PER_SLOT;
         Self {
-            pool: Pool::new(entry.addr, shared.max_connections, shared.idle),
+            pool: Pool::new(entry.addr, shared.max_connections, shared.idle)
+                .with_counts(shared.connections),
             entry,
             queue: shared.queue,
             pause: shared.pause,
@@ -299,6 +305,13 @@
         self.state().replaced_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the endpoint can be sent a request at once and is not known to fail, to have a long queue
+    /// or to take `slow` times as long as the others.
+    pub fn is_responsive(&self, slow: f64, now: Millis) -> bool {
+        let state = self.state();
+        state.has_room(now) && state.relative_latency < slow && state.failure_rate < FAILING_RATE
+    }
+
     /// Requests of this daemon in flight.
     pub fn in_flight(&self) -> u32 {
         self.state().limit.in_flight()
--- a/src/gateway/backend/state.rs
+++ b/src/gateway/backend/state.rs
@@ -164,6 +164,17 @@
         (now.since(at).0 as f64) < drain_ms.min(MAX_REPORT_AGE.0 as f64)
     }
 
+    /// Whether the concurrency limit and pacing allow a request, and the endpoint is neither ejected nor
+    /// known to have a long queue.
+    pub(super) fn has_room(&self, now: Millis) -> bool {
+        let is_set = |until: Option<Millis>| until.is_some_and(|until| now < until);
+        self.limit.has_room(now)
+            && now >= self.next_slot_at
+            && !self.has_long_queue(now)
+            && !is_set(self.ejected_until)
+            && !is_set(self.replaced_until)
+    }
+
     /// Schedules the next slot if requests are paced. Many daemons with one request each can
     /// overload an endpoint, which the concurrency limit of a single daemon cannot prevent.
     pub(super) fn schedule_next(&mut self, now: Millis) {
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -13,7 +13,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
@@ -27,8 +30,8 @@
 /// Longest idle time of a pooled connection if the endpoint does not advertise one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Subtracted from the idle time that an endpoint advertises, because a request may already be in
-/// transit when the endpoint closes the connection.
-const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
+/// transit when the endpoint closes the connection, and the time may be rounded to whole seconds.
+const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Size of a connection's read buffer, which bounds the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Most idle connections in a pool.
@@ -39,6 +42,25 @@
 /// Rejected requests after which a connection is closed, which bounds the ids that are kept for it.
 const MAX_REJECTED: usize = 64;
 
+/// Connections to the endpoints of a service, counted for metrics.
+#[derive(Debug, Default)]
+pub struct ConnectionCounts {
+    opened: AtomicU64,
+    reused: AtomicU64,
+}
+
+impl ConnectionCounts {
+    /// Number of connections that were opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Number of times that an idle connection was used again.
+    pub fn reused(&self) -> u64 {
+        self.reused.load(Ordering::Relaxed)
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
@@ -78,6 +100,7 @@
     max_connections: usize,
     close_mode: CloseMode,
     idle_limit: Arc<IdleLimit>,
+    counts: Arc<ConnectionCounts>,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
@@ -90,10 +113,17 @@
             max_connections: max_connections as usize,
             close_mode: CloseMode::default(),
             idle_limit,
+            counts: Arc::default(),
             idle: Mutex::default(),
         }
     }
 
+    /// Counts connections here.
+    pub fn with_counts(mut self, counts: Arc<ConnectionCounts>) -> Self {
+        self.counts = counts;
+        self
+    }
+
     /// Closes connections in this way.
     pub fn with_close_mode(mut self, close_mode: CloseMode) -> Self {
         self.close_mode = close_mode;
@@ -131,6 +161,7 @@
                 idle.remove(at);
             } else if is_usable(&idle[at]) {
                 let pooled = idle.remove(at);
+                self.counts.reused.fetch_add(1, Ordering::Relaxed);
                 return Some(PooledConnection {
                     sender: pooled.sender,
                     idle: Some(idle_time),
@@ -154,6 +185,7 @@
     /// If the connection cannot be opened in time. Nothing of the request was sent then.
     pub async fn connect(&self, left: Duration) -> io::Result<PooledConnection> {
         let connecting = TcpStream::connect(self.addr);
+        self.counts.opened.fetch_add(1, Ordering::Relaxed);
         let stream = timeout(left.min(CONNECT_TIMEOUT), connecting).await??;
         enable_loss_detection(&stream)?;
         if self.close_mode == CloseMode::Reset {
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod owners_history;
 mod permits;
+pub mod positions;
 mod relative_latencies;
 mod reports;
 mod updates;
@@ -14,6 +15,7 @@
 use super::{
     controller::{Action, Controller, Event},
     current_instances::CurrentInstances,
+    endpoint_set::FleetPosition,
     incarnations::Incarnations,
     load_stats::LoadStats,
     model::EndpointInstance,
@@ -35,7 +37,7 @@
         client::PeerClient,
         message::{DaemonReport, ReportReply},
     },
-    world::{Incarnation, ServiceName, VmName},
+    world::{Incarnation, ServiceName, VmName, ZoneName},
 };
 use actions::perform;
 use arc_swap::ArcSwap;
@@ -66,6 +68,8 @@
 pub struct ControlContext {
     /// Name of this daemon.
     pub name: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// Incarnation of this daemon.
     pub incarnation: Incarnation,
     /// Address at which other daemons reach this one.
@@ -143,6 +147,7 @@
         controller,
         load: Map::default(),
         daemons: Map::default(),
+        positions: Map::default(),
         last_reports: Map::default(),
         incarnations: Incarnations::default(),
         tx,
@@ -213,10 +218,11 @@
 }
 
 /// A daemon that reports to this one, and when it last did.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct ReportingDaemon {
     last_report_at: Millis,
     incarnation: Incarnation,
+    zone: ZoneName,
     controller_cores: f64,
 }
 
@@ -238,6 +244,8 @@
     /// Load by service, aggregated while this daemon is the controller.
     load: Map<ServiceName, LoadStats>,
     daemons: Map<VmName, ReportingDaemon>,
+    /// Positions of the daemons among those of their zones, while this daemon is the controller.
+    positions: Map<VmName, FleetPosition>,
     /// When each daemon last reported, also if it is no longer counted.
     last_reports: Map<VmName, Millis>,
     incarnations: Incarnations,
--- a/src/gateway/control/handover.rs
+++ b/src/gateway/control/handover.rs
@@ -8,7 +8,7 @@
 
 /// Shortest time for which the lease is held before it is handed over. Daemons that were lost
 /// together with the predecessor have reported by then.
-const MIN_TENURE: Millis = Millis(3_000);
+pub(super) const MIN_TENURE: Millis = Millis(3_000);
 /// Factor by which another daemon's processor time has to exceed the controller's own. It pays for
 /// the handover, during which no keys move.
 const MIN_CORES_RATIO: f64 = 2.0;
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -48,6 +48,7 @@
         let mut report = DaemonReport {
             name: self.cx.name.clone(),
             incarnation: self.cx.incarnation,
+            zone: self.cx.zone.clone(),
             owners: self.builder.owner_versions(),
             endpoints: self.registry.version(),
             relative_latencies: self.latencies_known,
@@ -61,6 +62,7 @@
         if lease.is_holder() {
             self.record_report(&mut report, now);
             self.update_daemon_count(now);
+            self.update_positions(now);
             return;
         }
         let Some(addr) = addr else {
@@ -143,6 +145,7 @@
         let reporting = ReportingDaemon {
             last_report_at: now,
             incarnation: report.incarnation,
+            zone: report.zone.clone(),
             controller_cores: f64::from(report.controller_cores),
         };
         self.daemons.insert(report.name.clone(), reporting);
@@ -271,6 +274,7 @@
                 .map(|row| (lease.version(), row.clone())),
             waited: now.since(held.received_at),
             daemons: self.daemons.len() as u32,
+            position: active_row.and_then(|_| self.positions.get(&held.report.name).copied()),
             owners,
             endpoints: active_row.and_then(|_| self.endpoints_update(&held, now)),
             declarations: self.declarations,
@@ -387,5 +391,8 @@
         self.controller
             .handle(Event::Lease(version, Some(row)), now);
         self.set_daemon_count(reply.daemons as usize, now);
+        if let Some(position) = reply.position {
+            self.set_position(position);
+        }
     }
 }
--- a/src/gateway/idle.rs
+++ b/src/gateway/idle.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 /// Longest idle time after which a connection is reused.
-pub const MAX_IDLE: Duration = Duration::from_secs(8);
+pub const MAX_IDLE: Duration = Duration::from_secs(15);
 /// Losses after a shorter idle time are not attributed to idleness.
 const MIN_IDLE: Duration = Duration::from_millis(100);
 /// Number of losses in quick succession that show that endpoints drop idle connections.
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -6,6 +6,7 @@
     caller_connections::{CallerBounds, CallerConnections, ListenerLimits},
     control::{self, ControlContext, IncomingCall, Shutdown},
     controller::Controller,
+    endpoint_set::FleetPosition,
     forward::Forwarder,
     memory_pool::{MemoryPool, MemoryShares},
     platform::Platform,
@@ -112,6 +113,7 @@
     let daemons = Arc::new(AtomicUsize::new(ASSUMED_DAEMONS));
     let control = ControlContext {
         name: options.name.clone(),
+        zone: options.zone.clone(),
         incarnation: Incarnation::random(),
         peer_addr: options.peer_addr,
         clock,
@@ -244,7 +246,8 @@
 ) -> eyre::Result<(JoinHandle<()>, oneshot::Receiver<()>)> {
     let builder = ViewBuilder::new(options.zone.clone(), options.budget, options.drain_time)
         .with_evacuation_time(options.evacuation_time)
-        .with_cold_rule(options.cold_rule);
+        .with_cold_rule(options.cold_rule)
+        .with_position(FleetPosition::of_name(&options.name.0));
     let controller = Controller::new(
         options.name.clone(),
         cx.incarnation,
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -3,6 +3,7 @@
 
 use super::{
     backend::Backend,
+    endpoint_set::{self, Demand},
     leaving::choice,
     model::EndpointInstance,
     view::{Member, ServiceView},
@@ -21,8 +22,8 @@
 /// the same estimated latency. The limit protects it, and few daemons would not use it otherwise.
 const WARMUP_ODDS: f64 = 0.25;
 /// Product of the selection exponent and the number of daemons. The exponent falls with the number
-/// of daemons, because each of many daemons sees little of an endpoint's load, and all of them
-/// would choose the same endpoint.
+/// of daemons that share an endpoint, because each of many daemons sees little of its load, and all of
+/// them would choose the same endpoint.
 const EXPONENT_TIMES_DAEMONS: f64 = 100.0;
 /// Lower and upper bound of the selection exponent `e`: a request goes to each endpoint with a
 /// probability proportional to its estimated latency to the power of `-e`.
@@ -40,8 +41,6 @@
     daemons: usize,
     now: Millis,
 ) -> Option<Member> {
-    let exponent = (EXPONENT_TIMES_DAEMONS / daemons.max(1) as f64)
-        .clamp(EXPONENT_BOUNDS[0], EXPONENT_BOUNDS[1]);
     let usable = |member: &&Member| {
         !member.backend.is_replaced(now) && member.backend.pause.blocked_until(now).is_none()
     };
@@ -63,18 +62,46 @@
     if candidates.is_empty() {
         candidates = all;
     }
-    let mut ranked: Vec<(f64, &Member)> = candidates
-        .into_iter()
-        .map(|member| (score(member, work_ms, exponent, now), member))
-        .collect();
-    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let demand = Demand {
+        endpoints: candidates.len(),
+        daemons,
+        latency_ms: service.state.costs.mean_latency_ms(),
+    };
+    let set_size = &service.state.set_size;
+    let size = set_size.current(&service.name, demand, now);
+    let exponent = exponent(daemons, size as f64 / demand.endpoints.max(1) as f64);
+    let groups = endpoint_set::groups(candidates, size, now);
     let with_room = |acquire: fn(&Backend, Millis) -> bool| {
-        let mut members = ranked.iter().map(|(_, member)| *member);
-        members.find(|member| acquire(&member.backend, now))
+        groups.iter().enumerate().find_map(|(i, group)| {
+            let mut members = ranked(group, work_ms, exponent, now).into_iter();
+            let member = members.find(|member| acquire(&member.backend, now))?;
+            Some((i, member))
+        })
     };
-    with_room(Backend::try_acquire)
-        .or_else(|| with_room(Backend::try_acquire_uncounted))
-        .cloned()
+    let (group, member) =
+        with_room(Backend::try_acquire).or_else(|| with_room(Backend::try_acquire_uncounted))?;
+    if group > 0 {
+        set_size.record_widening(now);
+    }
+    Some(member.clone())
+}
+
+/// The selection exponent of a daemon that uses this share of the endpoints, as do the others. The root
+/// lies between the daemons whose sets have an endpoint in common and all daemons, since sets widen
+/// where there is little room.
+fn exponent(daemons: usize, share: f64) -> f64 {
+    let sharing = daemons as f64 * share.sqrt();
+    (EXPONENT_TIMES_DAEMONS / sharing.max(1.0)).clamp(EXPONENT_BOUNDS[0], EXPONENT_BOUNDS[1])
+}
+
+/// `members` in the order in which they are tried.
+fn ranked<'a>(members: &[&'a Member], work_ms: f64, exponent: f64, now: Millis) -> Vec<&'a Member> {
+    let mut ranked: Vec<(f64, &Member)> = members
+        .iter()
+        .map(|member| (score(member, work_ms, exponent, now), *member))
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked.into_iter().map(|(_, member)| member).collect()
 }
 
 /// The earliest end of the requested pauses; `None` unless all usable endpoints are in one.
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -145,6 +145,15 @@
                 text,
                 "fireflygauge_endpoints_cold{{service=\"{name}\"}} {cold}"
             );
+            let (set, connections) = (&service.state.set_size, &service.state.connections);
+            for (metric, value) in [
+                ("endpoint_set_size", set.last() as u64),
+                ("endpoint_set_widenings", set.widenings()),
+                ("endpoint_connections_opened", connections.opened()),
+                ("endpoint_connections_reused", connections.reused()),
+            ] {
+                let _ = writeln!(text, "fireflygauge_{metric}{{service=\"{name}\"}} {value}");
+            }
             let waiting = service.state.queue.len();
             let _ = writeln!(text, "fireflygauge_waiting{{service=\"{name}\"}} {waiting}");
         }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -7,7 +7,9 @@
 use super::{
     backend::Backend,
     budget::{BudgetRule, RetryBudget},
+    connection::ConnectionCounts,
     cost::CostEstimates,
+    endpoint_set::SetSize,
     evacuation::Evacuations,
     idle::IdleLimit,
     leaving::Source,
@@ -66,6 +68,8 @@
     pub is_evacuated: bool,
     /// When the endpoint's warm-up ends.
     pub warmup_ends_at: Millis,
+    /// Place in the order in which the daemon uses the endpoints of its zone or of the other zones.
+    pub distance: usize,
 }
 
 impl Member {
@@ -82,6 +86,10 @@
     pub queue: Arc<WaitQueue>,
     /// What its requests are likely to cost.
     pub costs: Arc<CostEstimates>,
+    /// Number of endpoints that are used for requests without a key.
+    pub set_size: SetSize,
+    /// Connections to the service's endpoints.
+    pub connections: Arc<ConnectionCounts>,
     idle: Arc<IdleLimit>,
     pause_count: Arc<AtomicU64>,
     budget: Mutex<RetryBudget>,
@@ -95,6 +103,8 @@
         Self {
             queue: Arc::default(),
             costs: Arc::default(),
+            set_size: SetSize::default(),
+            connections: Arc::default(),
             idle: Arc::default(),
             pause_count: Arc::default(),
             budget: Mutex::new(RetryBudget::new(budget_rule)),
@@ -114,6 +124,8 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
             *counts.entry(key).or_default() += 1;
+        } else {
+            self.set_size.count_request(now);
         }
     }
 
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -9,6 +9,7 @@
     gateway::{
         backend::{Backend, Shared},
         budget::BudgetRule,
+        endpoint_set::{self, FleetPosition},
         evacuation::Evacuations,
         leaving::{
             Notice, Source,
@@ -44,6 +45,7 @@
     rate_limits: RateLimits,
     evacuations: Evacuations,
     cold_rule: Option<ColdRule>,
+    position: FleetPosition,
 }
 
 #[derive(Debug)]
@@ -88,6 +90,7 @@
             rate_limits: RateLimits::default(),
             evacuations: Evacuations::new(Millis::ZERO),
             cold_rule: None,
+            position: FleetPosition::default(),
         }
     }
 
@@ -102,6 +105,16 @@
         Self { cold_rule, ..self }
     }
 
+    /// Uses this position until another one is set.
+    pub fn with_position(self, position: FleetPosition) -> Self {
+        Self { position, ..self }
+    }
+
+    /// Sets the position of the daemon among those of its zone. True if this is a change.
+    pub fn set_position(&mut self, position: FleetPosition) -> bool {
+        std::mem::replace(&mut self.position, position) != position
+    }
+
     /// The evacuated zones.
     pub fn evacuations(&mut self) -> &mut Evacuations {
         &mut self.evacuations
@@ -345,6 +358,7 @@
                         pause: pauses.of(&known.entry.instance, &name, &state.pause_count),
                         rate_limit: rate_limits.of(&known.entry.instance),
                         max_connections,
+                        connections: Arc::clone(&state.connections),
                         leaving: Arc::clone(&known.life),
                         leaving_run: Arc::clone(&known.leaving_run),
                     };
@@ -369,10 +383,12 @@
                     is_local: known.entry.zone == *zone,
                     is_evacuated: evacuation.is_some(),
                     warmup_ends_at: known.warmup_ends_at,
+                    distance: 0,
                 }
             })
             .collect();
         members.sort_by(|a, b| instance_of(a).cmp(instance_of(b)));
+        endpoint_set::set_distances(&mut members, &name, self.position);
         let owners = self
             .owners
             .get(&name)
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,6 +5,7 @@
     config::ConfigSnapshot,
     gateway::{
         controller_lease::LeaseRow,
+        endpoint_set::FleetPosition,
         evacuation::EvacuationsUpdate,
         leaving::LeavingLife,
         load_stats::LoadReport,
@@ -15,7 +16,7 @@
     },
     table::{RoutingTable, TableDelta, TableVersion},
     target_api::{GrantReply, GrantRequest},
-    world::{GroupId, Incarnation, Link, ServiceName, Vm, VmName},
+    world::{GroupId, Incarnation, Link, ServiceName, Vm, VmName, ZoneName},
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -68,6 +69,8 @@
     pub name: VmName,
     /// Its incarnation.
     pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// The version of the owners that it has, for each service.
     pub owners: Vec<(ServiceName, u64)>,
     /// Store version up to which it has the endpoints; 0 if it has none.
@@ -97,6 +100,9 @@
     pub waited: Millis,
     /// Number of daemons that currently report.
     pub daemons: u32,
+    /// Position of the reporting daemon among those of its zone; `None` if the controller may not know
+    /// all daemons yet.
+    pub position: Option<FleetPosition>,
     /// Owners that are newer than those of the reporting daemon, as they are in the store.
     pub owners: Vec<OwnersUpdate>,
     /// Endpoint changes; `None` if the controller has no endpoint data.
--- a/src/routing/limit.rs
+++ b/src/routing/limit.rs
@@ -123,6 +123,11 @@
         self.last_decrease = None;
     }
 
+    /// Whether the limit allows another request at `now`.
+    pub fn has_room(&self, now: Millis) -> bool {
+        self.in_flight < self.limit().max(1.0) as u32 && now >= self.next_send_at
+    }
+
     /// Acquires a slot if the limit allows it at `now`.
     pub fn try_acquire(&mut self, now: Millis) -> bool {
         self.try_acquire_beyond(0, now)
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -6,6 +6,7 @@
     gateway::{
         backend::{Backend, ExchangeOutcome, Load, Shared},
         controller_lease::LeaseRow,
+        endpoint_set::FleetPosition,
         evacuation::{EvacuatedZone, EvacuationsUpdate},
         leaving::{LeavingLife, lives::Lives},
         load_stats::LoadReport,
@@ -27,6 +28,7 @@
     PeerRequest::Report(DaemonReport {
         name: VmName("d".into()),
         incarnation: Incarnation::random(),
+        zone: "a".into(),
         owners: vec![("s".into(), 3)],
         endpoints: 4,
         relative_latencies: (1, 2),
@@ -62,6 +64,7 @@
         lease: None,
         waited: Millis(400),
         daemons: 2,
+        position: Some(FleetPosition::of_rank(1, 2)),
         owners: Vec::new(),
         endpoints: None,
         declarations: 5,
--- a/tests/gateway/incarnations.rs
+++ b/tests/gateway/incarnations.rs
@@ -49,6 +49,7 @@
     PeerRequest::Report(DaemonReport {
         name: VmName("other".into()),
         incarnation,
+        zone: "a".into(),
         owners: Vec::new(),
         endpoints: 0,
         relative_latencies: (0, 0),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,8 @@
 mod daemon;
 mod decoders;
 mod endless;
+mod endpoint_set;
+mod endpoint_set_load;
 mod evacuation;
 mod evacuation_daemon;
 mod evacuation_moves;
