Endpoint sets: use all endpoints if a set would save no connections

Cause: with 2,000 daemons, each sends a request in seven seconds.

Change: a daemon that would use each of six members less than once in 15 s uses all endpoints.

--- a/src/gateway/endpoint_set/size.rs
+++ b/src/gateway/endpoint_set/size.rs
@@ -16,6 +16,9 @@
 /// Mean time between two requests to a member. Intervals vary, and endpoints close connections after a
 /// few times this.
 const USE_INTERVAL_MS: f64 = 1_500.0;
+/// Longest mean time between two requests to a member. A connection hardly ever lasts for longer, so a
+/// set would save none, and all endpoints are used.
+const MAX_USE_INTERVAL_MS: f64 = 15_000.0;
 /// Members for each request in flight, at least.
 const MEMBERS_PER_IN_FLIGHT: f64 = 4.0;
 /// Factor by which a set grows when it had no room for a request.
@@ -142,6 +145,9 @@
 
 /// Number of endpoints that are needed for `rate_per_ms`.
 fn needed(demand: Demand, rate_per_ms: f64) -> f64 {
+    if rate_per_ms * MAX_USE_INTERVAL_MS < MIN_SIZE {
+        return demand.endpoints as f64;
+    }
     let by_use = rate_per_ms * USE_INTERVAL_MS.max(MEMBERS_PER_IN_FLIGHT * demand.latency_ms);
     let by_coverage = MIN_COVERAGE * demand.endpoints as f64 / demand.daemons.max(1) as f64;
     by_use.max(by_coverage).max(MIN_SIZE)
--- a/tests/gateway/endpoint_set.rs
+++ b/tests/gateway/endpoint_set.rs
@@ -142,12 +142,19 @@
         latency_ms: 100.0,
     };
     let at = |ms| size.current(&"s".into(), demand, Millis(ms));
+    size.count_request(Millis(0));
     assert_eq!(at(0), 6);
     (0..4_000).for_each(|i| size.count_request(Millis(i * 10)));
     let busy = at(40_000);
     assert!(busy > 80, "{busy}");
     assert!(at(42_000) > busy / 2);
+    (40..140).for_each(|i| size.count_request(Millis(i * 1_000)));
     assert_eq!(at(140_000), 6);
+    assert_eq!(
+        at(200_000),
+        100,
+        "a set without requests saves no connections"
+    );
 }
 
 #[test_case(12, 1, 12; "as many as a small fleet has")]
