--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -91,7 +91,6 @@
         let longest = Millis(self.stated_left?.0 / HONOURED_DIVISOR);
         spread(longest).filter(|_| self.key.is_some_and(|key| service.has_lost_owner(key)))
     }
-    }
 
     /// Time until the key's owner can be sent the request, as far as the limit that it named decides;
     /// `None` if it names none, or if the caller would not wait.
