Charge the buffers of a connection whose socket is full

Change: 128 KB are charged in place of 112 KB.

The crowds of SentAhead and SlowReader at all addresses, all kinds at once, SentAhead that connects again and the largest legal body passed once; the other crowd tests ran before this change.

--- a/src/gateway/caller_connections/account.rs
+++ b/src/gateway/caller_connections/account.rs
@@ -13,8 +13,8 @@
 /// the head shares, and the state of the request is allocated.
 const REQUEST_BYTES: usize = 14 * 1024;
 /// Memory of a connection whose socket takes no output, in bytes: the caller has filled both buffers of
-/// the socket, and one of the connection.
-const BLOCKED_BYTES: usize = 112 * 1024;
+/// the socket and those of the connection.
+const BLOCKED_BYTES: usize = 128 * 1024;
 /// Received bytes up to which the buffers of a connection grow.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024;
 /// Memory that the receive buffer of a socket takes, in bytes, once a caller sends more than the buffers
