--- a/src/gateway/forward/acquire.rs
+++ b/src/gateway/forward/acquire.rs
@@ -184,6 +184,7 @@
             work_ms: request.cost.choice_ms,
             tried: &request.tried,
             daemons: self.daemons,
+            is_rare: false,
         };
         selection::choose_endpoint(service, wanted, self.claim, self.sample, self.now)
     }
--- a/src/gateway/forward/hedge.rs
+++ b/src/gateway/forward/hedge.rs
@@ -5,10 +5,11 @@
     clock::Millis,
     gateway::{
         backend::Backend,
+        claim::Claim,
         hedging::{self, HedgeOutcome},
         leaving::choice,
         model::RetryPolicy,
-        selection,
+        selection::{self, Wanted},
         send::{self, OutgoingRequest, SendContext},
         stop,
         view::{Member, ServiceView},
@@ -20,10 +21,6 @@
 };
 use tokio::time::{sleep, timeout};
 
-/// Number of daemons that is assumed when a second attempt chooses its endpoint. There are few such
-/// attempts, so they may all take the endpoint that is expected to respond first.
-const CHOOSING_DAEMONS: usize = 1;
-
 /// What became of an attempt and of a second one beside it.
 pub(super) struct Sent {
     /// An attempt that failed while another was in flight.
@@ -181,9 +178,15 @@
         if !choice::usable_members(service, now).iter().any(is_other) {
             return None;
         }
-        let work_ms = request.cost.choice_ms;
-        let member = selection::acquire_endpoint(service, work_ms, &tried, CHOOSING_DAEMONS, now)?;
-        Some(member.backend)
+        let wanted = Wanted {
+            work_ms: request.cost.choice_ms,
+            tried: &tried,
+            daemons,
+            is_rare: true,
+        };
+        let sample = selection::random_sample;
+        let member = selection::choose_endpoint(service, wanted, Claim::Take, sample, now)?;
+        Some(Arc::clone(&member.backend))
     }
 
     fn count_hedge(&self, request: &ActiveRequest<'_>, outcome: HedgeOutcome) {
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -85,12 +85,11 @@
     }
 
     /// Longest time that the caller waits, if the key's owner is not registered any more: its keys are
-    /// assigned only when its lease has ended, seconds later. `None` if it is registered.
+    /// assigned only when its lease has ended, seconds later. `None` otherwise.
     fn wait_for_assignment(&self) -> Option<ReturnWindow> {
         let service = self.service().filter(|s| s.keyed)?;
-        let is_registered = service.member_of(self.key?).is_some();
         let longest = Millis(self.stated_left?.0 / HONOURED_DIVISOR);
-        spread(longest).filter(|_| !is_registered)
+        spread(longest).filter(|_| self.key.is_some_and(|key| service.has_lost_owner(key)))
     }
 
     /// Time until the key's owner can be sent the request, as far as the limit that it named decides;
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -3,6 +3,7 @@
 
 use super::{
     claim::{Claim, Counting},
+    endpoint_set::{self, Demand},
     leaving::choice,
     model::EndpointInstance,
     view::{Member, ServiceView},
@@ -21,8 +22,8 @@
 /// the same estimated latency. The limit protects it, and few daemons would not use it otherwise.
 const WARMUP_ODDS: f64 = 0.25;
 /// Product of the selection exponent and the number of daemons. The exponent falls with the number
-/// of daemons, because each of many daemons sees little of an endpoint's load, and all of them
-/// would choose the same endpoint.
+/// of daemons that share an endpoint, because each of many daemons sees little of its load, and all of
+/// them would choose the same endpoint.
 const EXPONENT_TIMES_DAEMONS: f64 = 100.0;
 /// Lower and upper bound of the selection exponent `e`: a request goes to each endpoint with a
 /// probability proportional to its estimated latency to the power of `-e`.
@@ -37,6 +38,18 @@
     pub tried: &'a [EndpointInstance],
     /// Number of daemons that share the endpoints.
     pub daemons: usize,
+    /// Whether so few requests choose like this one that they may all take the best endpoint.
+    pub is_rare: bool,
+}
+
+/// The endpoints that a request is sent to if they have room.
+#[derive(Debug)]
+pub struct Candidates<'a> {
+    /// Groups of endpoints. One is used only if those before it have no room.
+    pub groups: Vec<Vec<&'a Member>>,
+    /// Exponent of the selection: one of a group with room gets a request with a probability
+    /// proportional to its weighted end to the power of minus this.
+    pub exponent: f64,
 }
 
 /// Acquires a slot of an endpoint that is not in `tried` for a request of `work_ms`, preferring those
@@ -55,6 +68,7 @@
         work_ms,
         tried,
         daemons,
+        is_rare: false,
     };
     choose_endpoint(service, wanted, Claim::Take, random_sample, now).cloned()
 }
@@ -68,24 +82,82 @@
     mut sample: impl FnMut() -> f64,
     now: Millis,
 ) -> Option<&'a Member> {
-    let exponent = exponent(wanted.daemons);
-    let mut ranked: Vec<(f64, &Member)> = candidates(service, wanted.tried, now)
-        .into_iter()
+    let Candidates { groups, exponent } = candidates(service, wanted, claim, now);
+    let with_room = |members: &[&'a Member], counting: Counting| {
+        let mut members = members.iter().copied();
+        members.find(|member| member.backend.acquire(claim, counting, now).is_ok())
+    };
+    let chosen = |group: usize, member: &'a Member| {
+        if group > 0 && claim == Claim::Take {
+            service.state.set_size.record_widening(now);
+        }
+        member
+    };
+    let mut ranked = Vec::with_capacity(groups.len());
+    for (i, group) in groups.iter().enumerate() {
+        let members = rank(group, wanted.work_ms, exponent, &mut sample, now);
+        if let Some(member) = with_room(&members, Counting::All) {
+            return Some(chosen(i, member));
+        }
+        ranked.push(members);
+    }
+    let mut ranked = ranked.iter().enumerate();
+    let (i, member) =
+        ranked.find_map(|(i, members)| Some((i, with_room(members, Counting::WithoutLong)?)))?;
+    Some(chosen(i, member))
+}
+
+/// `members` in the order in which they are tried.
+fn rank<'a>(
+    members: &[&'a Member],
+    work_ms: f64,
+    exponent: f64,
+    mut sample: impl FnMut() -> f64,
+    now: Millis,
+) -> Vec<&'a Member> {
+    let mut ranked: Vec<(f64, &Member)> = members
+        .iter()
         .map(|member| {
-            let weighted_ms = weighted_end_ms(member, wanted.work_ms, exponent, now);
-            (weighted_ms * sample().powf(1.0 / exponent), member)
+            let weighted_ms = weighted_end_ms(member, work_ms, exponent, now);
+            (weighted_ms * sample().powf(1.0 / exponent), *member)
         })
         .collect();
     ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let with_room = |counting: Counting| {
-        let mut members = ranked.iter().map(|(_, member)| *member);
-        members.find(|member| member.backend.acquire(claim, counting, now).is_ok())
-    };
-    with_room(Counting::All).or_else(|| with_room(Counting::WithoutLong))
+    ranked.into_iter().map(|(_, member)| member).collect()
 }
 
 /// The endpoints that a request is sent to if they have room.
 pub fn candidates<'a>(
+    service: &'a ServiceView,
+    wanted: Wanted<'_>,
+    claim: Claim,
+    now: Millis,
+) -> Candidates<'a> {
+    let members = preferred(service, wanted.tried, now);
+    let demand = Demand {
+        endpoints: members.len(),
+        daemons: wanted.daemons,
+        latency_ms: service.state.costs.mean_latency_ms(),
+    };
+    let set_size = &service.state.set_size;
+    let size = match claim {
+        Claim::Take => set_size.current(&service.name, demand, now),
+        Claim::Peek => set_size.peek(demand, now),
+    };
+    let share = size as f64 / demand.endpoints.max(1) as f64;
+    let exponent = if wanted.is_rare {
+        EXPONENT_BOUNDS[1]
+    } else {
+        exponent(wanted.daemons, share)
+    };
+    Candidates {
+        groups: endpoint_set::groups(members, size, now),
+        exponent,
+    }
+}
+
+/// The usable endpoints: those that are healthy and not in `tried`, as far as there are any.
+fn preferred<'a>(
     service: &'a ServiceView,
     tried: &[EndpointInstance],
     now: Millis,
@@ -99,26 +171,27 @@
         .into_iter()
         .filter(usable)
         .collect();
-    let mut candidates: Vec<&Member> = all
+    let mut preferred: Vec<&Member> = all
         .iter()
         .copied()
         .filter(untried)
         .filter(healthy)
         .collect();
-    if candidates.is_empty() {
-        candidates = all.iter().copied().filter(untried).collect();
+    if preferred.is_empty() {
+        preferred = all.iter().copied().filter(untried).collect();
     }
-    if candidates.is_empty() {
-        candidates = all;
+    if preferred.is_empty() {
+        preferred = all;
     }
-    candidates
+    preferred
 }
 
-/// Exponent of the selection: a candidate with room gets a request with a probability proportional to
-/// its weighted end to the power of minus this.
-pub fn exponent(daemons: usize) -> f64 {
-    let exponent = EXPONENT_TIMES_DAEMONS / daemons.max(1) as f64;
-    exponent.clamp(EXPONENT_BOUNDS[0], EXPONENT_BOUNDS[1])
+/// The selection exponent of a daemon that uses this share of the endpoints, as do the others. The root
+/// lies between the daemons whose sets have an endpoint in common and all daemons, since sets widen
+/// where there is little room.
+pub fn exponent(daemons: usize, share: f64) -> f64 {
+    let sharing = daemons as f64 * share.sqrt();
+    (EXPONENT_TIMES_DAEMONS / sharing.max(1.0)).clamp(EXPONENT_BOUNDS[0], EXPONENT_BOUNDS[1])
 }
 
 /// The earliest end of the requested pauses; `None` unless all usable endpoints are in one.
--- a/src/gateway/status/explain_route/endpoints.rs
+++ b/src/gateway/status/explain_route/endpoints.rs
@@ -5,7 +5,7 @@
     clock::Millis,
     gateway::{
         claim::{Claim, Counting, Obstacle},
-        selection,
+        selection::{self, Candidates, Wanted},
         status::explain,
         view::{Member, ServiceView},
     },
@@ -56,23 +56,26 @@
     comparison: Comparison,
 ) -> (Vec<EndpointState>, BTreeMap<Arc<str>, usize>) {
     let now = comparison.now;
-    let candidates = selection::candidates(service, &[], now);
-    let is_candidate = |member: &Member| {
-        let name = &member.backend.entry.instance;
-        candidates.iter().any(|c| c.backend.entry.instance == *name)
+    let wanted = Wanted {
+        work_ms: comparison.work_ms,
+        tried: &[],
+        daemons: comparison.daemons,
+        is_rare: false,
     };
-    let counting = counting(&candidates, now);
+    let candidates = selection::candidates(service, wanted, Claim::Peek, now);
+    let is_candidate = |member: &Member| candidates.groups.iter().any(|g| contains(g, member));
+    let counting = counting(&candidates.groups.concat(), now);
     let mut described: Vec<(EndpointState, &Member)> = service
         .members
         .iter()
         .map(|member| {
             let exclusion = (!is_candidate(member)).then(|| exclusion_of(member, now));
             let counting = counting.unwrap_or(Counting::WithoutLong);
-            let state = describe(member, comparison, exclusion, counting);
+            let state = describe(member, comparison, candidates.exponent, exclusion, counting);
             (state, member)
         })
         .collect();
-    set_probabilities(&mut described, comparison);
+    set_probabilities(&mut described, &candidates, comparison);
     let mut states: Vec<EndpointState> = described.into_iter().map(|(state, _)| state).collect();
     states.sort_by(|a, b| {
         let by_probability = b.probability.total_cmp(&a.probability);
@@ -90,7 +93,8 @@
     let exclusion = (owner.backend.is_replaced(now) || !owner.backend.is_open(now))
         .then(|| exclusion_of(owner, now));
     let counting = counting(&[owner], now).unwrap_or(Counting::WithoutLong);
-    let mut state = describe(owner, comparison, exclusion, counting);
+    let exponent = selection::exponent(comparison.daemons, 1.0);
+    let mut state = describe(owner, comparison, exponent, exclusion, counting);
     let is_possible = state.excluded.is_none() && state.obstacle.is_none();
     state.probability = if is_possible && comparison.is_first {
         1.0
@@ -133,21 +137,41 @@
     }
 }
 
-fn set_probabilities(described: &mut [(EndpointState, &Member)], comparison: Comparison) {
-    let exponent = selection::exponent(comparison.daemons);
+/// Sets the probabilities of the endpoints in the first group with room.
+fn set_probabilities(
+    described: &mut [(EndpointState, &Member)],
+    candidates: &Candidates<'_>,
+    comparison: Comparison,
+) {
     let is_possible = |state: &EndpointState| {
         comparison.is_first && state.excluded.is_none() && state.obstacle.is_none()
     };
-    let weight = |state: &EndpointState| state.weighted_end_ms.powf(-exponent);
-    let possible = described.iter().map(|(state, _)| state);
-    let total: f64 = possible.filter(|s| is_possible(s)).map(weight).sum();
-    for (state, _) in described {
-        if is_possible(state) && total > 0.0 {
+    let has_room = |group: &&Vec<&Member>| {
+        let mut possible = described.iter().filter(|(state, _)| is_possible(state));
+        possible.any(|(_, member)| contains(group, member))
+    };
+    let Some(group) = candidates.groups.iter().find(has_room) else {
+        return;
+    };
+    let weight = |state: &EndpointState| state.weighted_end_ms.powf(-candidates.exponent);
+    let is_chosen =
+        |state: &EndpointState, member: &Member| is_possible(state) && contains(group, member);
+    let chosen = described.iter().filter(|(s, member)| is_chosen(s, member));
+    let total: f64 = chosen.map(|(state, _)| weight(state)).sum();
+    for (state, member) in described {
+        if is_chosen(state, member) && total > 0.0 {
             state.probability = weight(state) / total;
         }
     }
 }
 
+fn contains(members: &[&Member], member: &Member) -> bool {
+    let instance = &member.backend.entry.instance;
+    members
+        .iter()
+        .any(|other| other.backend.entry.instance == *instance)
+}
+
 fn count_by_exclusion(omitted: &[EndpointState]) -> BTreeMap<Arc<str>, usize> {
     let mut counts = BTreeMap::new();
     for state in omitted {
@@ -160,12 +184,12 @@
 fn describe(
     member: &Member,
     comparison: Comparison,
+    exponent: f64,
     exclusion: Option<Exclusion>,
     counting: Counting,
 ) -> EndpointState {
     let (backend, now) = (&member.backend, comparison.now);
     let (entry, observed) = (&backend.entry, backend.observed(now));
-    let exponent = selection::exponent(comparison.daemons);
     let weighted_end_ms = selection::weighted_end_ms(member, comparison.work_ms, exponent, now);
     EndpointState {
         endpoint: Arc::clone(&entry.instance.name),
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -9,7 +9,9 @@
 use super::{
     backend::{Backend, Shedding},
     budget::{BudgetRule, RetryBudget, RetryNeed},
+    connection::ConnectionCounts,
     cost::CostEstimates,
+    endpoint_set::SetSize,
     evacuation::Evacuations,
     hedging::HedgeCounters,
     idle::IdleLimit,
@@ -71,6 +73,8 @@
     pub is_evacuated: bool,
     /// When the endpoint's warm-up ends.
     pub warmup_ends_at: Millis,
+    /// Place in the order in which the daemon uses the endpoints of its zone or of the other zones.
+    pub distance: usize,
 }
 
 impl Member {
@@ -90,6 +94,10 @@
     /// Hedged requests.
     pub hedges: HedgeCounters,
     shedding: Arc<Shedding>,
+    /// Number of endpoints that are used for requests without a key.
+    pub set_size: SetSize,
+    /// Connections to the service's endpoints.
+    pub connections: Arc<ConnectionCounts>,
     idle: Arc<IdleLimit>,
     pause_count: Arc<AtomicU64>,
     budget: Mutex<RetryBudget>,
@@ -105,6 +113,8 @@
             costs: Arc::default(),
             hedges: HedgeCounters::default(),
             shedding: Arc::default(),
+            set_size: SetSize::default(),
+            connections: Arc::default(),
             idle: Arc::default(),
             pause_count: Arc::default(),
             budget: Mutex::new(RetryBudget::new(budget_rule)),
@@ -124,6 +134,8 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
             *counts.entry(key).or_default() += 1;
+        } else {
+            self.set_size.count_request(now);
         }
     }
 
@@ -192,6 +204,13 @@
             .binary_search_by(|member| instance_of(member).cmp(&range.owner));
         Some((range, &self.members[at.ok()?]))
     }
+
+    /// Whether `key` was assigned to an endpoint that is not registered any more. A daemon that is cut off
+    /// cannot tell: others may know the next owner.
+    pub fn has_lost_owner(&self, key: Key) -> bool {
+        let is_assigned = self.owners.range_of(key).is_some();
+        is_assigned && self.member_of(key).is_none() && !self.is_cut_off
+    }
 }
 
 fn instance_of(member: &Member) -> &EndpointInstance {
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -10,6 +10,7 @@
     gateway::{
         backend::{Backend, Shared},
         budget::BudgetRule,
+        endpoint_set::{self, FleetPosition},
         evacuation::Evacuations,
         leaving::{
             Notice, Source,
@@ -46,6 +47,7 @@
     evacuations: Evacuations,
     cold_rule: Option<ColdRule>,
     freshness: Arc<Freshness>,
+    position: FleetPosition,
 }
 
 #[derive(Debug)]
@@ -91,6 +93,7 @@
             evacuations: Evacuations::new(Millis::ZERO),
             cold_rule: None,
             freshness: Arc::default(),
+            position: FleetPosition::default(),
         }
     }
 
@@ -110,6 +113,16 @@
         &self.freshness
     }
 
+    /// Uses this position until another one is set.
+    pub fn with_position(self, position: FleetPosition) -> Self {
+        Self { position, ..self }
+    }
+
+    /// Sets the position of the daemon among those of its zone. True if this is a change.
+    pub fn set_position(&mut self, position: FleetPosition) -> bool {
+        std::mem::replace(&mut self.position, position) != position
+    }
+
     /// The evacuated zones.
     pub fn evacuations(&mut self) -> &mut Evacuations {
         &mut self.evacuations
@@ -357,6 +370,7 @@
                         pause: pauses.of(&known.entry.instance, &name, &state.pause_count),
                         rate_limit: rate_limits.of(&known.entry.instance),
                         max_connections,
+                        connections: Arc::clone(&state.connections),
                         leaving: Arc::clone(&known.life),
                         leaving_run: Arc::clone(&known.leaving_run),
                     };
@@ -381,10 +395,12 @@
                     is_local: known.entry.zone == *zone,
                     is_evacuated: evacuation.is_some(),
                     warmup_ends_at: known.warmup_ends_at,
+                    distance: 0,
                 }
             })
             .collect();
         members.sort_by(|a, b| instance_of(a).cmp(instance_of(b)));
+        endpoint_set::set_distances(&mut members, &name, self.position);
         let owners = self
             .owners
             .get(&name)
