Reset callers' connections that are closed to bound memory

Cause: a connection that the account closes while its caller does not read left its output to the system, which keeps it until the caller takes it.

Change: such a connection is reset. Callers see a closed connection, as before.

--- a/src/entry/caller_connection.rs
+++ b/src/entry/caller_connection.rs
@@ -25,6 +25,7 @@
 };
 use hyper_util::rt::TokioIo;
 use pipeline::{Call, Pipeline};
+use socket2::SockRef;
 use std::{
     error::Error,
     future::{Future, poll_fn},
@@ -60,7 +61,7 @@
 /// # Errors
 /// hyper's error if the connection fails.
 pub async fn serve<S, B>(
-    stream: TcpStream,
+    stream: impl Into<Arc<TcpStream>>,
     service: S,
     builder: &http1::Builder,
     closing: watch::Receiver<bool>,
@@ -79,7 +80,7 @@
 /// # Errors
 /// hyper's error if the connection fails.
 pub async fn serve_observed<S, B, O>(
-    stream: TcpStream,
+    stream: impl Into<Arc<TcpStream>>,
     service: S,
     builder: &http1::Builder,
     closing: watch::Receiver<bool>,
@@ -100,7 +101,7 @@
 /// # Errors
 /// hyper's error if the connection fails.
 pub async fn serve_ahead<S, B, O>(
-    stream: TcpStream,
+    stream: impl Into<Arc<TcpStream>>,
     service: S,
     ahead: Option<SentAhead<Response<B>>>,
     builder: &http1::Builder,
@@ -114,7 +115,7 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
     O: Fn(StreamEvent) + Unpin,
 {
-    let stream = Arc::new(stream);
+    let stream = stream.into();
     let ahead = ahead.map(Arc::new);
     let pipeline = Arc::new(Mutex::new(Pipeline::new(ahead.is_some())));
     let calls = Calls {
@@ -220,6 +221,14 @@
     pipeline.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Makes the connection be reset when it is closed. The system would otherwise keep output that the
+/// caller does not take.
+pub fn reset_on_close(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!(target: "request", error:% = e; "Caller connection cannot be reset.");
+    }
+}
+
 /// Completes when the caller has closed the connection, whatever lies unread in the socket.
 async fn closed_by_caller(stream: &TcpStream) {
     loop {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,7 +16,7 @@
 use http_body_util::{Empty, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioTimer;
-use std::{convert::Infallible, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -135,8 +135,9 @@
         tokio::spawn(async move {
             let handle = connection.handle.clone();
             let observer = move |event| handle.observe(event);
+            let stream = Arc::new(stream);
             let served = caller_connection::serve_ahead(
-                stream,
+                Arc::clone(&stream),
                 service,
                 Some(ahead),
                 &builder,
@@ -147,7 +148,7 @@
                 ended = served => if let Err(e) = ended {
                     log::debug!(target: "request", error:% = e; "Caller connection ended.");
                 },
-                () = connection.closed() => {}
+                () = connection.closed() => caller_connection::reset_on_close(&stream),
             }
         });
     }
--- a/src/gateway/status/server.rs
+++ b/src/gateway/status/server.rs
@@ -4,7 +4,7 @@
 use crate::entry::caller_connection;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioTimer;
-use std::{convert::Infallible, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -59,13 +59,15 @@
     tokio::spawn(async move {
         let handle = connection.handle.clone();
         let observer = move |event| handle.observe(event);
+        let stream = Arc::new(stream);
+        let socket = Arc::clone(&stream);
         let served =
-            caller_connection::serve_observed(stream, service, &builder, closing, observer);
+            caller_connection::serve_observed(socket, service, &builder, closing, observer);
         tokio::select! {
             ended = served => if let Err(e) = ended {
                 log::debug!(target: "entry", error:% = e; "Status connection ended with an error.");
             },
-            () = connection.closed() => {}
+            () = connection.closed() => caller_connection::reset_on_close(&stream),
         }
     });
 }
