Mend what a newcomer's review of the diff found

Cause: a request with two attempts ended when the first of them ran out of time, although the other might have had a response. The time that a caller states was used without a bound, for the guess whether callers come back and for Retry-After. The stored size of a set was cut to the endpoints that were preferred at one moment. Connections counted as opened before they were. Messages, names and pages that said less or more than the code does.

The late response beside an attempt that ran out of time has no test.

--- a/src/entry/caller_connection/pipeline.rs
+++ b/src/entry/caller_connection/pipeline.rs
@@ -126,7 +126,9 @@
 
     /// What the connection holds for requests that were sent ahead.
     pub fn held(&self) -> HeldAhead {
-        let headers = self.begun.iter().map(|begun| begun.head.headers());
+        let begun = self.begun.iter().map(|begun| &begun.head);
+        let next = self.next.iter().map(|(head, _)| head);
+        let headers = begun.chain(next).map(|head| head.headers());
         HeldAhead {
             buffered: self.buf.capacity(),
             requests: self.begun.len(),
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -401,9 +401,13 @@
     }
 
     fn log_shedding(&self, change: SheddingChange, load: Option<Load>) {
+        let message = match change {
+            SheddingChange::Began => "Endpoints shed requests in spite of room.",
+            SheddingChange::Ended => "Endpoints no longer shed requests in spite of room.",
+        };
         log::info!(target: "health", service:% = self.entry.service, change:? = change,
             rate = self.shedding.rate(), endpoint:% = self.entry.instance.name, load:? = load;
-            "Endpoints shed requests in spite of room.");
+            "{message}");
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/src/gateway/backend/shedding.rs
+++ b/src/gateway/backend/shedding.rs
@@ -1,6 +1,6 @@
 //! Whether endpoints shed requests because they are overloaded, or for another reason.
 //!
-//! Load answered: endpoints that reject a large part of their requests at random while they have
+//! Handles endpoints that reject a large part of their requests at random while they have
 //! room. Slowing down would leave their slots idle, and the caller's next attempt is as likely to be
 //! served as any other.
 
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -12,8 +12,8 @@
 /// Share of the budget that daemons use. The rest is a margin, since the windows of the daemons are
 /// not aligned.
 const BUDGET_UTILIZATION: f64 = 0.7;
-/// Share of what daemons use that hedged requests may take. The rest is kept for requests whose
-/// attempt has failed.
+/// Used share of the budget from which requests are not hedged. The rest is kept for requests whose attempt
+/// has failed.
 const HEDGE_SHARE: f64 = 0.75;
 /// Part of the budget that retries may use which the caller can make as well.
 const OPTIONAL_SHARE: f64 = 0.4;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -196,8 +196,8 @@
     /// If the connection cannot be opened in time. Nothing of the request was sent then.
     pub async fn connect(&self, left: Duration) -> io::Result<PooledConnection> {
         let connecting = TcpStream::connect(self.addr);
-        self.counts.opened.fetch_add(1, Ordering::Relaxed);
         let stream = timeout(left.min(CONNECT_TIMEOUT), connecting).await??;
+        self.counts.opened.fetch_add(1, Ordering::Relaxed);
         enable_loss_detection(&stream)?;
         if self.close_mode == CloseMode::Reset {
             SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
--- a/src/gateway/connection/open.rs
+++ b/src/gateway/connection/open.rs
@@ -18,7 +18,7 @@
     /// When each connection was opened, by its number.
     opened_at: BTreeMap<u64, Instant>,
     next: u64,
-    /// When the last one of several connections ended.
+    /// When no connection was last left open.
     none_left_at: Option<Instant>,
 }
 
--- a/src/gateway/endpoint_set.rs
+++ b/src/gateway/endpoint_set.rs
@@ -65,7 +65,7 @@
     set.extend(remote_set);
     rest.extend(remote_rest);
     let mut groups = vec![set];
-    groups.extend(rest.chunks(size).map(<[&Member]>::to_vec));
+    groups.extend(rest.chunks(size.max(1)).map(<[&Member]>::to_vec));
     groups
 }
 
--- a/src/gateway/endpoint_set/size.rs
+++ b/src/gateway/endpoint_set/size.rs
@@ -10,8 +10,8 @@
 const ALL_UP_TO: usize = 12;
 /// Fewest endpoints that a set has.
 const MIN_SIZE: f64 = 6.0;
-/// Sets of all daemons that have an endpoint in common, on average, at least. It is used also while
-/// some of them are lost.
+/// Sets of all daemons that have an endpoint in common, on average, at least. An endpoint stays in use
+/// while some of its daemons are lost.
 const MIN_COVERAGE: f64 = 4.0;
 /// Mean time between two requests to a member. Intervals vary, and endpoints close connections after a
 /// few times this.
@@ -57,6 +57,8 @@
     counted_at: Option<Millis>,
     first_at: Option<Millis>,
     size: f64,
+    /// Most endpoints that there have been.
+    largest: f64,
     sized_at: Millis,
     logged: Option<(f64, Millis)>,
 }
@@ -78,7 +80,7 @@
         let mut state = self.state();
         state.adapt(demand, now);
         state.log(service, demand, now);
-        state.size.ceil() as usize
+        (state.size.ceil() as usize).min(demand.endpoints)
     }
 
     /// What [`Self::current`] would return. Nothing changes.
@@ -88,7 +90,7 @@
         }
         let mut state = self.state().clone();
         state.adapt(demand, now);
-        state.size.ceil() as usize
+        (state.size.ceil() as usize).min(demand.endpoints)
     }
 
     /// Records that the set had no room for a request.
@@ -118,7 +120,8 @@
     fn adapt(&mut self, demand: Demand, now: Millis) {
         let needed = needed(demand, self.rate_per_ms(now));
         self.narrow(now);
-        self.size = self.size.max(needed).min(demand.endpoints as f64);
+        self.largest = self.largest.max(demand.endpoints as f64);
+        self.size = self.size.max(needed).min(self.largest);
     }
 
     fn decay(&mut self, now: Millis) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -248,7 +248,11 @@
             Err(Unassigned { service, reason }) => return (Outcome::Refused(reason), service),
         };
         if let Some(stated) = self.requested_time_limit(&parts.headers) {
-            request.has_returned = admitted.entry.patience.record(stated, arrived);
+            request.has_returned =
+                admitted
+                    .entry
+                    .patience
+                    .record(stated, admitted.entry.route.timeout, arrived);
         }
         let name = request.service.clone();
         if let Some(service) = view.services.get(&name) {
--- a/src/gateway/forward/hedge.rs
+++ b/src/gateway/forward/hedge.rs
@@ -78,7 +78,8 @@
                 failed: Some(failed),
                 last: other.await,
             },
-            None => Sent::once(None),
+            // The other may have a response that was not looked at before the time was up.
+            None => Sent::once(other.await),
         }
     }
 
--- a/src/gateway/forward/rejection.rs
+++ b/src/gateway/forward/rejection.rs
@@ -30,6 +30,10 @@
 /// the callers do not return all at once.
 const MAX_RETRY_JITTER_MS: u64 = 100;
 
+/// Longest `Retry-After` of a request for a key whose owner is lost. The key is assigned anew when the
+/// owner's lease has ended.
+const MAX_WAIT_FOR_ASSIGNMENT: Millis = Millis(5_000);
+
 /// Bounds of the time after which a rejected caller may return. The time is drawn between them.
 pub type ReturnWindow = RangeInclusive<Millis>;
 
@@ -44,8 +48,8 @@
     pub key: Option<Key>,
     /// Time left until its deadline.
     pub left: Millis,
-    /// Time left of that which the caller states to have, which its route may cut short; `None` if it
-    /// states none.
+    /// Time left of the caller's stated limit, before the route's time-out is applied; `None` if it states
+    /// none.
     pub stated_left: Option<Millis>,
     /// Whether the caller takes a place among those that were told to return.
     pub claim: Claim,
@@ -88,7 +92,7 @@
     /// assigned only when its lease has ended, seconds later. `None` otherwise.
     fn wait_for_assignment(&self) -> Option<ReturnWindow> {
         let service = self.service().filter(|s| s.keyed)?;
-        let longest = Millis(self.stated_left?.0 / HONOURED_DIVISOR);
+        let longest = Millis(self.stated_left?.0 / HONOURED_DIVISOR).min(MAX_WAIT_FOR_ASSIGNMENT);
         spread(longest).filter(|_| self.key.is_some_and(|key| service.has_lost_owner(key)))
     }
 
--- a/src/gateway/hedging.rs
+++ b/src/gateway/hedging.rs
@@ -1,7 +1,6 @@
 //! When an idempotent request is sent to a second endpoint while the first has not responded.
 //!
-//! Load answered: endpoints that hang, or whose machines are busy for a moment, while others have
-//! room. Without a second attempt, the caller waits there until its time is up.
+//! Handles endpoints that hang, or whose machines are busy for a moment, while others have room. Without a second attempt, the caller waits there until its time is up.
 
 use super::cost::Estimate;
 use crate::clock::Millis;
@@ -28,7 +27,7 @@
     (after_ms >= cost.mean_ms).then_some(Millis(after_ms as u64))
 }
 
-/// What became of a second attempt.
+/// What happened with a second attempt. One that won was sent as well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumCount, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum HedgeOutcome {
@@ -36,7 +35,7 @@
     Sent,
     /// Its response was the first successful one.
     Won,
-    /// No endpoint had room for it, or the retry budget was used up.
+    /// No endpoint had room for it, or too little of the retry budget was left.
     NoRoom,
 }
 
--- a/src/gateway/sent_ahead.rs
+++ b/src/gateway/sent_ahead.rs
@@ -18,9 +18,9 @@
     /// Whether the caller does not take the responses before it.
     pub is_output_blocked: bool,
     /// Whether enough memory for connections is left for those that are not ahead.
-    pub has_connection_memory: bool,
+    pub is_connection_memory_half_free: bool,
     /// Whether enough memory for bodies is left for those that are not ahead.
-    pub has_body_memory: bool,
+    pub is_body_memory_half_free: bool,
 }
 
 /// Why a request has to wait.
@@ -34,7 +34,7 @@
     /// The caller does not take its responses.
     OutputBlocked,
     /// Memory runs short.
-    NoMemory,
+    MemoryHalfUsed,
 }
 
 impl Conditions {
@@ -46,8 +46,8 @@
             Some(HoldReason::TooMany)
         } else if self.is_output_blocked {
             Some(HoldReason::OutputBlocked)
-        } else if !self.has_connection_memory || !self.has_body_memory {
-            Some(HoldReason::NoMemory)
+        } else if !self.is_connection_memory_half_free || !self.is_body_memory_half_free {
+            Some(HoldReason::MemoryHalfUsed)
         } else {
             None
         }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -185,8 +185,8 @@
         begun,
         is_stopping: forwarder.stop.borrow().is_some(),
         is_output_blocked: handle.is_output_blocked(),
-        has_connection_memory: handle.is_memory_half_free(),
-        has_body_memory: forwarder.body_memory.is_half_free(),
+        is_connection_memory_half_free: handle.is_memory_half_free(),
+        is_body_memory_half_free: forwarder.body_memory.is_half_free(),
     };
     if let Some(reason) = conditions.hold_reason() {
         log::debug!(target: "request", path:% = req.uri().path(), reason:%, begun;
--- a/src/gateway/view/builder/unregistered.rs
+++ b/src/gateway/view/builder/unregistered.rs
@@ -34,7 +34,7 @@
         let Some(backend) = earlier.and_then(|known| known.backend.as_ref()) else {
             return EarlyNotices::default();
         };
-        let is_later_lifes = |at: Millis| {
+        let belongs_to_new_life = |at: Millis| {
             let age = now.since(at);
             let least_age = age - CLOCK_RESOLUTION;
             age <= MAX_UNREGISTERED && backend.pool.has_spanned(least_age.into())
@@ -42,8 +42,8 @@
         let pause = backend.pause.in_progress(now);
         let leaving_since = backend.leaving_since();
         EarlyNotices {
-            pause: pause.filter(|pause| is_later_lifes(pause.started)),
-            leaving_since: leaving_since.filter(|since| is_later_lifes(*since)),
+            pause: pause.filter(|pause| belongs_to_new_life(pause.started)),
+            leaving_since: leaving_since.filter(|since| belongs_to_new_life(*since)),
         }
     }
 
--- a/src/operator/route.rs
+++ b/src/operator/route.rs
@@ -168,14 +168,18 @@
 
 fn data_text(data: &DataAges, daemons: usize) -> String {
     let cut_off = if data.is_cut_off { ", cut off" } else { "" };
+    let reply = data.controller_reply_ms.map_or_else(
+        || "none (this daemon is the controller, or has had no reply)".into(),
+        |age| age_text(Some(age)),
+    );
+    let plural = if daemons == 1 { "" } else { "s" };
     format!(
-        "data: configuration {} ({}), declarations ({}), endpoints ({}), controller's last reply ({}), \
-         {daemons} daemons{cut_off}",
+        "data: configuration {} ({}), declarations ({}), endpoints ({}), controller's last reply {reply}, \
+         {daemons} daemon{plural}{cut_off}",
         data.config_version,
         age_text(data.config_in_force_ms),
         age_text(data.declarations_ms),
         age_text(data.endpoints_ms),
-        age_text(data.controller_reply_ms),
     )
 }
 
--- a/tests/gateway/request_ahead.rs
+++ b/tests/gateway/request_ahead.rs
@@ -17,8 +17,8 @@
     begun: 0,
     is_stopping: false,
     is_output_blocked: false,
-    has_connection_memory: true,
-    has_body_memory: true,
+    is_connection_memory_half_free: true,
+    is_body_memory_half_free: true,
 };
 
 #[test_case(PLAIN => None; "nothing against it")]
@@ -26,8 +26,8 @@
 #[test_case(Conditions { begun: MAX_BEGUN, ..PLAIN } => Some(HoldReason::TooMany); "one too many")]
 #[test_case(Conditions { is_stopping: true, ..PLAIN } => Some(HoldReason::Stopping); "stop")]
 #[test_case(Conditions { is_output_blocked: true, ..PLAIN } => Some(HoldReason::OutputBlocked); "unread responses")]
-#[test_case(Conditions { has_connection_memory: false, ..PLAIN } => Some(HoldReason::NoMemory); "no memory for connections")]
-#[test_case(Conditions { has_body_memory: false, ..PLAIN } => Some(HoldReason::NoMemory); "no memory for bodies")]
+#[test_case(Conditions { is_connection_memory_half_free: false, ..PLAIN } => Some(HoldReason::MemoryHalfUsed); "no memory for connections")]
+#[test_case(Conditions { is_body_memory_half_free: false, ..PLAIN } => Some(HoldReason::MemoryHalfUsed); "no memory for bodies")]
 fn reason_to_wait(conditions: Conditions) -> Option<HoldReason> {
     conditions.hold_reason()
 }
