--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -29,6 +29,16 @@
 /// head. `buf` keeps what was read behind it. A response whose body breaks off is returned as such if
 /// `in_part`.
 pub fn read_message(stream: &mut TcpStream, buf: &mut Vec<u8>, in_part: bool) -> Option<Message> {
+    read_message_with(stream, buf, in_part, |_| ())
+}
+
+/// Like [`read_message`], and calls `on_head` when the head has been read.
+pub fn read_message_with(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    in_part: bool,
+    on_head: impl FnOnce(&Message),
+) -> Option<Message> {
     let end = loop {
         if let Some(at) = buf.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
             break at + 4;
@@ -51,6 +61,7 @@
         body: Vec::new(),
         is_whole: true,
     };
+    on_head(&message);
     if message
         .header("transfer-encoding")
         .eq_ignore_ascii_case("chunked")
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -47,6 +47,7 @@
         "parts" => recovery(&record, trouble, Foreign::OtherPart),
         "preset" => preset(&record, trouble),
         "slow" => slow_readers(&record, trouble),
+        "upload" => upload(&record, trouble),
         _ => 2,
     });
     exit(result.unwrap_or(2));
@@ -348,3 +349,101 @@
         sleep(interval);
     }
 }
+
+/// Size of a long request.
+const UPLOAD_BYTES: usize = 4_000_000;
+/// How long an endpoint does not read a long request.
+const READ_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time limit of the route and the clients of long requests, in seconds.
+const UPLOAD_LIMIT_S: f64 = 6.0;
+
+/// Stops a daemon while an endpoint reads long requests slowly, if `trouble`.
+fn upload(record: &str, trouble: bool) -> i32 {
+    let world = Arc::new(World::new(2));
+    let text = config(5, 2.0, "wuno96b").replace(
+        "\"timeout_s\":1.2",
+        &format!("\"timeout_s\":{UPLOAD_LIMIT_S}"),
+    );
+    world.configure(&text);
+    Endpoint::start("i-02d9e6b4", "kafi81c", 400, &world);
+    let pause = if trouble { READ_PAUSE } else { Duration::ZERO };
+    for id in ["i-7f3a91c2", "i-9be04d18"] {
+        Endpoint::start_pausing(id, "wuno96b", 400, pause, &world);
+    }
+    let log = world.record.clone();
+    world.start_daemons();
+    world.start_load_balancer();
+    if !world.wait_until_ready(Duration::from_secs(15)) {
+        world.end();
+        return 2;
+    }
+    sleep(Duration::from_secs(5));
+    let daemon = Arc::clone(&world.daemons[0]);
+    daemon.signal("TERM");
+    log.add(format!("platform  sends SIGTERM to {}", daemon.name));
+    sleep(Duration::from_millis(300));
+    let uploads: Vec<_> = (0..4)
+        .map(|_| {
+            let (world, daemon) = (Arc::clone(&world), Arc::clone(&daemon));
+            thread::spawn(move || {
+                let mut stream = TcpStream::connect(daemon.front).expect("the daemon accepts");
+                let id = world.new_id();
+                let head = format!(
+                    "POST {} HTTP/1.1\r\nHost: {}\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
+                     Content-Length: {UPLOAD_BYTES}\r\n\r\n",
+                    CLEARANCE.path,
+                    CLEARANCE.host,
+                    UPLOAD_LIMIT_S * 1_000.0
+                );
+                let begun = Instant::now();
+                world.record.add(format!(
+                    "sent      {id} POST {} to {}",
+                    CLEARANCE.path, daemon.name
+                ));
+                let request = [head.as_bytes(), &vec![b'.'; UPLOAD_BYTES]].concat();
+                http::write_all(&mut stream, &request).ok()?;
+                let answer = http::read_message(&mut stream, &mut Vec::new(), false);
+                let (status, text) = answer.map_or_else(Default::default, |answer| {
+                    (
+                        answer.target,
+                        String::from_utf8_lossy(&answer.body).trim().to_owned(),
+                    )
+                });
+                let text = if text.starts_with('.') {
+                    "(the endpoint's bytes)"
+                } else {
+                    &text
+                };
+                let after = begun.elapsed();
+                world
+                    .record
+                    .add(format!("answered  {id} {status:?} {text} after {after:?}"));
+                Some((id, status))
+            })
+        })
+        .collect();
+    let answers: Vec<Option<(String, String)>> = uploads
+        .into_iter()
+        .map(|upload| upload.join().ok().flatten())
+        .collect();
+    world.add_logs(&["Attempt failed", "Stopping", "Stopped"], 8);
+    world.end();
+    let begun = log.texts("begun");
+    let is_lost = |(id, status): &&(String, String)| {
+        let is_promise = ["429", "503", "408", "421"].contains(&&**status);
+        status != "200" && !is_promise && begun.iter().any(|text| text.contains(id.as_str()))
+    };
+    let lost = answers.iter().flatten().filter(is_lost).count();
+    log.add(format!(
+        "{lost} of {} requests were broken off while their endpoint was at work",
+        answers.len()
+    ));
+    let verdict = if answers.contains(&None) {
+        2
+    } else {
+        i32::from(lost > 0)
+    };
+    log.add(format!("verdict   {verdict}"));
+    log.write(Path::new(record));
+    verdict
+}
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -18,6 +18,8 @@
 
 /// Time in which an endpoint works on a request.
 const WORK: Duration = Duration::from_millis(20);
+/// Size from which a request is long, in bytes.
+const LONG_BYTES: usize = 1_000_000;
 /// Longest time that a case takes.
 const LONGEST: Duration = Duration::from_secs(100);
 /// Signature of the endpoints' responses.
@@ -47,6 +49,16 @@
         self.lines.lock().unwrap().push((at, text.into()));
     }
 
+    /// The lines that begin with `start`.
+    pub fn texts(&self, start: &str) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        let texts = lines.iter().map(|(_, text)| text);
+        texts
+            .filter(|text| text.starts_with(start))
+            .cloned()
+            .collect()
+    }
+
     /// Writes all lines to a file.
     pub fn write(&self, path: &Path) {
         let mut lines = self.lines.lock().unwrap().clone();
@@ -75,11 +87,25 @@
     pub service: String,
     pub addr: SocketAddr,
     born: u128,
+    /// How long it reads nothing once it has the head of a long request.
+    pub pause: Duration,
 }
 
 impl Endpoint {
     /// Starts an endpoint whose responses have `body_bytes`, and registers it.
     pub fn start(id: &str, service: &str, body_bytes: usize, world: &World) -> Self {
+        Self::start_pausing(id, service, body_bytes, Duration::ZERO, world)
+    }
+
+    /// Like [`Self::start`], for one that reads nothing for `pause` once it has the head of a long
+    /// request.
+    pub fn start_pausing(
+        id: &str,
+        service: &str,
+        body_bytes: usize,
+        pause: Duration,
+        world: &World,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let endpoint = Self {
             id: id.into(),
@@ -89,6 +115,7 @@
                 .duration_since(UNIX_EPOCH)
                 .expect("a clock")
                 .as_millis(),
+            pause,
         };
         let (record, runs, served) = (world.record.clone(), world.runs.clone(), endpoint.clone());
         thread::spawn(move || {
@@ -115,7 +142,18 @@
     fn serve(&self, mut stream: TcpStream, body_bytes: usize, record: &Record, runs: &Runs) {
         let _ = stream.set_nodelay(true);
         let mut buf = Vec::new();
-        while let Some(req) = http::read_message(&mut stream, &mut buf, false) {
+        let on_head = |req: &http::Message| {
+            let length = req.header("content-length").parse().unwrap_or(0);
+            if length >= LONG_BYTES {
+                let id = req.header("request-id");
+                record.add(format!(
+                    "begun     {id} by {}, {length} bytes announced",
+                    self.id
+                ));
+                thread::sleep(self.pause);
+            }
+        };
+        while let Some(req) = http::read_message_with(&mut stream, &mut buf, false, on_head) {
             let id = req.header("request-id").to_owned();
             let expected = req.header("expect-instance");
             let (status, extra, body) = if req.target == "/healthz" {
