Operator tool: build queries in one place

Cause: each command of the operator's tool put its query together by hand, with an escape function that the platform's adapter could not reach. Change: escape moves to the module uri, beside a function that builds a path with a query.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod store;
 pub mod table;
 pub mod target_api;
+pub mod uri;
 pub mod world;
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -7,18 +7,11 @@
 };
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, time::Duration};
 
 /// Time limit for a report, per daemon.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
-/// Bytes that are escaped in path segments and query values: all but the unreserved ones of RFC 3986.
-const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
-    .remove(b'-')
-    .remove(b'_')
-    .remove(b'.')
-    .remove(b'~');
 /// Time limit for a change; the daemon resolves an in-doubt write within 5 s.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -138,8 +131,3 @@
     serde_json::from_slice::<ErrorReport>(body)
         .map_or_else(|_| status.to_string(), |report| report.error)
 }
-
-/// Percent-encodes `text` for a path segment or a query value.
-pub fn escape(text: &str) -> String {
-    utf8_percent_encode(text, ESCAPED).to_string()
-}
--- a/src/operator/commands.rs
+++ b/src/operator/commands.rs
@@ -1,7 +1,7 @@
 //! Runs the commands of the operator's tool.
 
 use super::{
-    client::{ClientError, OperatorClient, escape},
+    client::{ClientError, OperatorClient},
     exit::Exit,
     options::{
         AssignmentCommand, ChangeArgs, Command, ConfigCommand, HistoryArgs, Options, PresetCommand,
@@ -16,6 +16,7 @@
     config::{Change, ChangeOutcome, ChangeRequest},
     declaration::{Declaration, difference},
     membership::MemberState,
+    uri,
 };
 use http::StatusCode;
 use serde_json::{Value, json};
@@ -283,10 +284,9 @@
     }
 
     async fn locate(&self, key: &str, service: Option<&str>) -> Result<Exit, Failure> {
-        let mut path = format!("/assignment/where?key={}", escape(key));
-        if let Some(service) = service {
-            path += &format!("&service={}", escape(service));
-        }
+        let mut query = vec![("key", key)];
+        query.extend(service.map(|service| ("service", service)));
+        let path = uri::with_query("/assignment/where", &query);
         let report: KeyReport = self.client.get(&path).await?;
         self.output.print(&report, || output::key(&report));
         Ok(Exit::Done)
@@ -299,17 +299,17 @@
     }
 
     async fn history(&self, args: HistoryArgs) -> Result<Exit, Failure> {
-        let mut path = format!("/config/history?limit={}", args.limit);
-        if let Some(before) = args.before {
-            path += &format!("&before={before}");
-        }
+        let (limit, before) = (args.limit.to_string(), args.before.map(|n| n.to_string()));
+        let mut query = vec![("limit", &*limit)];
+        query.extend(before.as_deref().map(|before| ("before", before)));
+        let path = uri::with_query("/config/history", &query);
         let records: Vec<AuditRecord> = self.client.get(&path).await?;
         self.output.print(&records, || output::records(&records));
         Ok(Exit::Done)
     }
 
     async fn explain(&self, reference: &str) -> Result<Exit, Failure> {
-        let path = format!("/explain/{}", escape(reference));
+        let path = format!("/explain/{}", uri::escape(reference));
         let mut explanation: Value = self.client.get(&path).await?;
         // Only the daemon that refused the request keeps its details, and only for a limited time.
         if let Some(daemon) = details_at(&explanation)
--- a/src/operator/route.rs
+++ b/src/operator/route.rs
@@ -1,13 +1,16 @@
 //! The command that explains where a request would go.
 
 use super::{
-    client::{ClientError, OperatorClient, escape},
+    client::{ClientError, OperatorClient},
     options::RouteArgs,
     output::table,
 };
-use crate::gateway::status::explain_route::report::{
-    DataAges, EndpointRestriction, EndpointState, MatchedRoute, OwnedKey, RequestOutcome,
-    RouteExplanation,
+use crate::{
+    gateway::status::explain_route::report::{
+        DataAges, EndpointRestriction, EndpointState, MatchedRoute, OwnedKey, RequestOutcome,
+        RouteExplanation,
+    },
+    uri,
 };
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -82,25 +85,22 @@
 }
 
 fn path_of(args: &RouteArgs) -> String {
-    let mut path = format!(
-        "/explain-route?host={}&path={}&method={}&body_bytes={}",
-        escape(&args.host),
-        escape(&args.path),
-        escape(&args.method),
-        args.body_bytes
-    );
+    let body_bytes = args.body_bytes.to_string();
     let deadline = args.deadline_ms.map(|ms| ms.to_string());
+    let mut query = vec![
+        ("host", &*args.host),
+        ("path", &*args.path),
+        ("method", &*args.method),
+        ("body_bytes", &*body_bytes),
+    ];
     let optional = [
-        ("key", args.key.as_ref()),
-        ("deadline_ms", deadline.as_ref()),
-        ("service", args.service.as_ref()),
+        ("key", args.key.as_deref()),
+        ("deadline_ms", deadline.as_deref()),
+        ("service", args.service.as_deref()),
     ];
-    for (name, value) in optional {
-        if let Some(value) = value {
-            path += &format!("&{name}={}", escape(value));
-        }
-    }
-    path
+    let given = optional.into_iter();
+    query.extend(given.filter_map(|(name, value)| Some((name, value?))));
+    uri::with_query("/explain-route", &query)
 }
 
 /// The answers as text.
