Responses: a status outside 200 to 599 is no final response

What callers saw: a status of 600 to 999, or a 101 that nobody asked for, from an endpoint in trouble reached them as its answer, also on routes whose requests could have been sent to another endpoint. A status of 000 to 099 did not: the HTTP parser ends the connection there, and callers get 502.

Cause: http::StatusCode takes all of 100 to 999, and the gateway checked the request id and the signature only.

Evidence: the new table of malformed responses. Of its cases on the code before, those of 600, 999 and 101 failed, and 000, 001, 099, two and four digits, other versions, bytes before the status line and lengths that differ passed.

The same on related paths: a grant that was answered with such a status counted as rejected, though the endpoint may hold the keys; it is in doubt now. The router of the product's own daemon forwarded it; its code is answer-malformed now. The store's and the health checks' statuses are compared with single values, so nothing changes there but the error.

Why this works: the head is checked before anything is taken from it. The request may have run, so it is not refused as not run, and the connection is closed.

A length beside chunks is left as it is: the parser lets chunks go before and drops the length, as RFC 9112, section 6.3, allows.

Result: malformed_responses_reach_no_caller failed in 4 cases, idempotent_requests_are_retried_after_a_malformed_response in 2, non_idempotent_request_is_sent_once in 2 and only_a_valid_response_rejects_a_grant in 2 before; all pass.

--- a/src/gateway/command_connections.rs
+++ b/src/gateway/command_connections.rs
@@ -6,7 +6,7 @@
     platform::GrantConnection,
     send::{READY_TIMEOUT, closes_connection, keep_alive_timeout},
 };
-use crate::{collections::Map, http_client::HttpError};
+use crate::{collections::Map, http_client::HttpError, response_head};
 use bytes::Bytes;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -175,6 +175,7 @@
         }
     };
     let (parts, body) = response.into_parts();
+    response_head::check(&parts).map_err(|e| HttpError::Incomplete(e.to_string()))?;
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|e| HttpError::Incomplete(e.to_string()))?;
     let response = Response::from_parts(parts, body.to_bytes());
--- a/src/gateway/forward/outcome.rs
+++ b/src/gateway/forward/outcome.rs
@@ -63,6 +63,7 @@
         Exchange::MayHaveRun(
             MayHaveRun::ConnectionLost
             | MayHaveRun::Mismatch
+            | MayHaveRun::Malformed
             | MayHaveRun::Truncated
             | MayHaveRun::TooLarge
             | MayHaveRun::Endless,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,7 +9,10 @@
     platform::HeaderNames,
     rate_limit,
 };
-use crate::clock::{Clock, Millis};
+use crate::{
+    clock::{Clock, Millis},
+    response_head,
+};
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
@@ -75,6 +78,8 @@
     ConnectionLost,
     /// The response echoes another request id, or lacks its signature.
     Mismatch,
+    /// The response is not valid in HTTP.
+    Malformed,
     /// The response body was incomplete.
     Truncated,
     /// The response body exceeded the size limit or the memory that is left.
@@ -248,6 +253,11 @@
             }
         }
     };
+    let (parts, body) = response.into_parts();
+    if response_head::check(&parts).is_err() {
+        return Exchange::MayHaveRun(MayHaveRun::Malformed);
+    }
+    let response = Response::from_parts(parts, body);
     let reported = load_header::read(response.headers(), names);
     slot.load = reported.load;
     if reported.load.is_some() {
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for control traffic: the platform, grants, health checks and the operator port.
 
+use crate::response_head;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -156,6 +157,7 @@
             }
         })?;
         let (parts, body) = response.into_parts();
+        response_head::check(&parts).map_err(|e| HttpError::Incomplete(e.to_string()))?;
         let body = Limited::new(body, MAX_RESPONSE_BYTES)
             .collect()
             .await
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ownership;
 pub mod partition;
 pub mod peer;
+pub mod response_head;
 pub mod routing;
 pub mod store;
 pub mod table;
--- a/src/routing/exchange.rs
+++ b/src/routing/exchange.rs
@@ -5,7 +5,10 @@
     refusal::Code,
     request::{MAX_BODY_BYTES, end_to_end_headers},
 };
-use crate::target_api::{NOT_RUN, NotRunReason, REQUEST_ID};
+use crate::{
+    response_head,
+    target_api::{NOT_RUN, NotRunReason, REQUEST_ID},
+};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -57,6 +60,7 @@
 /// Reads the complete response and checks that it echoes the request id `id`.
 async fn read_response(response: Response<Incoming>, id: &str) -> Result<TargetResponse, Code> {
     let (parts, body) = response.into_parts();
+    response_head::check(&parts).map_err(|_| Code::AnswerMalformed)?;
     let mut echoes = parts.headers.get_all(REQUEST_ID).iter();
     if echoes.next().is_none_or(|echo| echo != id) || echoes.next().is_some() {
         return Err(Code::AnswerMismatch);
--- a/src/routing/refusal.rs
+++ b/src/routing/refusal.rs
@@ -94,6 +94,8 @@
     AnswerTooLarge,
     /// The response carries the id of another request, or none.
     AnswerMismatch,
+    /// The response is not valid in HTTP.
+    AnswerMalformed,
     /// An earlier request with the same idempotency key has no recorded response.
     AnswerPending,
     /// The response to an earlier request with the same idempotency key was too large to record.
@@ -112,6 +114,7 @@
             | Self::AnswerTruncated
             | Self::AnswerTooLarge
             | Self::AnswerMismatch
+            | Self::AnswerMalformed
             | Self::AnswerPending
             | Self::AnswerNotKept
             | Self::Internal => OutcomeKind::Unknown,
@@ -182,6 +185,7 @@
             Self::AnswerMismatch => {
                 "The server sent the answer to another request; it may have acted on this one."
             }
+            Self::AnswerMalformed => "The server sent no valid answer; it may have acted.",
             Self::AnswerPending => {
                 "An earlier request with this idempotency key has no recorded answer; it may have run."
             }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod lives_observed;
 mod load_header;
 mod lost_owner;
+mod malformed_responses;
 mod owners;
 mod patience;
 mod pause;
--- a/tests/routing/fake_target.rs
+++ b/tests/routing/fake_target.rs
@@ -40,6 +40,8 @@
     Close,
     /// Responds with a body of this many bytes.
     Large(usize),
+    /// Sends this text, with the request's id for `ID`.
+    Sends(&'static str),
 }
 
 /// How the target handles a connection.
@@ -229,6 +231,7 @@
         Reply::WithoutLength => (format!("{start}\r\npart"), false),
         Reply::Twice => (ok(id, "first") + &ok(id, "surplus"), true),
         Reply::Close => (String::new(), false),
+        Reply::Sends(text) => (text.replace("ID", id), true),
         Reply::Large(size) => (ok(id, &"x".repeat(size)), true),
     };
     stream.write_all(text.as_bytes()).await.is_ok() && open
