--- a/src/gateway/controller/writes.rs
+++ b/src/gateway/controller/writes.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::Millis,
     gateway::{
-        controller_lease::{LeaseRow, STOP_AFTER},
+        controller_lease::{LEASE_ROW, LeaseRow, STOP_AFTER},
         owners::Owners,
         platform::{RowWrite, Table, WriteOutcome},
     },
@@ -12,8 +12,6 @@
 };
 use std::sync::Arc;
 
-/// Name of the controller lease row.
-pub const LEASE_ROW: &str = "controller";
 /// Delay after a write that the store refused or did not answer.
 const RETRY_DELAY: Millis = Millis(150);
 /// Delay after a takeover that the store refused or did not answer. It is longer because all
--- a/src/gateway/controller_lease.rs
+++ b/src/gateway/controller_lease.rs
@@ -20,6 +20,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Name of the controller lease row.
+pub const LEASE_ROW: &str = "controller";
 /// Interval between renewals.
 pub const RENEWAL_INTERVAL: Millis = Millis(800);
 /// Time without a change of the row after which another daemon takes the lease over.
