Controller lease: only the row of that name is the lease

What callers would see: 503 for all requests for keys from daemons that start, and a daemon that never becomes ready, for as long as a row of another writer stands in the table of the lease.

Cause: the first row of the table was taken for the lease, and one that cannot be decoded for a holder that is alive while the row changes. Owners are read by their names and skip what cannot be decoded; they are not affected.

Why this works: the row is looked up by its name. Changes of other rows alone are no news of the lease, while a whole read without the row still says that there is none.

Result: keys_are_assigned_beside_rows_of_other_writers failed before in 2 of 4 cases ("the daemon is not ready") and passes.

--- a/src/gateway/control/actions.rs
+++ b/src/gateway/control/actions.rs
@@ -4,7 +4,7 @@
     clock::{Clock, Millis},
     gateway::{
         controller::{Action, COMMAND_TIMEOUT, Event},
-        controller_lease::LeaseRow,
+        controller_lease::{LEASE_ROW, LeaseRow},
         owners::Owners,
         platform::{GrantOutcome, Platform, ReleaseOutcome, Rows, StoredRow, Table, WriteOutcome},
         store_version::{era_of, store_version},
@@ -63,9 +63,14 @@
     }
 }
 
-/// The event for the controller lease row in `rows`.
+/// The controller lease row in `rows`, which may be those of other writers as well.
+pub(super) fn lease_row(rows: &Rows) -> Option<&StoredRow> {
+    rows.rows.iter().find(|row| *row.name == *LEASE_ROW)
+}
+
+/// The event for the controller lease row in `rows`, or for none if they are without it.
 pub(super) fn lease_event(rows: &Rows) -> Event {
-    let Some(row) = rows.rows.first() else {
+    let Some(row) = lease_row(rows) else {
         return Event::Lease(store_version(era_of(rows.version), 0), None);
     };
     let lease = row.value.as_ref().and_then(|value| {
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Control,
-    actions::{decode_owners, lease_event},
+    actions::{decode_owners, lease_event, lease_row},
 };
 use crate::{
     clock::Millis,
@@ -46,7 +46,7 @@
             }
             _ if update.is_empty() => return,
             Table::Owners => self.apply_owner_rows(&update.rows),
-            Table::Controller => self.apply_lease(&update.rows),
+            Table::Controller => self.apply_lease(update),
         }
         self.publish();
     }
@@ -226,9 +226,12 @@
         is_newer
     }
 
-    fn apply_lease(&mut self, rows: &Rows) {
+    fn apply_lease(&mut self, update: &TableUpdate) {
+        if !update.is_snapshot && lease_row(&update.rows).is_none() {
+            return;
+        }
         let now = self.cx.clock.now();
-        let event = lease_event(rows);
+        let event = lease_event(&update.rows);
         self.controller.handle(event, now);
     }
 }
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -203,7 +203,8 @@
         Ok(())
     }
 
-    fn put(&self, table: Table, name: &str, value: &str) {
+    /// Writes a row.
+    pub fn put(&self, table: Table, name: &str, value: &str) {
         self.set(table, name, Some(Bytes::from(value.to_owned())));
     }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod fake_endpoint;
 mod fake_platform;
 mod foreign_entries;
+mod foreign_rows;
 mod handover;
 mod hedged_requests;
 mod hot_keys;
