Endpoints: one that reads with a pause is not taken for lost

Cause: TCP_USER_TIMEOUT (0.9 s) also ends a connection whose peer acknowledges every probe of its closed receive window.

Why this works: the time-out is long only while more than 16 KiB were written since the endpoint last sent something, the case in which its window can be closed. The machine's loss is found out by attempts to connect in that case.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -1,5 +1,6 @@
 //! Pool of HTTP/1.1 connections to one endpoint. Each connection carries one exchange at a time.
 
+mod endpoint_stream;
 mod open;
 
 use super::idle::{IdleLimit, MAX_IDLE};
@@ -7,6 +8,8 @@
     CONNECT_TIMEOUT, KEEPALIVE_INTERVAL, KEEPALIVE_RETRIES, TCP_USER_TIMEOUT,
 };
 use bytes::Bytes;
+use endpoint_stream::EndpointStream;
+pub use endpoint_stream::MIN_RECEIVE_WINDOW;
 use http::HeaderValue;
 use http_body_util::Full;
 use hyper::client::conn::http1;
@@ -24,7 +27,7 @@
 };
 use tokio::{
     net::TcpStream,
-    time::{Instant, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 /// Sending half of a connection.
@@ -37,6 +40,10 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
 /// Size of a connection's read buffer, which bounds the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Time between attempts to connect while it is unclear whether the endpoint's machine is there.
+const PROBE_INTERVAL: Duration = TCP_USER_TIMEOUT;
+/// Unanswered attempts in a row after which it counts as gone.
+const MAX_UNANSWERED_PROBES: u32 = 2;
 /// Most idle connections in a pool.
 const MAX_POOLED: usize = 8;
 /// All daemons together keep at most one in this many of the connections that an endpoint accepts
@@ -198,9 +205,9 @@
         let connecting = TcpStream::connect(self.addr);
         let stream = timeout(left.min(CONNECT_TIMEOUT), connecting).await??;
         self.counts.opened.fetch_add(1, Ordering::Relaxed);
-        enable_loss_detection(&stream)?;
+        let stream = EndpointStream::new(stream)?;
         if self.close_mode == CloseMode::Reset {
-            SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+            stream.reset_on_close()?;
         }
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -221,6 +228,26 @@
         })
     }
 
+    /// Completes when the machine at the address is gone: it neither takes nor refuses connections. An
+    /// endpoint that only reads nothing is waited for.
+    pub async fn wait_until_lost(&self) {
+        let mut unanswered = 0;
+        while unanswered < MAX_UNANSWERED_PROBES {
+            sleep(if unanswered > 0 {
+                Duration::ZERO
+            } else {
+                PROBE_INTERVAL
+            })
+            .await;
+            match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await {
+                Err(_) => unanswered += 1,
+                Ok(Err(e)) if is_unreachable(e.kind()) => unanswered += 1,
+                // Other errors are of a peer that is there, or of this process.
+                Ok(_) => unanswered = 0,
+            }
+        }
+    }
+
     /// Returns a connection to the pool after an exchange, or drops it if the pool is full or too
     /// many requests were rejected on it.
     ///
@@ -254,6 +281,15 @@
     }
 }
 
+fn is_unreachable(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::TimedOut
+    )
+}
+
 /// Enables the TCP user time-out and keep-alive probes, so that the system reports a peer that is
 /// lost without closing the connection, however long the endpoint takes to respond.
 pub fn enable_loss_detection(stream: &TcpStream) -> io::Result<()> {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -3,7 +3,7 @@
 use super::{
     backend::{Backend, ExchangeOutcome, Load},
     body_memory::{BodyError, BodyMemory},
-    connection::PooledConnection,
+    connection::{MIN_RECEIVE_WINDOW, PooledConnection},
     cost::{RequestClass, WorkId},
     leaving, load_header, pause,
     platform::HeaderNames,
@@ -239,6 +239,9 @@
             () = too_many_informational.notified() => {
                 return Exchange::MayHaveRun(MayHaveRun::Endless);
             }
+            () = backend.pool.wait_until_lost(), if out.body.len() > MIN_RECEIVE_WINDOW => {
+                return Exchange::MayHaveRun(MayHaveRun::ConnectionLost);
+            }
         };
         match sent {
             Ok(response) => break (sender, rejected, idle.is_some(), now, response),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -59,6 +59,7 @@
 mod routes;
 mod sent_ahead;
 mod simulation;
+mod slow_endpoints;
 mod stop;
 mod stop_schedule;
 mod table_watch;
