--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod daemon;
 mod decoders;
 mod endless;
+mod endpoint_names;
 mod endpoint_set;
 mod endpoint_set_load;
 mod evacuation;
