Endpoints: say plainly when an attempt to connect waits

Cause: a sleep of no time stood for none. Change: the wait stands under its condition, and a function has its comment. Result: slow_endpoints passes; no change of behaviour.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -233,12 +233,9 @@
     pub async fn wait_until_lost(&self) {
         let mut unanswered = 0;
         while unanswered < MAX_UNANSWERED_PROBES {
-            sleep(if unanswered > 0 {
-                Duration::ZERO
-            } else {
-                PROBE_INTERVAL
-            })
-            .await;
+            if unanswered == 0 {
+                sleep(PROBE_INTERVAL).await;
+            }
             match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await {
                 Err(_) => unanswered += 1,
                 Ok(Err(e)) if is_unreachable(e.kind()) => unanswered += 1,
@@ -281,6 +278,7 @@
     }
 }
 
+/// Whether an attempt to connect failed because the machine did not answer it.
 fn is_unreachable(kind: io::ErrorKind) -> bool {
     matches!(
         kind,
