Tests: a late copy is tested on a request that is sent

Cause, traced by counting what arrives at the endpoint: in each failing run of the trial the first request had 6 attempts in place of 5. The pace that follows so many rejections, drawn at random, did not let the second one be sent within 0.6 s, so it was refused without being sent: no request and no connection arrived for it. The 503 was true. The test took for granted that the request is sent. Change: the test sends the request until one arrives, checks that each refusal before was one without a run, and also that the request used a kept connection, which it did not check before.

--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -308,9 +308,19 @@
     // Each attempt is the first one on a connection, and is rejected.
     let response = daemon.send("/unsafe/1").await;
     assert_eq!((response.status().as_u16(), endpoints[0].runs()), (503, 0));
-    // The next request uses one of these connections.
-    let response = daemon.send_as("id-2", "/unsafe/1").await;
+    // The next request that is sent uses one of these connections. Sends are paced after rejections.
+    let (connections, arrivals) = (endpoints[0].connections(), endpoints[0].arrivals());
+    let end = Instant::now() + TIMEOUT;
+    let response = loop {
+        let response = daemon.send_as("id-2", "/unsafe/1").await;
+        if endpoints[0].arrivals() > arrivals {
+            break response;
+        }
+        assert_eq!((response.status().as_u16(), endpoints[0].runs()), (503, 0));
+        assert!(Instant::now() < end, "no request is sent");
+    };
     assert_eq!((response.status().as_u16(), endpoints[0].runs()), (502, 1));
+    assert_eq!(endpoints[0].connections(), connections);
 }
 
 /// Guards against rejections without `Retry-After`, and against rejections that are delayed.
