Endpoints: wait for a missing entry only after an outage that lets it lapse

Cause: a removal that was read in the first successful call after a failed one counted as a loss by the store and was put off by a fixed 2.1 s, by the daemon that read it and, through its reply to reports, by all others. One failed call of the controller was enough. An entry lapses only after three heartbeat intervals of silence, so a short failure explains no lapse, and the wait ignored the drain time. Related: 1.5 s more where half of all entries vanish at once; a new controller's call that is held for 2 s; a late response to a call that is not held.

Change: gateway::removal decides from one budget, the drain time less the sending margin since the endpoints were last known. The 2.1 s run from the end of an outage that this daemon noticed, in which an entry can lapse and no daemon can have read the store. gateway::store_contact keeps for how long the store gave no answer. The log line names both.

--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -20,13 +20,15 @@
     load_stats::LoadStats,
     model::EndpointInstance,
     pause::ReportedPauses,
-    platform::{Platform, Table},
+    platform::{Platform, Table, WriteOutcome},
     rate_limit::{
         PermitReply, PermitRequest,
         issuer::{AskId, PermitIssuer},
     },
     registry::Registry,
     relative_latency::RelativeLatencies,
+    removal::RemovalRule,
+    store_contact::StoreContact,
     table_watch::TableUpdate,
     view::{View, ViewBuilder},
 };
@@ -52,6 +54,7 @@
     sync::{mpsc, oneshot, watch},
     time::sleep,
 };
+pub use watches::read_by_others;
 use watches::{Watches, start_watch};
 
 /// Capacity of the channel from the tasks of the control thread to its main loop.
@@ -84,6 +87,8 @@
     pub daemons: Arc<AtomicUsize>,
     /// Time for which a leaving endpoint continues to serve.
     pub drain_time: Millis,
+    /// When endpoints are removed whose entries are missing.
+    pub removals: RemovalRule,
     /// Processor time that the daemon may use, in cores.
     pub cores: f64,
 }
@@ -131,7 +136,8 @@
 ) {
     let (tx, mut rx) = mpsc::channel(CHANNEL_CAPACITY);
     let store_fails = Arc::new(watch::Sender::new(false));
-    let start_watch = |table| start_watch(&cx, &platform, table, &store_fails, &tx);
+    let contact = Arc::new(StoreContact::default());
+    let start_watch = |table| start_watch(&cx, &platform, table, &store_fails, &contact, &tx);
     let watches = Watches {
         declarations: start_watch(Table::Declarations),
         endpoints: start_watch(Table::Endpoints),
@@ -140,6 +146,7 @@
     };
     let mut control = Control {
         store_fails: store_fails.subscribe(),
+        contact,
         peers: PeerClient::default(),
         cx,
         platform,
@@ -254,6 +261,8 @@
     watches: Watches,
     /// Whether the store does not answer this daemon.
     store_fails: watch::Receiver<bool>,
+    /// When the store answered this daemon.
+    contact: Arc<StoreContact>,
     /// The endpoints as received from the store or from the controller.
     registry: Registry,
     /// The registered instance of each endpoint name.
@@ -319,6 +328,9 @@
                     let known = Event::KnownOwners(self.builder.owners());
                     self.controller.handle(known, now);
                 }
+                if let Event::Written(_, WriteOutcome::Committed(_)) = &event {
+                    self.contact.record_answer(now);
+                }
                 self.controller.handle(event, now);
             }
             Input::Reply(reply) => self.handle_reply(reply.map(|reply| *reply)),
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -375,6 +375,7 @@
             let as_of = replied_at - update.age;
             let since = self.known_as_of();
             self.controller_as_of = self.controller_as_of.max(as_of);
+            self.contact.record_answer(as_of);
             let version = update.changes.version;
             self.apply_endpoints(update.changes, since);
             // The controller defers no removals, so the store failed for this daemon alone, and the
--- a/src/gateway/control/updates.rs
+++ b/src/gateway/control/updates.rs
@@ -12,23 +12,13 @@
         owners::Owners,
         platform::{Platform, Rows, StoredRow, Table},
         registry::{EndpointChange, EndpointChanges, Registration},
+        removal::{MissingEntry, is_mass_removal},
         table_watch::TableUpdate,
     },
     world::ServiceName,
 };
 use std::sync::{Arc, atomic::Ordering};
 
-/// Delay before entries are removed that vanished while the store failed: endpoints that are alive
-/// register again within 2 s.
-const REMOVAL_DELAY: Millis = Millis(2_100);
-/// Delay before entries are removed that vanished together while the store answered.
-const MASS_REMOVAL_DELAY: Millis = Millis(1_500);
-/// Percentage of all entries that have to vanish at once for the loss to be attributed to a failure
-/// of the store and not of the endpoints.
-const MASS_REMOVAL_PERCENT: usize = 50;
-/// Fewest entries that count as a mass removal.
-const MIN_MASS_REMOVAL: usize = 3;
-
 impl<P: Platform> Control<P> {
     pub(super) fn apply_update(&mut self, update: &TableUpdate) {
         match update.table {
@@ -83,16 +73,18 @@
     fn apply_endpoint_rows(&mut self, update: &TableUpdate) {
         let since = update.since.unwrap_or_else(|| self.known_as_of());
         self.store_as_of = self.store_as_of.max(update.as_of);
+        let now = self.cx.clock.now();
+        let may_have_lapsed = self.cx.removals.may_have_lapsed(&self.contact, now);
         let changes = update.rows.rows.iter().map(|row| EndpointChange {
             name: Arc::clone(&row.name),
             version: row.version,
-            registration: self.registration(row, update.after_failure),
+            registration: self.registration(row, may_have_lapsed),
         });
         let changes = EndpointChanges {
             changes: changes.collect(),
             version: update.rows.version,
             is_snapshot: update.is_snapshot,
-            after_failure: update.after_failure,
+            may_have_lapsed,
         };
         self.apply_endpoints(changes, since);
     }
@@ -102,16 +94,16 @@
         self.store_as_of.max(self.controller_as_of)
     }
 
-    fn registration(&self, row: &StoredRow, after_failure: bool) -> Registration {
+    fn registration(&self, row: &StoredRow, may_have_lapsed: bool) -> Registration {
         if row.value.is_none() {
-            return Registration::Removed { after_failure };
+            return Registration::Removed { may_have_lapsed };
         }
         match self.platform.endpoint(row) {
             Ok(entry) => Registration::Present(entry),
             Err(reason) => {
                 log::warn!(target: "health", row:% = row.name, version = row.version, reason;
                     "Endpoint row is invalid; it is treated as removed.");
-                Registration::Removed { after_failure }
+                Registration::Removed { may_have_lapsed }
             }
         }
     }
@@ -121,6 +113,8 @@
     pub(super) fn apply_endpoints(&mut self, update: EndpointChanges, since: Millis) {
         let now = self.cx.clock.now();
         let is_first = self.registry.version() == 0;
+        let is_restoration = self.registry.is_restored_by(&update);
+        let silence = self.cx.removals.silence(&self.contact, now);
         let changes = self.registry.apply(update);
         let version = self.registry.version();
         self.watches
@@ -130,7 +124,7 @@
         if changes.is_empty() && !is_first {
             return;
         }
-        let mut removed: Vec<(Arc<str>, bool)> = Vec::new();
+        let mut missing: Vec<(Arc<str>, MissingEntry)> = Vec::new();
         for change in changes {
             match change.registration {
                 Registration::Present(entry) => {
@@ -143,13 +137,21 @@
                     }
                     self.builder.register(entry, since, now);
                 }
-                Registration::Removed { after_failure } => {
+                Registration::Removed { may_have_lapsed } => {
                     self.instances.remove(&change.name);
-                    removed.push((change.name, after_failure));
+                    let entry = MissingEntry {
+                        since,
+                        seen_at: now,
+                        may_have_lapsed,
+                        silence,
+                        is_restoration,
+                        is_mass: false,
+                    };
+                    missing.push((change.name, entry));
                 }
             }
         }
-        self.remove_endpoints(&removed, now);
+        self.remove_endpoints(&missing, now);
         self.update_controller_endpoints();
         self.publish();
     }
@@ -162,28 +164,24 @@
         self.relative_latencies.forget(endpoint);
     }
 
-    /// Removes endpoints. Removals that may stem from a failure of the store are deferred, since
-    /// the endpoints may return.
-    fn remove_endpoints(&mut self, removed: &[(Arc<str>, bool)], now: Millis) {
+    /// Removes endpoints whose entries are missing, some of them later.
+    fn remove_endpoints(&mut self, missing: &[(Arc<str>, MissingEntry)], now: Millis) {
+        let Some((first, entry)) = missing.first() else {
+            return;
+        };
         let known = self.builder.confirmed_names().len();
-        let is_mass = removed.len() >= MIN_MASS_REMOVAL
-            && removed.len() * 100 >= known * MASS_REMOVAL_PERCENT;
-        if let Some((first, _)) = removed.first() {
-            let deferred = removed
-                .iter()
-                .filter(|(_, after_failure)| is_mass || *after_failure);
-            log::info!(target: "health", first:% = first, count = removed.len(),
-                deferred = deferred.count(), known, version = self.registry.version();
-                "Endpoint entries are missing.");
-        }
-        for (name, after_failure) in removed {
-            let defer_until = match (after_failure, is_mass) {
-                (true, _) => Some(now + REMOVAL_DELAY),
-                (false, true) => Some(now + MASS_REMOVAL_DELAY),
-                (false, false) => None,
-            };
-            self.builder.remove(name, defer_until, now);
+        let is_mass = is_mass_removal(missing.len(), known);
+        let mut deferred = 0;
+        for (name, entry) in missing {
+            let entry = MissingEntry { is_mass, ..*entry };
+            let until = self.cx.removals.awaited_until(&entry);
+            deferred += usize::from(until.is_some());
+            self.builder.remove(name, until, now);
         }
+        log::info!(target: "health", first:% = first, count = missing.len(), deferred, known,
+            unread_for:% = now.since(entry.since), silence:% = entry.silence.length(),
+            may_have_lapsed = entry.may_have_lapsed, restored = entry.is_restoration, version = self.registry.version();
+            "Endpoint entries are missing.");
     }
 
     /// Passes the present endpoints to the controller.
--- a/src/gateway/control/watches.rs
+++ b/src/gateway/control/watches.rs
@@ -6,6 +6,7 @@
     clock::Millis,
     gateway::{
         platform::{Platform, Table},
+        store_contact::StoreContact,
         table_watch::{self, WatchMode, WatchOptions},
     },
 };
@@ -30,6 +31,19 @@
 /// arrive.
 const DECLARATIONS_RESTART_INTERVAL: Millis = Millis(2_500);
 
+/// Time that a daemon takes to notice that the controller's data are too old and to read the store.
+const OWN_READ_TIME: Millis = Millis(400);
+
+/// Age of the controller's data on endpoints from which they are watched in the store.
+fn max_endpoints_age(drain_time: Millis) -> Millis {
+    Millis(drain_time.0 * MAX_ENDPOINTS_AGE_PERCENT / 100)
+}
+
+/// Age of the known endpoints by which a daemon that reaches the store has read them itself.
+pub fn read_by_others(drain_time: Millis) -> Millis {
+    max_endpoints_age(drain_time) + OWN_READ_TIME
+}
+
 /// A watch on one table of the store.
 pub(super) struct Watch {
     mode: watch::Sender<WatchMode>,
@@ -58,6 +72,7 @@
     platform: &P,
     table: Table,
     store_fails: &Arc<watch::Sender<bool>>,
+    contact: &Arc<StoreContact>,
     tx: &mpsc::Sender<Input>,
 ) -> Watch {
     let (update_tx, mut updates) = mpsc::channel(8);
@@ -69,6 +84,7 @@
         known: Arc::clone(&known),
         daemons: Arc::clone(&cx.daemons),
         store_fails: Arc::clone(store_fails),
+        contact: Arc::clone(contact),
         clock: cx.clock,
     };
     tokio::spawn(table_watch::watch_table(
@@ -126,7 +142,7 @@
         } else {
             mode_unless(replies || !is_unanswered)
         });
-        let max_age = Millis(self.cx.drain_time.0 * MAX_ENDPOINTS_AGE_PERCENT / 100);
+        let max_age = max_endpoints_age(self.cx.drain_time);
         let supplied = replies && now.since(self.controller_as_of) < max_age;
         self.watches.endpoints.set(mode_unless(supplied));
         if std::mem::replace(&mut self.controller_supplies_endpoints, supplied) != supplied {
--- a/src/gateway/leaving.rs
+++ b/src/gateway/leaving.rs
@@ -19,7 +19,7 @@
 const KEYED_LEAVING_GRACE: Millis = Millis(800);
 /// Subtracted from an endpoint's drain time, so that a request reaches the endpoint before the
 /// drain time ends.
-const SENDING_MARGIN: Millis = Millis(600);
+pub(super) const SENDING_MARGIN: Millis = Millis(600);
 
 /// Where a notice comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -18,8 +18,8 @@
     Present(EndpointEntry),
     /// The row was removed, or its content is invalid.
     Removed {
-        /// Whether the call to the store before this observation failed.
-        after_failure: bool,
+        /// Whether the reader could not reach the store for so long that the entry may have lapsed.
+        may_have_lapsed: bool,
     },
 }
 
@@ -43,8 +43,8 @@
     pub version: u64,
     /// Whether these are all endpoints, so that any other endpoint was removed.
     pub is_snapshot: bool,
-    /// Whether the call to the store before this read failed.
-    pub after_failure: bool,
+    /// Whether the reader could not reach the store for so long that missing entries may have lapsed.
+    pub may_have_lapsed: bool,
 }
 
 /// Start time and sequence of an entry, which order the entries under one name.
@@ -75,6 +75,11 @@
         self.version
     }
 
+    /// Whether the store came back from a copy before this update and since the last one.
+    pub fn is_restored_by(&self, update: &EndpointChanges) -> bool {
+        self.version > 0 && era_of(update.version) > era_of(self.version)
+    }
+
     /// Whether there are changes for a daemon that knows the endpoints up to `version`.
     pub fn has_changes_after(&self, version: u64) -> bool {
         self.version > 0 && (self.last_change > version || version < self.removals_dropped_to)
@@ -87,7 +92,7 @@
                 changes: Vec::new(),
                 version: self.version,
                 is_snapshot: false,
-                after_failure: false,
+                may_have_lapsed: false,
             };
         }
         let is_snapshot = version == 0 || version < self.removals_dropped_to;
@@ -108,7 +113,7 @@
             changes: changes.collect(),
             version: self.version,
             is_snapshot,
-            after_failure: false,
+            may_have_lapsed: false,
         }
     }
 
@@ -116,9 +121,8 @@
     /// versions, and only the last one of each endpoint: an entry that was removed and is back in the
     /// same update was not removed for the receiver.
     pub fn apply(&mut self, update: EndpointChanges) -> Vec<EndpointChange> {
+        let is_restoration = update.is_snapshot && self.is_restored_by(&update);
         let mut changes = update.changes;
-        let is_restoration =
-            update.is_snapshot && self.version > 0 && era_of(update.version) > era_of(self.version);
         if update.is_snapshot {
             let in_snapshot: Set<&Arc<str>> = changes.iter().map(|change| &change.name).collect();
             let absent = self.rows.iter().filter(|(name, row)| {
@@ -132,7 +136,7 @@
                     version: update.version,
                     registration: Registration::Removed {
                         // Endpoints whose entries were lost write them again.
-                        after_failure: update.after_failure || is_restoration,
+                        may_have_lapsed: update.may_have_lapsed || is_restoration,
                     },
                 })
                 .collect();
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -11,6 +11,7 @@
     memory_pool::{MemoryPool, MemoryShares},
     platform::Platform,
     rate_limit::{ColdRule, PermitRequest},
+    removal::RemovalRule,
     server,
     status::{self, Status},
     stop::Stop,
@@ -81,6 +82,8 @@
     /// Time for which an endpoint continues to serve after the store has acknowledged that it
     /// leaves.
     pub drain_time: Millis,
+    /// Shortest outage of the store in which the registry entry of a running endpoint lapses.
+    pub min_lapse_outage: Millis,
     /// Time from the store's acknowledgement of an evacuation after which no request may arrive in
     /// the zone.
     pub evacuation_time: Millis,
@@ -121,6 +124,11 @@
         changed,
         daemons: Arc::clone(&daemons),
         drain_time: options.drain_time,
+        removals: RemovalRule {
+            drain_time: options.drain_time,
+            min_lapse_outage: options.min_lapse_outage,
+            read_by_others: control::read_by_others(options.drain_time),
+        },
         cores: options.cores,
     };
     let names = platform.header_names().clone();
--- a/src/gateway/table_watch.rs
+++ b/src/gateway/table_watch.rs
@@ -1,6 +1,9 @@
 //! Watches tables of the store by long polling.
 
-use super::platform::{Changes, Platform, Rows, StoreError, Table};
+use super::{
+    platform::{Changes, Platform, Rows, StoreError, Table},
+    store_contact::StoreContact,
+};
 use crate::clock::{Clock, Millis};
 use std::{
     sync::{
@@ -71,9 +74,11 @@
 
 impl WatchMode {
     /// Whether a call that was made in mode `earlier` is cancelled. Calls that are held for a short
-    /// time are not, because frequent changes of the mode would otherwise let none complete.
+    /// time are not, because frequent changes of the mode would otherwise let none complete. A daemon
+    /// that begins to show others how fresh the data is rarely stops.
     fn cancels_call(self, earlier: Self) -> bool {
-        self == Self::Off || (earlier == Self::Changes && self != earlier)
+        let is_held_long = earlier == Self::Changes || self == Self::Freshness;
+        self == Self::Off || (is_held_long && self != earlier)
     }
 }
 
@@ -117,6 +122,8 @@
     /// Whether the store fails, as set by the watch of declarations. Only that watch calls the
     /// store during a failure, because failing calls cost as much as others.
     pub store_fails: Arc<watch::Sender<bool>>,
+    /// Records the answers of the store.
+    pub contact: Arc<StoreContact>,
     /// Clock of the daemon.
     pub clock: Clock,
 }
@@ -133,6 +140,7 @@
         known,
         daemons,
         store_fails,
+        contact,
         clock,
     } = options;
     let mut store_failing = store_fails.subscribe();
@@ -176,6 +184,10 @@
                 }
             }
         };
+        match &result {
+            Ok(_) => contact.record_answer(clock.now()),
+            Err(_) => contact.record_failure(clock.now()),
+        }
         if table == Table::Declarations {
             let failed = result.is_err();
             store_fails.send_if_modified(|store_failing| {
@@ -190,7 +202,7 @@
                     is_snapshot,
                     after_failure: watcher.record_success(),
                     as_of: called_at,
-                    since: earliest_change(called_at, clock.now()),
+                    since: earliest_change(called_at, clock.now(), hold_time, is_snapshot),
                     rows,
                 };
                 let is_empty = update.is_empty();
@@ -250,10 +262,17 @@
 }
 
 /// Lower bound of the time of the changes in a response to a call made at `called_at`. The store
-/// responds to a held call as soon as there is a change, so a late response bounds their time.
-fn earliest_change(called_at: Millis, now: Millis) -> Option<Millis> {
+/// responds to a held call as soon as there is a change, so a late response bounds their time. Calls
+/// that are not held have late responses only from a slow store.
+fn earliest_change(
+    called_at: Millis,
+    now: Millis,
+    hold_time: Duration,
+    is_snapshot: bool,
+) -> Option<Millis> {
+    let is_held = !is_snapshot && Millis::from(hold_time) > RESPONSE_TIME;
     let waited = now.since(called_at);
-    (waited > RESPONSE_TIME).then(|| now - RESPONSE_TIME)
+    (is_held && waited > RESPONSE_TIME).then(|| now - RESPONSE_TIME)
 }
 
 fn update_pause(table: Table, mode: WatchMode, daemons: usize) -> Duration {
--- a/src/gateway/view/builder.rs
+++ b/src/gateway/view/builder.rs
@@ -205,7 +205,8 @@
         match defer_until {
             Some(until) => {
                 if let Some(known) = self.endpoints.get_mut(name) {
-                    known.removal_due = known.removal_due.or(Some(until));
+                    let due = known.removal_due.map_or(until, |due| due.min(until));
+                    known.removal_due = Some(due);
                 }
             }
             None => {
@@ -385,7 +386,8 @@
                 });
                 let evacuation = evacuations.of(&known.entry.zone);
                 let evacuated = evacuation.map(|evacuation| evacuation.sends_until(keyed));
-                match leaving.into_iter().chain(evacuated).min() {
+                let ends = [leaving, evacuated, known.removal_due];
+                match ends.into_iter().flatten().min() {
                     Some(end) => backend.close_at(end),
                     None => backend.reopen(),
                 }
--- a/tests/gateway/daemon.rs
+++ b/tests/gateway/daemon.rs
@@ -78,6 +78,7 @@
                 window: Millis(10_000),
             },
             drain_time: Millis(2_000),
+            min_lapse_outage: Millis(1_500),
             evacuation_time: Millis(3_000),
             cold_rule: Some(ColdRule {
                 overage: 1.5,
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -102,6 +102,16 @@
         self.is_cut.store(true, Ordering::SeqCst);
     }
 
+    /// Ends the cut.
+    pub fn heal(&self) {
+        self.is_cut.store(false, Ordering::SeqCst);
+    }
+
+    /// Removes the entry of an endpoint.
+    pub fn unregister(&self, name: &str) {
+        self.set(Table::Endpoints, name, None);
+    }
+
     /// Name of the daemon that holds the controller lease.
     pub fn controller(&self) -> Option<String> {
         let rows = self.rows_after(Table::Controller, 0).rows;
--- a/tests/gateway/lives_observed.rs
+++ b/tests/gateway/lives_observed.rs
@@ -205,7 +205,7 @@
             changes: changes.collect(),
             version: version.expect("there are rows"),
             is_snapshot: false,
-            after_failure: false,
+            may_have_lapsed: false,
         };
         for change in registry.apply(changes) {
             if let Registration::Present(entry) = change.registration {
@@ -237,7 +237,7 @@
             changes: vec![change],
             version,
             is_snapshot: false,
-            after_failure: false,
+            may_have_lapsed: false,
         });
         let known = registry.changes_after(0).changes.pop();
         match known.map(|change| change.registration) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -54,6 +54,8 @@
 mod receivers;
 mod registry;
 mod relative_latency;
+mod removal;
+mod removal_daemons;
 mod request_ahead;
 mod request_cost;
 mod restored_store;
--- a/tests/gateway/registry.rs
+++ b/tests/gateway/registry.rs
@@ -49,7 +49,7 @@
             Registration::Present(entry(name, version))
         } else {
             Registration::Removed {
-                after_failure: false,
+                may_have_lapsed: false,
             }
         },
     }
@@ -60,7 +60,7 @@
         changes,
         version,
         is_snapshot,
-        after_failure: false,
+        may_have_lapsed: false,
     }
 }
 
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -134,7 +134,7 @@
         Registration::Present(entry)
     };
     let removed = Registration::Removed {
-        after_failure: false,
+        may_have_lapsed: false,
     };
     EndpointChange {
         name: "e".into(),
@@ -153,7 +153,7 @@
         changes,
         version: store_version(era, number),
         is_snapshot,
-        after_failure: false,
+        may_have_lapsed: false,
     }
 }
 
@@ -207,7 +207,7 @@
     ));
     let changes = registry.apply(update(2, 45, Vec::new(), true));
     let awaited = Registration::Removed {
-        after_failure: true,
+        may_have_lapsed: true,
     };
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].registration, awaited);
--- a/tests/gateway/table_watch.rs
+++ b/tests/gateway/table_watch.rs
@@ -37,6 +37,7 @@
         known: Arc::new(AtomicU64::new(0)),
         daemons: Arc::new(AtomicUsize::new(1)),
         store_fails: Arc::new(watch::Sender::new(false)),
+        contact: Arc::default(),
         clock: Clock::start(),
     };
     tokio::spawn(table_watch::watch_table(platform, options, tx));
@@ -71,6 +72,7 @@
         known: Arc::clone(&known),
         daemons: Arc::new(AtomicUsize::new(1)),
         store_fails: Arc::new(watch::Sender::new(false)),
+        contact: Arc::default(),
         clock: Clock::start(),
     };
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
@@ -107,6 +109,7 @@
         known: Arc::default(),
         daemons: Arc::new(AtomicUsize::new(1)),
         store_fails: Arc::new(watch::Sender::new(false)),
+        contact: Arc::default(),
         clock: Clock::start(),
     };
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
@@ -146,6 +149,7 @@
         known: Arc::default(),
         daemons: Arc::new(AtomicUsize::new(9)),
         store_fails: Arc::new(watch::Sender::new(false)),
+        contact: Arc::default(),
         clock: Clock::start(),
     };
     tokio::spawn(table_watch::watch_table(platform.clone(), options, tx));
