Controller: grant nothing from owners that a restoration left uncertain

Cause: a successor that started after the restoration took the owners that it had just read from the copy for its own knowledge, which switched its wait off; one that ran before, but missed the last holder, renewed its own older owners. Others knew later ones and were not asked. The simulation told every daemon of each write at once, so neither was seen.

Change: owners whose tokens are all from before the era of the store are unconfirmed. They get no grants until all daemons have reported what they knew before (new in the report, protocol version 8), or until every lease of that time has ended; they are then written again with new tokens, which confirm them. A daemon that does not know the last holder takes over 1.5 s later. The simulation's daemons know only what they were told or have read.

Not shown to be what the users saw: there both grants came from one daemon.

--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::Millis,
     gateway::{
-        controller::Event,
+        controller::{EarlierOwners, Event},
         controller_lease::STOP_AFTER,
         incarnations::Reported,
         leaving::{LeavingLife, lives::not_reported},
@@ -57,6 +57,8 @@
             leaving: self.builder.lives().to_report(now),
             pauses: self.builder.pause_reports(now),
             limits: self.builder.rate_limits().reports(now),
+            owner_tokens: self.builder.owner_tokens(),
+            knew_earlier_row: self.controller.lease_state().era_seen().knew_row,
         };
         let lease = self.controller.lease_state();
         if lease.is_holder() {
@@ -159,6 +161,14 @@
                 self.controller.handle(Event::IncarnationEnded(ended), now);
             }
         }
+        if report.name != self.cx.name {
+            let known = EarlierOwners {
+                knew_row: report.knew_earlier_row,
+                tokens: std::mem::take(&mut report.owner_tokens),
+            };
+            let event = Event::EarlierOwners(report.name.clone(), known);
+            self.controller.handle(event, now);
+        }
         for load in &report.load.services {
             let stats = self.load.entry(load.service.clone()).or_default();
             stats.add(load, now);
@@ -191,6 +201,13 @@
         self.incarnations
             .retain(|name| self.daemons.contains_key(name));
         self.set_daemon_count(self.daemons.len(), now);
+        // A new holder does not know all daemons yet.
+        let knows_daemons = self
+            .holder_since
+            .is_some_and(|since| now.since(since) >= DAEMON_EXPIRY);
+        if knows_daemons && !self.controller.has_unconfirmed(now) {
+            self.controller.set_expected_daemons(self.daemons.len());
+        }
     }
 
     fn set_daemon_count(&mut self, daemons: usize, now: Millis) {
@@ -392,6 +409,7 @@
         self.controller
             .handle(Event::Lease(version, Some(row)), now);
         self.set_daemon_count(reply.daemons as usize, now);
+        self.controller.set_expected_daemons(reply.daemons as usize);
         if let Some(position) = reply.position {
             self.set_position(position);
         }
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -16,9 +16,11 @@
 mod outcomes;
 mod ranges;
 pub mod tokens;
+mod unconfirmed;
 mod writes;
 
 pub use ranges::{ManagedRange, Phase, ServiceRanges};
+pub use unconfirmed::EarlierOwners;
 
 use super::{
     controller_lease::{ControllerLease, LeaseRow},
@@ -69,6 +71,8 @@
     Owners(Vec<(ServiceName, u64, Owners)>),
     /// The latest owners that this daemon knows from whatever source, before [`Self::Owners`].
     KnownOwners(Vec<(ServiceName, Arc<Owners>)>),
+    /// What another daemon knows of the owners from before the last restoration of the store.
+    EarlierOwners(VmName, EarlierOwners),
     /// All endpoints that are registered now, the one with the newest row last.
     Endpoints(Vec<EndpointEntry>),
     /// All services that are declared now.
@@ -134,8 +138,10 @@
     all_reported_since: Millis,
     /// Version of the lease row of a copy of the store that this daemon saw as the holder, and when.
     copy_seen: Option<(u64, Millis)>,
-    /// Whether the lease was taken over without knowledge of who held it before a restoration.
-    follows_unknown: bool,
+    /// What other daemons know of the owners from before a restoration of the store.
+    reports: unconfirmed::Reports,
+    /// Number of daemons before this one took the lease over; `None` if it does not know.
+    expected_daemons: Option<usize>,
     stopping: bool,
     /// Whether the lease is being released for the benefit of another daemon.
     yielding: bool,
@@ -188,7 +194,8 @@
             known_owners: Map::default(),
             all_reported_since: Millis::ZERO,
             copy_seen: None,
-            follows_unknown: false,
+            reports: unconfirmed::Reports::default(),
+            expected_daemons: None,
             stopping: false,
             yielding: false,
             takeover_paused_until: Millis::ZERO,
@@ -272,6 +279,7 @@
             Event::Lease(version, row) => self.handle_lease(version, row, now),
             Event::Owners(rows) => self.load_owners(rows, now),
             Event::KnownOwners(owners) => self.known_owners = owners.into_iter().collect(),
+            Event::EarlierOwners(daemon, known) => self.handle_earlier_owners(daemon, known),
             Event::Endpoints(entries) => self.set_endpoints(entries),
             Event::Services(services) => self.set_services(services),
             Event::Written(id, outcome) => self.handle_written(id, outcome, now),
@@ -287,6 +295,7 @@
     pub fn step(&mut self, stats: &Map<ServiceName, LoadStats>, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
         self.check_restoration(now);
+        self.update_holds(now);
         let lacks_rows =
             !self.loaded || (self.rows_outdated && !self.controller_lease.is_restored());
         if self.controller_lease.is_holder()
@@ -337,7 +346,8 @@
                 .any(|entry| entry.service == service);
             if has_endpoint && !self.services.contains_key(&service) {
                 let no_row = store_version(era_of(self.controller_lease.version()), 0);
-                let managed = ServiceRanges::new(no_row, now);
+                let mut managed = ServiceRanges::new(no_row, now);
+                self.hold(&mut managed, 0);
                 self.services.insert(service, managed);
             }
         }
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -1,6 +1,8 @@
 //! The start and the end of an epoch, during which this daemon holds the controller lease.
 
-use super::{COMMAND_TIMEOUT, Controller, ManagedRange, Phase, ServiceRanges};
+use super::{
+    COMMAND_TIMEOUT, Controller, ManagedRange, Phase, ServiceRanges, unconfirmed::Reports,
+};
 use crate::{
     clock::Millis,
     collections::Set,
@@ -93,6 +95,7 @@
     /// Starts an epoch. The predecessor may still send grants for up to `predecessor_active_for`.
     pub(super) fn start_epoch(&mut self, now: Millis, predecessor_active_for: Millis) {
         self.drop_services();
+        self.reports = Reports::default();
         self.grace_end = self.latest_lease_end(now + predecessor_active_for);
         let epoch = self.controller_lease.row().map_or(0, |row| row.epoch);
         self.tokens.start_epoch(epoch);
@@ -120,11 +123,9 @@
         }
         for (service, version, owners, is_stale) in self.latest_owners(rows) {
             let mut managed = ServiceRanges::new(version, now);
-            managed.needs_rewrite = is_stale;
-            if self.follows_unknown && !self.known_owners.contains_key(&service) {
-                // The last holder may have given the keys to other endpoints than the copy says.
-                managed.on_hold_until = now + COMMAND_TIMEOUT + self.max_lease_time();
-            }
+            let latest_token = owners.latest_token();
+            managed.needs_rewrite = is_stale || self.is_unconfirmed(latest_token);
+            self.hold(&mut managed, latest_token);
             for owned in owners.ranges() {
                 self.addrs.insert(owned.owner.clone(), owned.addr);
                 let range = ManagedRange {
--- a/src/gateway/controller/ranges.rs
+++ b/src/gateway/controller/ranges.rs
@@ -119,6 +119,8 @@
 pub struct ServiceRanges {
     /// Version of the owners row; 0 if there is none yet.
     pub version: u64,
+    /// Latest token of the owners from which the controller started, while they are on hold.
+    pub owners_token: u64,
     /// The ranges, in no particular order.
     pub ranges: Vec<ManagedRange>,
     /// When the service was added.
@@ -136,6 +138,7 @@
     pub fn new(version: u64, now: Millis) -> Self {
         Self {
             version,
+            owners_token: 0,
             ranges: Vec::new(),
             added_at: now,
             next_move_at: now,
@@ -169,10 +172,12 @@
             .map(|r| r.keys)
     }
 
-    /// Whether any range has an owner that is not written yet, or that has to be written again.
-    pub fn has_unwritten(&self) -> bool {
+    /// Whether any range has an owner that is not written yet, or that has to be written again. Owners
+    /// on hold are not written: a successor would take them for confirmed.
+    pub fn has_unwritten(&self, now: Millis) -> bool {
         let mut ranges = self.ranges.iter();
-        self.needs_rewrite || ranges.any(|range| range.phase == Phase::Writing)
+        let is_unwritten = self.needs_rewrite || ranges.any(|range| range.phase == Phase::Writing);
+        is_unwritten && now >= self.on_hold_until
     }
 
     /// Whether a grant was issued whose outcome is not known yet.
--- a/src/gateway/controller/tokens.rs
+++ b/src/gateway/controller/tokens.rs
@@ -31,10 +31,15 @@
     pub fn start_epoch(&mut self, epoch: u64) {
         if epoch > self.epoch {
             self.epoch = epoch;
-            self.last = epoch << self.bits;
+            self.last = self.first_of(epoch);
         }
     }
 
+    /// The lowest token of an epoch.
+    pub fn first_of(&self, epoch: u64) -> u64 {
+        epoch << self.bits
+    }
+
     /// The next token. The last one of the epoch is repeated at its end, which [`Self::is_spent`]
     /// announces.
     pub fn next_token(&mut self) -> u64 {
--- a/src/gateway/controller/writes.rs
+++ b/src/gateway/controller/writes.rs
@@ -67,7 +67,7 @@
         let unwritten = self.loaded
             && !self.rows_outdated
             && now >= self.next_owners_write_at
-            && self.services.values().any(|m| m.has_unwritten());
+            && self.services.values().any(|m| m.has_unwritten(now));
         let renews = self.controller_lease.is_renewal_due(now)
             || (unwritten && self.controller_lease.may_issue_commands(now));
         // A successor may act at once after the release, so no grant may be on its way.
@@ -81,6 +81,7 @@
         if takes_over || renews || releases {
             if unwritten {
                 self.merge_ranges(now);
+                self.renew_assignment_tokens(now);
                 self.next_owners_write_at = now + OWNERS_WRITE_INTERVAL;
             }
             let pending = self.next_write(takes_over, releases, now);
@@ -90,11 +91,23 @@
     }
 
     fn merge_ranges(&mut self, now: Millis) {
-        for managed in self.services.values_mut().filter(|m| m.has_unwritten()) {
+        for managed in self.services.values_mut().filter(|m| m.has_unwritten(now)) {
             managed.merge_adjacent(now);
         }
     }
 
+    /// Gives owners that are written again new tokens, which confirm them.
+    fn renew_assignment_tokens(&mut self, now: Millis) {
+        let mut tokens = self.tokens;
+        let rewritten = self.services.values_mut();
+        for managed in rewritten.filter(|m| m.needs_rewrite && m.has_unwritten(now)) {
+            for range in &mut managed.ranges {
+                range.assignment_token = tokens.next_token();
+            }
+        }
+        self.tokens = tokens;
+    }
+
     fn next_write(&self, takes_over: bool, releases: bool, now: Millis) -> PendingWrite {
         let mut row = self
             .controller_lease
@@ -114,7 +127,7 @@
             && self.loaded
             && !self.rows_outdated
             && self.controller_lease.may_issue_commands(now);
-        let unwritten = self.services.iter().filter(|(_, m)| m.has_unwritten());
+        let unwritten = self.services.iter().filter(|(_, m)| m.has_unwritten(now));
         for (name, managed) in unwritten.filter(|_| with_owners) {
             let ids = managed
                 .ranges
@@ -189,7 +202,6 @@
             .filter(|_| !predecessor_ended);
         // A renewal that was sent before the lease was given up starts anew.
         let starts_epoch = pending.takes_over || self.controller_lease.has_given_up();
-        self.follows_unknown = pending.takes_over && self.controller_lease.is_holder_unknown();
         // The owners' rows are those of the copy as well.
         self.rows_outdated |= self.controller_lease.is_restored() && !pending.takes_over;
         self.controller_lease
--- a/src/gateway/controller_lease.rs
+++ b/src/gateway/controller_lease.rs
@@ -34,11 +34,15 @@
 /// time that a command may take.
 const SOLE_FOR: Millis = Millis(1_200);
 
+/// Additional delay of a takeover after a restoration by a daemon that does not know the last holder. A
+/// daemon that does can go on sooner.
+const UNKNOWN_DELAY: Millis = Millis(1_500);
+
 /// Bits of an epoch below the era of the store in which it begins.
 const EPOCHS_PER_ERA_BITS: u32 = 16;
 
 /// The lowest epoch that begins in an era of the store.
-fn first_epoch(era: u64) -> u64 {
+pub fn first_epoch(era: u64) -> u64 {
     era << EPOCHS_PER_ERA_BITS
 }
 
@@ -98,11 +102,23 @@
     /// Whether the daemon held the lease before that restoration and has given it up, because another
     /// may have taken it over unnoticed.
     has_given_up: bool,
+    /// When the present era of the store was first seen, and whether the row was known before.
+    era_seen: EraSeen,
     /// Whether the holder before that restoration is certainly still the last one, and may take the row
     /// back.
     may_take_back: bool,
 }
 
+/// When a daemon first saw the present era of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EraSeen {
+    /// When it did.
+    pub at: Millis,
+    /// Whether it had observed the lease row in the era before. It then knows the owners of that time,
+    /// unless it missed the last ones.
+    pub knew_row: bool,
+}
+
 /// What became of the lease row in the last restoration of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Restored {
@@ -130,10 +146,30 @@
             replaced: Vec::new(),
             restored: Restored::No,
             has_given_up: false,
+            era_seen: EraSeen {
+                at: Millis::ZERO,
+                knew_row: false,
+            },
             may_take_back: false,
         }
     }
 
+    /// When the present era of the store was first seen.
+    pub fn era_seen(&self) -> EraSeen {
+        self.era_seen
+    }
+
+    /// Records that `version` was seen at `now`, which may be of a new era.
+    fn note_era(&mut self, version: u64, now: Millis) {
+        let is_first = self.last_change.is_none();
+        if is_first || era_of(version) > era_of(self.version) {
+            self.era_seen = EraSeen {
+                at: now,
+                knew_row: !is_first && self.row.is_some() && self.restored != Restored::Unknown,
+            };
+        }
+    }
+
     /// Records that `incarnation` has ended and sends no more commands.
     pub fn note_ended(&mut self, incarnation: Incarnation) {
         self.ended = Some(incarnation);
@@ -193,6 +229,7 @@
             return;
         }
         let is_first = self.last_change.is_none();
+        self.note_era(version, now);
         if is_first && number_of(version) > 0 {
             self.note_unseen(version, row.as_ref(), now);
         }
@@ -260,6 +297,7 @@
     /// Records that the daemon's own write, sent at `sent`, was committed.
     pub fn record_commit(&mut self, version: u64, row: LeaseRow, sent: Millis, now: Millis) {
         if version > self.version {
+            self.note_era(version, now);
             self.note_replaced(version, Some(&row), now);
             self.version = version;
             self.last_change = Some(now);
@@ -335,6 +373,7 @@
         let age = now.since(last_change);
         match &self.row {
             _ if self.is_holder() => false,
+            _ if self.is_holder_unknown() => age >= TAKEOVER_AFTER + UNKNOWN_DELAY + self.jitter,
             _ if self.is_restored() => age >= TAKEOVER_AFTER + self.jitter,
             None if number_of(self.version) == 0 => age >= self.jitter,
             // The row cannot be decoded, so it may name a holder that is alive.
--- a/src/gateway/view/builder/owners.rs
+++ b/src/gateway/view/builder/owners.rs
@@ -31,6 +31,14 @@
             .collect()
     }
 
+    /// The latest token of the owners of each service.
+    pub fn owner_tokens(&self) -> Vec<(ServiceName, u64)> {
+        let owners = self.owners.iter();
+        owners
+            .map(|(name, (_, owners))| (name.clone(), owners.latest_token()))
+            .collect()
+    }
+
     /// Versions of the known owner rows by service.
     pub fn owner_versions(&self) -> Vec<(ServiceName, u64)> {
         let versions = self.owners.iter();
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -11,7 +11,7 @@
 
 /// Protocol version, the first byte of every frame. Frames of other versions are answered with an
 /// error.
-pub const PROTOCOL_VERSION: u8 = 7;
+pub const PROTOCOL_VERSION: u8 = 8;
 
 /// Largest frame, in bytes: fits a routing table of 256,000 partitions, but not one of a million.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -88,6 +88,10 @@
     pub pauses: Vec<PauseReport>,
     /// Limits that it knows, and those that have ended lately.
     pub limits: Vec<LimitReport>,
+    /// The latest token of the owners that it has, for each service.
+    pub owner_tokens: Vec<(ServiceName, u64)>,
+    /// Whether it knew the row of the controller lease before the last restoration of the store.
+    pub knew_earlier_row: bool,
 }
 
 /// The range controller's reply to a [`DaemonReport`].
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -56,6 +56,8 @@
             per_second: Some(7.5),
             age: Millis(20),
         }],
+        owner_tokens: vec![("s".into(), 5)],
+        knew_earlier_row: true,
     })
 }
 
--- a/tests/gateway/incarnations.rs
+++ b/tests/gateway/incarnations.rs
@@ -58,6 +58,8 @@
         leaving: Vec::new(),
         pauses: Vec::new(),
         limits: Vec::new(),
+        owner_tokens: Vec::new(),
+        knew_earlier_row: false,
     })
 }
 
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -22,6 +22,7 @@
         model::{EndpointEntry, EndpointInstance},
         owners::Owners,
         platform::Table,
+        store_version::store_version,
     },
     world::{Incarnation, VmName},
 };
@@ -94,7 +95,8 @@
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
             now: 1_000,
-            version: 1,
+            // Stores with restorations count their eras from 1.
+            version: store_version(1, 1),
             rows: Map::default(),
             copies: Copies::default(),
             store_up: true,
--- a/tests/gateway/simulation/restoration.rs
+++ b/tests/gateway/simulation/restoration.rs
@@ -6,12 +6,13 @@
     clock::Millis,
     collections::Map,
     gateway::{
-        controller::Event,
+        controller::{EarlierOwners, Event},
         controller_lease::LeaseRow,
         owners::Owners,
         platform::Table,
         store_version::{era_of, number_of, store_version},
     },
+    world::VmName,
 };
 use rand::Rng;
 use std::{collections::VecDeque, sync::Arc};
@@ -35,8 +36,6 @@
     interval: u64,
     kept: VecDeque<(u64, Rows)>,
     next_at: u64,
-    /// Owners that were written last, in whatever era.
-    written_owners: Option<Owners>,
     /// When the store is back, and from which copy.
     restored_at: Option<(u64, usize)>,
 }
@@ -94,17 +93,31 @@
         self.store_up = true;
     }
 
-    /// The latest owners that a daemon has heard of.
-    pub(super) fn known_owners(&self, i: usize) -> Event {
+    /// What a daemon that reads the owners' rows knows: the later ones of these and of those that it has
+    /// heard of.
+    pub(super) fn known_owners(&mut self, i: usize) -> Event {
+        let rows = self.rows.iter().filter(|((t, _), _)| *t == Table::Owners);
+        let in_rows: Vec<Bytes> = rows.map(|(_, (_, value))| value.clone()).collect();
+        in_rows
+            .iter()
+            .for_each(|value| self.record_owners(i, value));
         let known = self.daemons[i].known_owners.clone();
         let known = known.map(|owners| (SERVICE.into(), Arc::new(owners)));
         Event::KnownOwners(known.into_iter().collect())
     }
 
-    /// Records owners that were written, of which the controller tells the daemons that run.
-    pub(super) fn distribute(&mut self, value: &Bytes) {
+    /// Records owners that a daemon has read or written, if they are later than those that it knows.
+    pub(super) fn record_owners(&mut self, i: usize, value: &Bytes) {
         let owners = Owners::decode(value).expect("rows are valid");
-        self.copies.written_owners = Some(owners);
+        self.hear_of(i, owners);
+    }
+
+    fn hear_of(&mut self, i: usize, owners: Owners) {
+        let known = &mut self.daemons[i].known_owners;
+        let token = known.as_ref().map_or(0, Owners::latest_token);
+        if owners.latest_token() > token {
+            *known = Some(owners);
+        }
     }
 
     /// Since when all other daemons have reported to this one again: those that run, and take it for the
@@ -121,19 +134,41 @@
             let last = self.daemons[i].reports.entry(other).or_default();
             if reports && now >= *last + REPORT_INTERVAL {
                 *last = now;
+                self.report_owners(other, i);
             }
         }
         let reports = self.daemons[i].reports.values().copied();
         Millis(reports.min().unwrap_or(now))
     }
 
-    /// Tells a daemon that runs of the owners that were written last.
+    /// Reports what daemon `from` knows of earlier owners to daemon `to`.
+    fn report_owners(&mut self, from: usize, to: usize) {
+        let daemon = &self.daemons[from];
+        let owners = daemon.known_owners.as_ref();
+        let tokens = owners.map(|owners| (SERVICE.into(), owners.latest_token()));
+        let known = EarlierOwners {
+            knew_row: daemon.controller.lease_state().era_seen().knew_row,
+            tokens: tokens.into_iter().collect(),
+        };
+        let event = Event::EarlierOwners(VmName(format!("d{from}").into()), known);
+        let now = Millis(self.now);
+        self.daemons[to].controller.handle(event, now);
+    }
+
+    /// Tells a daemon that runs of the owners that the daemon knows which it takes for the controller.
     pub(super) fn learn_owners(&mut self, i: usize) {
-        let known = &mut self.daemons[i].known_owners;
-        let token = known.as_ref().map_or(0, Owners::latest_token);
-        let written = self.copies.written_owners.as_ref();
-        if let Some(written) = written.filter(|owners| owners.latest_token() > token) {
-            *known = Some(written.clone());
+        let row = self.daemons[i].controller.lease_state().row();
+        let Some(holder) = row.map(|row| row.incarnation) else {
+            return;
+        };
+        let now = self.now;
+        let is_holder = |daemon: &&super::Daemon| {
+            daemon.incarnation == holder && daemon.up && now >= daemon.frozen_until
+        };
+        let told = self.daemons.iter().find(is_holder);
+        if let Some(owners) = told.and_then(|daemon| daemon.known_owners.clone()) {
+            self.hear_of(i, owners);
+            self.daemons[i].controller.set_expected_daemons(DAEMONS);
         }
     }
 }
--- a/tests/gateway/simulation/schedule.rs
+++ b/tests/gateway/simulation/schedule.rs
@@ -151,12 +151,13 @@
                 } else if table == Table::Controller {
                     self.notify(i, incarnation, self.lease());
                 } else {
-                    self.notify(i, incarnation, self.known_owners(i));
+                    let known = self.known_owners(i);
+                    self.notify(i, incarnation, known);
                     self.notify(i, incarnation, self.owners());
                 }
             }
             Scheduled::Commit(i, incarnation, id, writes, answered) => {
-                let outcome = self.commit(&writes);
+                let outcome = self.commit(i, &writes);
                 self.trace(format!(
                     "{incarnation:?} of d{i} writes {} rows: {outcome:?}",
                     writes.len()
--- a/tests/gateway/simulation/store.rs
+++ b/tests/gateway/simulation/store.rs
@@ -31,7 +31,7 @@
         Event::Owners(decoded.collect())
     }
 
-    pub(super) fn commit(&mut self, writes: &[RowWrite]) -> WriteOutcome {
+    pub(super) fn commit(&mut self, by: usize, writes: &[RowWrite]) -> WriteOutcome {
         let conditions_hold = writes.iter().all(|write| {
             let present = self.rows.get(&(write.table, Arc::clone(&write.name)));
             let version = present.map_or(0, |(version, _)| *version);
@@ -49,7 +49,7 @@
             let value = write.value.clone().expect("rows are never removed");
             let row = (write.table, Arc::clone(&write.name));
             if write.table == Table::Owners {
-                self.distribute(&value);
+                self.record_owners(by, &value);
             }
             self.rows.insert(row, (self.version, value));
         }
