OWNER: a controller takes its lease back only if no daemon can have held it since

Cause: after a restoration of the store, the controller went on once every daemon that had reported to it had reported again. Names and times were compared. The daemon that had taken the lease over, in a row that the restoration lost, had ended; the first report of its next life counted as its own. A daemon that had never reported in the epoch was not missed.

Change: reports name the era that the daemon sees and the era since which it has known the controllers. The fleet is a digest of the names; a successor that waits for all reports uses it too, so that a new daemon does not stand in for a missing one. A daemon vouches for owners only of eras since it has known them.

Price: a daemon that restarts within the outage costs the controller its lease.

wait_for_controller stood in two gateway tests; it is now in FakePlatform.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
 pub mod decaying_mean;
 pub mod endpoint_set;
 pub mod evacuation;
+pub mod fleet_digest;
 pub mod forward;
 pub mod hedging;
 pub mod idle;
--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -155,7 +155,6 @@
         load: Map::default(),
         daemons: Map::default(),
         positions: Map::default(),
-        last_reports: Map::default(),
         incarnations: Incarnations::default(),
         tx,
         watches,
@@ -253,8 +252,6 @@
     daemons: Map<VmName, ReportingDaemon>,
     /// Positions of the daemons among those of their zones, while this daemon is the controller.
     positions: Map<VmName, FleetPosition>,
-    /// When each daemon last reported, also if it is no longer counted.
-    last_reports: Map<VmName, Millis>,
     incarnations: Incarnations,
     peers: PeerClient,
     tx: mpsc::Sender<Input>,
@@ -383,8 +380,6 @@
         self.builder.rate_limits().step(now);
         if self.controller.lease_state().is_holder() {
             let missing = self.pauses.missing_shares(self.daemons.len(), now);
-            let since = self.all_reported_since(now);
-            self.controller.set_all_reported_since(since);
             self.controller.set_pauses(missing);
             let limits = self.builder.rate_limits().in_force(now);
             self.controller.set_rate_limits(limits);
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -5,13 +5,14 @@
     clock::Millis,
     gateway::{
         controller::{EarlierOwners, Event},
-        controller_lease::STOP_AFTER,
+        fleet_digest::FleetDigest,
         incarnations::Reported,
         leaving::{LeavingLife, lives::not_reported},
         load_stats::{LoadReport, ProcessingTime, ServiceLoad},
         owners::Owners,
         platform::Platform,
         rate_limit::{LimitReport, is_urgent, not_known},
+        store_version::era_of,
     },
     peer::{
         codec::{self, CodecError},
@@ -57,8 +58,9 @@
             leaving: self.builder.lives().to_report(now),
             pauses: self.builder.pause_reports(now),
             limits: self.builder.rate_limits().reports(now),
+            era: era_of(self.controller.lease_state().version()),
             owner_tokens: self.builder.owner_tokens(),
-            knew_earlier_row: self.controller.lease_state().era_seen().knew_row,
+            known_since: self.controller.lease_state().known_since(),
         };
         let lease = self.controller.lease_state();
         if lease.is_holder() {
@@ -151,7 +153,6 @@
             controller_cores: f64::from(report.controller_cores),
         };
         self.daemons.insert(report.name.clone(), reporting);
-        self.last_reports.insert(report.name.clone(), now);
         let reported = self.incarnations.record(&report.name, report.incarnation);
         if let Reported::Settled { ended } = reported {
             let predecessor = self
@@ -163,7 +164,8 @@
         }
         if report.name != self.cx.name {
             let known = EarlierOwners {
-                knew_row: report.knew_earlier_row,
+                era: report.era,
+                known_since: report.known_since,
                 tokens: std::mem::take(&mut report.owner_tokens),
             };
             let event = Event::EarlierOwners(report.name.clone(), known);
@@ -182,18 +184,6 @@
         }
     }
 
-    /// Since when all daemons have reported again that reported in the time for which a holder sends
-    /// commands; `now` if none did. One that has taken the controller lease over does not report.
-    pub(super) fn all_reported_since(&mut self, now: Millis) -> Millis {
-        self.last_reports
-            .retain(|_, at| now.since(*at) < STOP_AFTER);
-        let others = self
-            .last_reports
-            .iter()
-            .filter(|(name, _)| **name != self.cx.name);
-        others.map(|(_, at)| *at).min().unwrap_or(now)
-    }
-
     fn update_daemon_count(&mut self, now: Millis) {
         self.daemons
             .retain(|_, daemon| now.since(daemon.last_report_at) < DAEMON_EXPIRY);
@@ -206,10 +196,15 @@
             .holder_since
             .is_some_and(|since| now.since(since) >= DAEMON_EXPIRY);
         if knows_daemons && !self.controller.has_unconfirmed(now) {
-            self.controller.set_expected_daemons(self.daemons.len());
+            self.controller.set_fleet(self.fleet());
         }
     }
 
+    /// The daemons that report to this one, and this one.
+    fn fleet(&self) -> FleetDigest {
+        FleetDigest::of(self.daemons.keys())
+    }
+
     fn set_daemon_count(&mut self, daemons: usize, now: Millis) {
         let daemons = daemons.max(1);
         self.cx.daemons.store(daemons, Ordering::Relaxed);
@@ -290,7 +285,7 @@
                 .or(released_row)
                 .map(|row| (lease.version(), row.clone())),
             waited: now.since(held.received_at),
-            daemons: self.daemons.len() as u32,
+            daemons: self.fleet(),
             position: active_row.and_then(|_| self.positions.get(&held.report.name).copied()),
             owners,
             endpoints: active_row.and_then(|_| self.endpoints_update(&held, now)),
@@ -408,8 +403,8 @@
         }
         self.controller
             .handle(Event::Lease(version, Some(row)), now);
-        self.set_daemon_count(reply.daemons as usize, now);
-        self.controller.set_expected_daemons(reply.daemons as usize);
+        self.set_daemon_count(reply.daemons.size as usize, now);
+        self.controller.set_fleet(reply.daemons);
         if let Some(position) = reply.position {
             self.set_position(position);
         }
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -15,15 +15,17 @@
 mod evacuating;
 mod outcomes;
 mod ranges;
+mod reports;
 pub mod tokens;
 mod unconfirmed;
 mod writes;
 
 pub use ranges::{ManagedRange, Phase, ServiceRanges};
-pub use unconfirmed::EarlierOwners;
+pub use reports::EarlierOwners;
 
 use super::{
     controller_lease::{ControllerLease, LeaseRow},
+    fleet_digest::FleetDigest,
     load_stats::LoadStats,
     model::{EndpointEntry, EndpointInstance, KeyRange, Service},
     owners::Owners,
@@ -38,6 +40,7 @@
 };
 use endpoints::RegisteredInstance;
 use evacuating::Evacuating;
+use reports::Reports;
 use std::{net::SocketAddr, sync::Arc};
 use tokens::TokenSequence;
 use writes::PendingWrite;
@@ -134,14 +137,13 @@
     rows_outdated: bool,
     /// The latest owners that this daemon knows.
     known_owners: Map<ServiceName, Arc<Owners>>,
-    /// Since when all daemons that had reported to this one have reported again.
-    all_reported_since: Millis,
     /// Version of the lease row of a copy of the store that this daemon saw as the holder, and when.
     copy_seen: Option<(u64, Millis)>,
-    /// What other daemons know of the owners from before a restoration of the store.
-    reports: unconfirmed::Reports,
-    /// Number of daemons before this one took the lease over; `None` if it does not know.
-    expected_daemons: Option<usize>,
+    /// What other daemons know of the time before a restoration of the store.
+    reports: Reports,
+    /// The daemons as last known before this one took the lease over or the store was restored; `None`
+    /// if they are not known.
+    fleet: Option<FleetDigest>,
     stopping: bool,
     /// Whether the lease is being released for the benefit of another daemon.
     yielding: bool,
@@ -192,10 +194,9 @@
             reading: false,
             rows_outdated: false,
             known_owners: Map::default(),
-            all_reported_since: Millis::ZERO,
             copy_seen: None,
-            reports: unconfirmed::Reports::default(),
-            expected_daemons: None,
+            reports: Reports::default(),
+            fleet: None,
             stopping: false,
             yielding: false,
             takeover_paused_until: Millis::ZERO,
@@ -245,12 +246,6 @@
         self.paused = missing_shares;
     }
 
-    /// Records since when all daemons that reported to this one in the time for which a holder sends
-    /// commands have reported again. None of them had taken the lease over at that time.
-    pub fn set_all_reported_since(&mut self, since: Millis) {
-        self.all_reported_since = since;
-    }
-
     /// Sets the limits that endpoints named.
     pub fn set_rate_limits(&mut self, rate_limits: Map<EndpointInstance, Rate>) {
         self.rate_limits = rate_limits;
@@ -279,7 +274,7 @@
             Event::Lease(version, row) => self.handle_lease(version, row, now),
             Event::Owners(rows) => self.load_owners(rows, now),
             Event::KnownOwners(owners) => self.known_owners = owners.into_iter().collect(),
-            Event::EarlierOwners(daemon, known) => self.handle_earlier_owners(daemon, known),
+            Event::EarlierOwners(daemon, known) => self.handle_earlier_owners(daemon, known, now),
             Event::Endpoints(entries) => self.set_endpoints(entries),
             Event::Services(services) => self.set_services(services),
             Event::Written(id, outcome) => self.handle_written(id, outcome, now),
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -1,8 +1,6 @@
 //! The start and the end of an epoch, during which this daemon holds the controller lease.
 
-use super::{
-    COMMAND_TIMEOUT, Controller, ManagedRange, Phase, ServiceRanges, unconfirmed::Reports,
-};
+use super::{COMMAND_TIMEOUT, Controller, ManagedRange, Phase, ServiceRanges, reports::Reports};
 use crate::{
     clock::Millis,
     collections::Set,
@@ -42,8 +40,9 @@
     }
 
     /// After a restoration of the store, the holder goes on only if no other daemon can have taken the
-    /// lease over before it, in a row that is lost: all daemons that reported to it report again after it
-    /// has seen the copy.
+    /// lease over before it, in a row that is lost: all daemons report that they have seen the copy, and
+    /// that they already ran before the restoration. One that took the lease over reports nothing, and
+    /// its next life does not know.
     pub(super) fn check_restoration(&mut self, now: Millis) {
         if !self.controller_lease.is_restored() || !self.controller_lease.is_holder() {
             self.copy_seen = None;
@@ -56,7 +55,7 @@
             _ => now,
         };
         self.copy_seen = Some((version, seen_at));
-        if self.all_reported_since > seen_at {
+        if self.no_takeover_is_lost(now) {
             self.controller_lease.take_back();
         } else if now.since(seen_at) >= REPORTS_AWAITED_FOR
             || !self.controller_lease.may_issue_commands(now)
--- a/src/gateway/controller/tokens.rs
+++ b/src/gateway/controller/tokens.rs
@@ -40,6 +40,11 @@
         epoch << self.bits
     }
 
+    /// The epoch of a token.
+    pub fn epoch_of(&self, token: u64) -> u64 {
+        token >> self.bits
+    }
+
     /// The next token. The last one of the epoch is repeated at its end, which [`Self::is_spent`]
     /// announces.
     pub fn next_token(&mut self) -> u64 {
--- a/src/gateway/controller/unconfirmed.rs
+++ b/src/gateway/controller/unconfirmed.rs
@@ -8,51 +8,16 @@
 use super::{COMMAND_TIMEOUT, Controller, ServiceRanges};
 use crate::{
     clock::Millis,
-    collections::Map,
     gateway::{
-        controller_lease::{STOP_AFTER, first_epoch},
+        controller_lease::{STOP_AFTER, era_of_epoch, first_epoch},
         store_version::era_of,
     },
-    world::{ServiceName, VmName},
 };
 
 /// The first era of a store. Stores without restorations name none, which reads as 0.
 const FIRST_ERA: u64 = 1;
 
-/// What a daemon knows of the owners from before the last restoration of the store.
-#[derive(Clone, Debug)]
-pub struct EarlierOwners {
-    /// Whether it was in contact with the controller or the store before the restoration.
-    pub knew_row: bool,
-    /// The latest token of the owners of each service that it knows from whatever source.
-    pub tokens: Vec<(ServiceName, u64)>,
-}
-
-/// What the daemons have reported in this epoch.
-#[derive(Debug, Default)]
-pub(super) struct Reports {
-    earlier_owners: Map<VmName, EarlierOwners>,
-    /// When all daemons had reported. None of them has acted as a controller since.
-    complete_at: Option<Millis>,
-}
-
-impl Reports {
-    /// Whether all daemons knew the owners before the restoration, and none knows later ones of a service
-    /// than `token`.
-    fn confirm(&self, service: &ServiceName, token: u64) -> bool {
-        self.earlier_owners.values().all(|known| {
-            let mut tokens = known.tokens.iter();
-            known.knew_row && tokens.all(|(name, known)| name != service || *known <= token)
-        })
-    }
-}
-
 impl Controller {
-    /// Sets the number of daemons before this one takes the lease over, including itself.
-    pub fn set_expected_daemons(&mut self, daemons: usize) {
-        self.expected_daemons = Some(daemons);
-    }
-
     /// Whether owners are not granted keys yet because they may not be the last ones, or are not loaded.
     pub fn has_unconfirmed(&self, now: Millis) -> bool {
         let mut services = self.services.values();
@@ -69,39 +34,32 @@
     /// before the restoration renewed its own lease before this daemon saw the restoration.
     pub(super) fn hold(&self, managed: &mut ServiceRanges, latest_token: u64) {
         if self.is_unconfirmed(latest_token) {
-            let commands_end = self.controller_lease.era_seen().at + STOP_AFTER;
+            let commands_end = self.controller_lease.era_seen_at() + STOP_AFTER;
             managed.on_hold_until = commands_end + self.command_and_lease();
             managed.owners_token = latest_token;
         }
     }
 
-    /// Records what another daemon reports while this one holds the lease.
-    pub(super) fn handle_earlier_owners(&mut self, daemon: VmName, known: EarlierOwners) {
-        if self.controller_lease.is_holder() {
-            self.reports.earlier_owners.insert(daemon, known);
-        }
-    }
-
     /// Ends the waits that the reports of the other daemons make needless, or shortens them: once all
     /// have reported, none sends commands for an earlier epoch.
     pub(super) fn update_holds(&mut self, now: Millis) {
         if !self.has_unconfirmed(now) {
             return;
         }
-        let others = self
-            .expected_daemons
-            .map(|daemons| daemons.saturating_sub(1));
-        if others.is_none_or(|others| self.reports.earlier_owners.len() < others) {
+        let Some(complete_at) = self.reports_complete_at(now) else {
             return;
-        }
-        let complete_at = *self.reports.complete_at.get_or_insert(now);
+        };
         let leases_end = complete_at + self.command_and_lease();
-        let knew_row = self.controller_lease.era_seen().knew_row;
+        let known_since = self.controller_lease.known_since();
+        let reports = &self.reports;
         for (service, managed) in &mut self.services {
             if now >= managed.on_hold_until {
                 continue;
             }
-            if knew_row && self.reports.confirm(service, managed.owners_token) {
+            let token = managed.owners_token;
+            let era = era_of_epoch(self.tokens.epoch_of(token)).max(FIRST_ERA);
+            let knows_all = known_since.is_some_and(|since| since <= era);
+            if knows_all && reports.confirm(service, token, era) {
                 managed.on_hold_until = now;
                 log::info!(target: "ownership", service:% = service, token = managed.owners_token;
                     "All daemons know the same owners from before the restoration of the store.");
--- a/src/gateway/controller_lease.rs
+++ b/src/gateway/controller_lease.rs
@@ -46,6 +46,11 @@
     era << EPOCHS_PER_ERA_BITS
 }
 
+/// The era of the store in which an epoch begins.
+pub fn era_of_epoch(epoch: u64) -> u64 {
+    epoch >> EPOCHS_PER_ERA_BITS
+}
+
 /// Content of the lease row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -102,23 +107,15 @@
     /// Whether the daemon held the lease before that restoration and has given it up, because another
     /// may have taken it over unnoticed.
     has_given_up: bool,
-    /// When the present era of the store was first seen, and whether the row was known before.
-    era_seen: EraSeen,
+    /// When the present era of the store was first seen.
+    era_seen_at: Millis,
+    /// Era of the store in which this process first observed a row that was in force.
+    known_since: Option<u64>,
     /// Whether the holder before that restoration is certainly still the last one, and may take the row
     /// back.
     may_take_back: bool,
 }
 
-/// When a daemon first saw the present era of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EraSeen {
-    /// When it did.
-    pub at: Millis,
-    /// Whether it had observed the lease row in the era before. It then knows the owners of that time,
-    /// unless it missed the last ones.
-    pub knew_row: bool,
-}
-
 /// What became of the lease row in the last restoration of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Restored {
@@ -146,30 +143,45 @@
             replaced: Vec::new(),
             restored: Restored::No,
             has_given_up: false,
-            era_seen: EraSeen {
-                at: Millis::ZERO,
-                knew_row: false,
-            },
+            era_seen_at: Millis::ZERO,
+            known_since: None,
             may_take_back: false,
         }
     }
 
+    /// Name of this daemon.
+    pub fn name(&self) -> &VmName {
+        &self.name
+    }
+
     /// When the present era of the store was first seen.
-    pub fn era_seen(&self) -> EraSeen {
-        self.era_seen
+    pub fn era_seen_at(&self) -> Millis {
+        self.era_seen_at
+    }
+
+    /// Era of the store in which this process first observed a row that was in force; `None` if it has
+    /// only seen rows of copies. It has missed owners of earlier eras.
+    pub fn known_since(&self) -> Option<u64> {
+        self.known_since
     }
 
     /// Records that `version` was seen at `now`, which may be of a new era.
     fn note_era(&mut self, version: u64, now: Millis) {
-        let is_first = self.last_change.is_none();
-        if is_first || era_of(version) > era_of(self.version) {
-            self.era_seen = EraSeen {
-                at: now,
-                knew_row: !is_first && self.row.is_some() && self.restored != Restored::Unknown,
-            };
+        if self.last_change.is_none() || era_of(version) > era_of(self.version) {
+            self.era_seen_at = now;
         }
     }
 
+    /// Records a row that is in force.
+    fn set_row(&mut self, version: u64, row: Option<LeaseRow>) {
+        self.restored = Restored::No;
+        if row.is_some() {
+            self.known_since.get_or_insert(era_of(version));
+        }
+        self.version = version;
+        self.row = row;
+    }
+
     /// Records that `incarnation` has ended and sends no more commands.
     pub fn note_ended(&mut self, incarnation: Incarnation) {
         self.ended = Some(incarnation);
@@ -239,11 +251,9 @@
         if was_removed || is_from_copy(version, row.as_ref()) {
             return self.record_copy(version, row, now);
         }
-        self.restored = Restored::No;
         self.note_replaced(version, row.as_ref(), now);
         self.has_given_up = false;
-        self.version = version;
-        self.row = row;
+        self.set_row(version, row);
         self.last_change = Some(now);
         if !self.is_holder() {
             self.last_renewal = None;
@@ -294,21 +304,23 @@
         self.restored == Restored::Unknown
     }
 
-    /// Records that the daemon's own write, sent at `sent`, was committed.
+    /// Records that the daemon's own write, sent at `sent`, was committed. A copy of the store, where its
+    /// condition happened to hold, may have taken it.
     pub fn record_commit(&mut self, version: u64, row: LeaseRow, sent: Millis, now: Millis) {
-        if version > self.version {
-            self.note_era(version, now);
-            self.note_replaced(version, Some(&row), now);
+        if version <= self.version {
+            return;
+        }
+        self.note_era(version, now);
+        self.note_replaced(version, Some(&row), now);
+        self.last_change = Some(now);
+        self.last_renewal = (!row.released).then_some(sent);
+        self.has_given_up = false;
+        if is_from_copy(version, Some(&row)) {
+            self.restored = Restored::Known;
             self.version = version;
-            self.last_change = Some(now);
-            self.last_renewal = (!row.released).then_some(sent);
-            self.has_given_up = false;
-            self.restored = if is_from_copy(version, Some(&row)) {
-                Restored::Known
-            } else {
-                Restored::No
-            };
             self.row = Some(row);
+        } else {
+            self.set_row(version, Some(row));
         }
     }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,6 +7,7 @@
         controller_lease::LeaseRow,
         endpoint_set::FleetPosition,
         evacuation::EvacuationsUpdate,
+        fleet_digest::FleetDigest,
         leaving::LeavingLife,
         load_stats::LoadReport,
         pause::PauseReport,
@@ -88,10 +89,12 @@
     pub pauses: Vec<PauseReport>,
     /// Limits that it knows, and those that have ended lately.
     pub limits: Vec<LimitReport>,
+    /// The latest era of the store that it has seen.
+    pub era: u64,
     /// The latest token of the owners that it has, for each service.
     pub owner_tokens: Vec<(ServiceName, u64)>,
-    /// Whether it knew the row of the controller lease before the last restoration of the store.
-    pub knew_earlier_row: bool,
+    /// The era since which it has known the controllers and owners; `None` if it knows none.
+    pub known_since: Option<u64>,
 }
 
 /// The range controller's reply to a [`DaemonReport`].
@@ -102,8 +105,8 @@
     pub lease: Option<(u64, LeaseRow)>,
     /// Time that the controller held the report open before it replied (long poll).
     pub waited: Millis,
-    /// Number of daemons that currently report.
-    pub daemons: u32,
+    /// The daemons that currently report, and the controller.
+    pub daemons: FleetDigest,
     /// Position of the reporting daemon among those of its zone; `None` if the controller may not know
     /// all daemons yet.
     pub position: Option<FleetPosition>,
--- a/tests/gateway/controller.rs
+++ b/tests/gateway/controller.rs
@@ -135,17 +135,22 @@
 
 /// Guards against the same while the store comes back from copies of the last 20 s, at any moment and
 /// also twice in a row.
-#[test_case(4_000, u64::MAX, 8_000; "rare restorations")]
-#[test_case(2_000, 1_500, 3_000; "frequent restorations and restarts")]
+#[test_case(4_000, u64::MAX, 8_000, false; "rare restorations")]
+#[test_case(2_000, 1_500, 3_000, false; "frequent restorations and restarts")]
+#[test_case(2_000, u64::MAX, 8_000, true; "daemons that restart at restorations")]
 fn one_owner_under_wide_faults_and_restorations(
     fault_interval_ms: u64,
     crash_interval_ms: u64,
     restoration_interval_ms: u64,
+    daemons_restart: bool,
 ) {
     check_seeds(fault_interval_ms, |simulation| {
         simulation.widen();
         simulation.crash_endpoints_every(crash_interval_ms);
         simulation.restore_store_every(restoration_interval_ms);
+        if daemons_restart {
+            simulation.restart_daemons_at_restorations();
+        }
     });
 }
 
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -8,6 +8,7 @@
         controller_lease::LeaseRow,
         endpoint_set::FleetPosition,
         evacuation::{EvacuatedZone, EvacuationsUpdate},
+        fleet_digest::FleetDigest,
         leaving::{LeavingLife, lives::Lives},
         load_stats::LoadReport,
         model::{EndpointEntry, EndpointInstance},
@@ -57,7 +58,8 @@
             age: Millis(20),
         }],
         owner_tokens: vec![("s".into(), 5)],
-        knew_earlier_row: true,
+        era: 2,
+        known_since: Some(1),
     })
 }
 
@@ -65,7 +67,7 @@
     PeerReply::Report(ReportReply {
         lease: None,
         waited: Millis(400),
-        daemons: 2,
+        daemons: FleetDigest::of(&["d0".into(), "d1".into()].map(VmName)),
         position: Some(FleetPosition::of_rank(1, 2)),
         owners: Vec::new(),
         endpoints: None,
--- a/tests/gateway/fake_platform.rs
+++ b/tests/gateway/fake_platform.rs
@@ -28,8 +28,10 @@
     },
     time::Duration,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+/// Time within which a daemon becomes the controller.
+const CONTROLLER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Start of the names of rows that request an evacuation; the zone follows.
 const EVACUATION: &str = "evacuate/";
 
@@ -119,6 +121,15 @@
         (!row.released).then_some(row.holder.0.to_string())
     }
 
+    /// Waits until the daemon with this name holds the controller lease.
+    pub async fn wait_for_controller(&self, name: &str) {
+        let end = Instant::now() + CONTROLLER_TIMEOUT;
+        while self.controller().as_deref() != Some(name) {
+            assert!(Instant::now() < end, "{name} is not the controller");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Declares the test configuration as `version`.
     pub fn declare(&self, version: u64) {
         self.put(Table::Declarations, "config", &version.to_string());
--- a/tests/gateway/incarnations.rs
+++ b/tests/gateway/incarnations.rs
@@ -59,7 +59,8 @@
         pauses: Vec::new(),
         limits: Vec::new(),
         owner_tokens: Vec::new(),
-        knew_earlier_row: false,
+        era: 1,
+        known_since: None,
     })
 }
 
--- a/tests/gateway/leaving_outage.rs
+++ b/tests/gateway/leaving_outage.rs
@@ -5,7 +5,7 @@
     daemon::{Daemon, daemon_on},
     fake_endpoint::{Behavior, FakeEndpoint},
     fake_platform::FakePlatform,
-    leaving_daemon::{CERTAIN_USE, LATEST_USE, TIMEOUT, keyed_on, wait_for_arrival},
+    leaving_daemon::{CERTAIN_USE, LATEST_USE, keyed_on, wait_for_arrival},
 };
 use std::time::Duration;
 use test_case::test_case;
@@ -19,15 +19,6 @@
 /// Time after which a daemon knows that the store or the controller does not reply.
 const UNNOTICED_TIME: Duration = Duration::from_secs(1);
 
-/// Waits until this daemon holds the controller lease.
-async fn wait_for_controller(platform: &FakePlatform, name: &str) {
-    let end = Instant::now() + TIMEOUT;
-    while platform.controller().as_deref() != Some(name) {
-        assert!(Instant::now() < end, "{name} is not the controller");
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// What a daemon is out of contact with.
 #[derive(Clone, Copy, Debug)]
 enum Outage {
@@ -66,7 +57,7 @@
             Outage::AllOfController => (vec![("d1", link.clone()), ("d2", common())], 0),
         };
         let (daemons, endpoints) = keyed_on(&platform, &links).await;
-        wait_for_controller(&platform, "d1").await;
+        platform.wait_for_controller("d1").await;
         let owner = wait_for_arrival(&daemons[tested], "/keyed/1", &endpoints).await;
         match outage {
             Outage::StoreOfController | Outage::StoreOfOther => platform.set_failing(true),
@@ -75,11 +66,11 @@
                 // The daemon cannot learn the address of the next controller, which does not
                 // contact it either.
                 daemons[0].stop();
-                wait_for_controller(&platform, "d3").await;
+                platform.wait_for_controller("d3").await;
             }
             Outage::AllOfController => {
                 link.cut();
-                wait_for_controller(&platform, "d2").await;
+                platform.wait_for_controller("d2").await;
             }
         }
         sleep(UNNOTICED_TIME).await;
@@ -186,7 +177,7 @@
     let link = platform.with_own_link();
     let links = [("d1", platform.clone()), ("d2", link.clone())];
     let (daemons, endpoints) = keyed_on(&platform, &links).await;
-    wait_for_controller(&platform, "d1").await;
+    platform.wait_for_controller("d1").await;
     let owner = wait_for_arrival(&daemons[1], "/keyed/1", &endpoints).await;
     link.cut();
     sleep(UNNOTICED_TIME).await;
--- a/tests/gateway/removal_daemons.rs
+++ b/tests/gateway/removal_daemons.rs
@@ -16,14 +16,6 @@
 const WATCHED: Duration = Duration::from_millis(700);
 const ENDPOINTS: usize = 6;
 
-async fn wait_for_controller(platform: &FakePlatform) {
-    let end = Instant::now() + Duration::from_secs(10);
-    while platform.controller().as_deref() != Some("d1") {
-        assert!(Instant::now() < end, "no controller");
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Sends requests through the daemon until the task is aborted.
 async fn send_all_the_time(daemon: Arc<Daemon>) {
     loop {
@@ -53,7 +45,7 @@
     platform.declare(1);
     let link = platform.with_own_link();
     let controller = Arc::new(Daemon::start_as("d1", &link));
-    wait_for_controller(&platform).await;
+    platform.wait_for_controller("d1").await;
     let other = Arc::new(Daemon::start_as("d2", &platform));
     other.wait_ready_among(2).await;
     let callers: Vec<_> = [&controller, &other]
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -8,7 +8,7 @@
     leaving::{builder, entry, local},
 };
 use fireflygauge::gateway::{
-    controller_lease::LeaseRow,
+    controller_lease::{LeaseRow, TAKEOVER_AFTER},
     model::KeyRange,
     owners::{OwnedRange, Owners},
     platform::{Platform, Table},
@@ -108,6 +108,46 @@
     }
 }
 
+/// Guards against two endpoints with the same keys: the controller takes its lease back although another
+/// daemon had taken it over and moved keys, which neither the copy nor that daemon's next life tells.
+#[test_case(true => false; "another was the controller and has restarted")]
+#[test_case(false => true; "no daemon reached the store")]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_controller_goes_on_unless_another_may_have_moved_keys(is_succeeded: bool) -> bool {
+    let platform = FakePlatform::new();
+    let endpoint = FakeEndpoint::start(Behavior::Ok).await;
+    platform.register("k", "keyed", endpoint.addr);
+    platform.declare(1);
+    let links = [platform.with_own_link(), platform.with_own_link()];
+    let first = Daemon::start_as("d1", &links[0]);
+    platform.wait_for_controller("d1").await;
+    let second = Daemon::start_as("d2", &links[1]);
+    first.wait_ready_among(2).await;
+    second.wait_ready_among(2).await;
+    // The first counts the daemons itself from now on.
+    sleep(Duration::from_secs(4)).await;
+    let copy = platform.copy();
+    let epoch = lease(&platform).await.expect("the lease was taken").epoch;
+    links[0].cut();
+    if is_succeeded {
+        platform.wait_for_controller("d2").await;
+        second.stop();
+        while !second.has_ended() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    links[1].cut();
+    let restarted = is_succeeded.then(|| Daemon::start_as("d2", &links[1]));
+    sleep(Duration::from_millis(2_500)).await;
+    platform.restore(copy);
+    links.iter().for_each(FakePlatform::heal);
+    // No daemon may take the lease over sooner.
+    sleep(Duration::from(TAKEOVER_AFTER)).await;
+    let row = lease(&platform).await.expect("the copy has the lease");
+    drop(restarted);
+    row.epoch > epoch
+}
+
 /// Guards against owners of the copy that replace later ones, because their version is of a later era.
 #[test_case(5, true; "later owners")]
 #[test_case(0, false; "earlier owners")]
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -271,8 +271,7 @@
             controller.handle(lease, now);
             controller.handle(Event::Endpoints(entries), now);
         }
-        let since = self.all_reported_since(i);
-        self.daemons[i].controller.set_all_reported_since(since);
+        self.receive_reports(i);
         let stats = self.wide.as_ref().map(Wide::stats);
         let controller = &mut self.daemons[i].controller;
         let actions = controller.step(stats.unwrap_or(&Map::default()), now);
--- a/tests/gateway/simulation/restoration.rs
+++ b/tests/gateway/simulation/restoration.rs
@@ -8,6 +8,7 @@
     gateway::{
         controller::{EarlierOwners, Event},
         controller_lease::LeaseRow,
+        fleet_digest::FleetDigest,
         owners::Owners,
         platform::Table,
         store_version::{era_of, number_of, store_version},
@@ -35,6 +36,8 @@
     /// Mean interval between restorations, in milliseconds; 0 for none.
     interval: u64,
     kept: VecDeque<(u64, Rows)>,
+    /// Whether daemons restart or reach the store again while it is away.
+    with_restarts: bool,
     next_at: u64,
     /// When the store is back, and from which copy.
     restored_at: Option<(u64, usize)>,
@@ -46,6 +49,11 @@
         self.copies.interval = interval;
     }
 
+    /// Lets daemons restart, and others reach the store again, while it comes back from a copy.
+    pub fn restart_daemons_at_restorations(&mut self) {
+        self.copies.with_restarts = true;
+    }
+
     /// Ends the restorations.
     pub(super) fn end_restorations(&mut self) {
         self.copies.interval = 0;
@@ -91,6 +99,22 @@
             .map(|(row, (version, value))| (row, (in_era(version), value)))
             .collect();
         self.store_up = true;
+        if self.copies.with_restarts {
+            self.change_all_daemons();
+        }
+    }
+
+    /// Restarts some of the daemons that reach the store, and lets some of the others reach it again.
+    fn change_all_daemons(&mut self) {
+        for i in 0..DAEMONS {
+            let daemon = &mut self.daemons[i];
+            let is_changed = self.rng.random_bool(0.5);
+            if is_changed && daemon.up && daemon.reaches_store {
+                self.restart_daemon(i);
+            } else if is_changed {
+                daemon.reaches_store = true;
+            }
+        }
     }
 
     /// What a daemon that reads the owners' rows knows: the later ones of these and of those that it has
@@ -120,9 +144,9 @@
         }
     }
 
-    /// Since when all other daemons have reported to this one again: those that run, and take it for the
-    /// controller, report every 400 ms.
-    pub(super) fn all_reported_since(&mut self, i: usize) -> Millis {
+    /// Passes the reports of other daemons to this one: those that run, and take it for the controller,
+    /// report every 400 ms.
+    pub(super) fn receive_reports(&mut self, i: usize) {
         let me = self.daemons[i].controller.lease_state().row().cloned();
         let now = self.now;
         for other in (0..DAEMONS).filter(|other| *other != i) {
@@ -137,17 +161,21 @@
                 self.report_owners(other, i);
             }
         }
-        let reports = self.daemons[i].reports.values().copied();
-        Millis(reports.min().unwrap_or(now))
+        let mut reports = self.daemons[i].reports.values();
+        if reports.all(|last| *last > 0) {
+            self.daemons[i].controller.set_fleet(fleet());
+        }
     }
 
     /// Reports what daemon `from` knows of earlier owners to daemon `to`.
     fn report_owners(&mut self, from: usize, to: usize) {
         let daemon = &self.daemons[from];
+        let lease = daemon.controller.lease_state();
         let owners = daemon.known_owners.as_ref();
         let tokens = owners.map(|owners| (SERVICE.into(), owners.latest_token()));
         let known = EarlierOwners {
-            knew_row: daemon.controller.lease_state().era_seen().knew_row,
+            era: era_of(lease.version()),
+            known_since: lease.known_since(),
             tokens: tokens.into_iter().collect(),
         };
         let event = Event::EarlierOwners(VmName(format!("d{from}").into()), known);
@@ -168,7 +196,15 @@
         let told = self.daemons.iter().find(is_holder);
         if let Some(owners) = told.and_then(|daemon| daemon.known_owners.clone()) {
             self.hear_of(i, owners);
-            self.daemons[i].controller.set_expected_daemons(DAEMONS);
+            self.daemons[i].controller.set_fleet(fleet());
         }
     }
 }
+
+/// All daemons.
+fn fleet() -> FleetDigest {
+    let names: Vec<VmName> = (0..DAEMONS)
+        .map(|i| VmName(format!("d{i}").into()))
+        .collect();
+    FleetDigest::of(&names)
+}
