OWNER: a write that a copy of the store takes gives no keys

Callers would see two endpoints with the same keys.

Cause: the store compares the version that a write expects by its number, and a copy gives numbers out again. A write of owners that is repeated across a restoration can be committed in the copy, and the controller granted the keys before it had checked whether it still holds the lease.

Change: after such a write, ranges stay to be written. If the lease is taken back, they are written again with all others.

--- a/src/gateway/controller/writes.rs
+++ b/src/gateway/controller/writes.rs
@@ -219,6 +219,10 @@
         } else if let Some(row) = self.controller_lease.row() {
             self.tokens.start_epoch(row.epoch);
         }
+        // The store came back from a copy, and the rows are written again.
+        if self.controller_lease.is_restored() {
+            return;
+        }
         for (name, ids) in pending.ranges {
             let Some(managed) = self.services.get_mut(&name) else {
                 continue;
--- a/tests/gateway/controllers.rs
+++ b/tests/gateway/controllers.rs
@@ -11,6 +11,7 @@
         model::EndpointEntry,
         owners::Owners,
         platform::{GrantOutcome, ReleaseOutcome, WriteOutcome},
+        store_version::store_version,
     },
     world::{Incarnation, ServiceName, VmName},
 };
@@ -241,6 +242,18 @@
     );
 }
 
+/// Guards against two endpoints with the same keys: a write of owners is committed in a copy of the store,
+/// which has given the version that it expects out again. Another controller may have given the keys away.
+#[test]
+fn a_write_that_a_copy_takes_gives_no_keys() {
+    let mut deployment = Deployment::new(vec![entry("e", "s", 1)]);
+    // The first owners are written next.
+    deployment.run(2_000);
+    deployment.write_outcome = |now_ms| WriteOutcome::Committed(store_version(1, now_ms));
+    deployment.run(800);
+    assert_eq!(deployment.granted, []);
+}
+
 /// Guards against two endpoints with the same keys: the second controller is restarted, and takes
 /// the lease over again as a process that has not seen the first one, which is still active.
 #[test]
