RECOVER: leases of earlier controllers end once all daemons have reported

Callers: keys of an endpoint that had left stayed unserved for 14.6 s after a takeover that follows a restoration.

Cause: once all daemons have reported to the successor, none sends commands, and the wait for uncertain owners is shortened to a time-out and a lease after that. The ends of the leases in the ranges were not, so keys whose owner does not answer waited for 9.5 s more.

Change: both end with the reports. A report names the version of the lease row that the daemon has seen, in place of the era, and counts only if that is the successor's row or a later one: one that was sent before proves nothing.

--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -12,7 +12,6 @@
         owners::Owners,
         platform::Platform,
         rate_limit::{LimitReport, is_urgent, not_known},
-        store_version::era_of,
     },
     peer::{
         codec::{self, CodecError},
@@ -58,7 +57,7 @@
             leaving: self.builder.lives().to_report(now),
             pauses: self.builder.pause_reports(now),
             limits: self.builder.rate_limits().reports(now),
-            era: era_of(self.controller.lease_state().version()),
+            lease_version: self.controller.lease_state().version(),
             owner_tokens: self.builder.owner_tokens(),
             known_since: self.controller.lease_state().known_since(),
         };
@@ -164,7 +163,7 @@
         }
         if report.name != self.cx.name {
             let known = EarlierOwners {
-                era: report.era,
+                lease_version: report.lease_version,
                 known_since: report.known_since,
                 tokens: std::mem::take(&mut report.owner_tokens),
             };
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -75,7 +75,11 @@
             return;
         }
         self.predecessor = None;
-        let lease_end = self.latest_lease_end(now);
+        self.shorten_leases(self.latest_lease_end(now));
+    }
+
+    /// Shortens the wait for the leases that earlier controllers granted, which end by `lease_end`.
+    pub(super) fn shorten_leases(&mut self, lease_end: Millis) {
         self.grace_end = self.grace_end.min(lease_end);
         for range in self.services.values_mut().flat_map(|m| &mut m.ranges) {
             if !range.confirmed {
@@ -94,7 +98,7 @@
     /// Starts an epoch. The predecessor may still send grants for up to `predecessor_active_for`.
     pub(super) fn start_epoch(&mut self, now: Millis, predecessor_active_for: Millis) {
         self.drop_services();
-        self.reports = Reports::default();
+        self.reports = Reports::new(self.controller_lease.version());
         self.grace_end = self.latest_lease_end(now + predecessor_active_for);
         let epoch = self.controller_lease.row().map_or(0, |row| row.epoch);
         self.tokens.start_epoch(epoch);
--- a/src/gateway/controller/reports.rs
+++ b/src/gateway/controller/reports.rs
@@ -5,7 +5,11 @@
 use crate::{
     clock::Millis,
     collections::Map,
-    gateway::{controller_lease::STOP_AFTER, fleet_digest::FleetDigest, store_version::era_of},
+    gateway::{
+        controller_lease::STOP_AFTER,
+        fleet_digest::FleetDigest,
+        store_version::{era_of, store_version},
+    },
     world::{ServiceName, VmName},
 };
 use std::iter;
@@ -13,8 +17,8 @@
 /// What a daemon knows of the time before the last restoration of the store.
 #[derive(Clone, Debug)]
 pub struct EarlierOwners {
-    /// The latest era of the store that it has seen.
-    pub era: u64,
+    /// Version of the row of the controller lease that it has seen last.
+    pub lease_version: u64,
     /// The era since which it has known the controllers and owners; `None` if it knows none.
     pub known_since: Option<u64>,
     /// The latest token of the owners of each service that it knows from whatever source.
@@ -25,6 +29,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Reports {
     latest: Map<VmName, Report>,
+    /// Version of the lease row with which the epoch began.
+    since_version: u64,
     /// When all daemons had reported. None of them has acted as a controller since.
     complete_at: Option<Millis>,
 }
@@ -36,6 +42,14 @@
 }
 
 impl Reports {
+    /// No reports in the epoch that began with this version of the lease row.
+    pub(super) fn new(since_version: u64) -> Self {
+        Self {
+            since_version,
+            ..Self::default()
+        }
+    }
+
     /// Whether all daemons know all owners since `era`, and none knows later ones of a service than
     /// `token`.
     pub(super) fn confirm(&self, service: &ServiceName, token: u64, era: u64) -> bool {
@@ -46,11 +60,12 @@
         })
     }
 
-    /// Whether the daemons that have seen `era`, and `me`, are exactly `fleet`.
-    fn are_complete(&self, era: u64, fleet: FleetDigest, me: &VmName) -> bool {
+    /// Whether the daemons that have seen the lease row of `version` or a later one, and `me`, are exactly
+    /// `fleet`.
+    fn are_complete(&self, version: u64, fleet: FleetDigest, me: &VmName) -> bool {
         let reports = self.latest.iter();
-        let in_era = reports.filter(|(_, report)| report.known.era == era);
-        FleetDigest::of(in_era.map(|(name, _)| name).chain(iter::once(me))) == fleet
+        let have_seen = reports.filter(|(_, report)| report.known.lease_version >= version);
+        FleetDigest::of(have_seen.map(|(name, _)| name).chain(iter::once(me))) == fleet
     }
 
     /// Whether all daemons that have reported since `since` have seen `era`, and ran before it.
@@ -61,7 +76,7 @@
             .filter(|report| report.received_at >= since);
         recent.all(|report| {
             let ran_before = report.known.known_since.is_some_and(|since| since < era);
-            report.known.era == era && ran_before
+            era_of(report.known.lease_version) == era && ran_before
         })
     }
 }
@@ -88,27 +103,28 @@
         }
     }
 
-    /// When all daemons had reported that they see the present era of the store; `None` if some have not.
+    /// When all daemons had reported that they have seen this epoch; `None` if some have not. Controllers
+    /// before it send nothing from then on.
     pub(super) fn reports_complete_at(&mut self, now: Millis) -> Option<Millis> {
-        if self.reports.complete_at.is_none() && self.reports_are_complete() {
+        let is_first = self.reports.complete_at.is_none();
+        if is_first && self.all_have_seen(self.reports.since_version) {
             self.reports.complete_at = Some(now);
+            self.shorten_leases(now + self.command_and_lease());
         }
         self.reports.complete_at
     }
 
     /// Whether no other daemon can have taken the lease over before the restoration.
     pub(super) fn no_takeover_is_lost(&self, now: Millis) -> bool {
+        let era = era_of(self.controller_lease.version());
         let since = now - STOP_AFTER;
-        self.reports_are_complete() && self.reports.are_of_earlier_lives(self.era(), since)
+        self.all_have_seen(store_version(era, 0)) && self.reports.are_of_earlier_lives(era, since)
     }
 
-    fn reports_are_complete(&self) -> bool {
+    /// Whether all daemons have seen the lease row of `version` or a later one.
+    fn all_have_seen(&self, version: u64) -> bool {
         let me = self.controller_lease.name();
         self.fleet
-            .is_some_and(|fleet| self.reports.are_complete(self.era(), fleet, me))
-    }
-
-    fn era(&self) -> u64 {
-        era_of(self.controller_lease.version())
+            .is_some_and(|fleet| self.reports.are_complete(version, fleet, me))
     }
 }
--- a/src/gateway/controller/unconfirmed.rs
+++ b/src/gateway/controller/unconfirmed.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    fn command_and_lease(&self) -> Millis {
+    pub(super) fn command_and_lease(&self) -> Millis {
         COMMAND_TIMEOUT + self.max_lease_time()
     }
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -89,8 +89,8 @@
     pub pauses: Vec<PauseReport>,
     /// Limits that it knows, and those that have ended lately.
     pub limits: Vec<LimitReport>,
-    /// The latest era of the store that it has seen.
-    pub era: u64,
+    /// Version of the row of the controller lease that it has seen last.
+    pub lease_version: u64,
     /// The latest token of the owners that it has, for each service.
     pub owner_tokens: Vec<(ServiceName, u64)>,
     /// The era since which it has known the controllers and owners; `None` if it knows none.
--- a/tests/gateway/controllers.rs
+++ b/tests/gateway/controllers.rs
@@ -6,8 +6,9 @@
     clock::Millis,
     collections::Map,
     gateway::{
-        controller::{Action, Controller, Event},
+        controller::{Action, Controller, EarlierOwners, Event},
         controller_lease::STOP_AFTER,
+        fleet_digest::FleetDigest,
         model::EndpointEntry,
         owners::Owners,
         platform::{GrantOutcome, ReleaseOutcome, WriteOutcome},
@@ -53,6 +54,8 @@
     controller: Controller,
     owners: StoredOwners,
     reaches: fn(u16) -> bool,
+    /// Era of the store.
+    era: u64,
     /// Time and port of each grant that an endpoint accepted.
     granted: Vec<(u64, u16)>,
 }
@@ -68,6 +71,7 @@
             controller,
             owners: Vec::new(),
             reaches,
+            era: 0,
             granted: Vec::new(),
         }
     }
@@ -82,7 +86,10 @@
         let now = Millis(now_ms);
         for action in self.controller.step(&Map::default(), now) {
             let event = match action {
-                Action::Write(id, _) => Event::Written(id, WriteOutcome::Committed(now_ms)),
+                Action::Write(id, _) => {
+                    let version = store_version(self.era, now_ms);
+                    Event::Written(id, WriteOutcome::Committed(version))
+                }
                 Action::ReadOwners => Event::Owners(self.owners.clone()),
                 Action::Grant(service, id, addr, _) => {
                     let is_reached = (self.reaches)(addr.port());
@@ -192,6 +199,40 @@
     );
 }
 
+/// Guards against keys that nobody serves for 14.6 s after a restoration, although all daemons have reported
+/// that they send no commands. Their owner has left.
+#[test]
+fn leases_are_waited_for_only_until_all_daemons_have_reported() {
+    let (entries, first, owners) = first_controller();
+    let mut second = Daemon::new("d2", &entries[1..], |port| port == 2);
+    second.era = 2;
+    second.owners = owners;
+    let names = ["d1", "d2"].map(|name| VmName(name.into()));
+    second.controller.set_fleet(FleetDigest::of(&names));
+    let row_of_copy = first.controller.lease_state().row().cloned();
+    let copy = Event::Lease(store_version(2, 1), row_of_copy);
+    second.controller.handle(copy, Millis(4_000));
+    let (mut now_ms, mut taken_at) = (4_000, None);
+    while second.granted.is_empty() && now_ms < 30_000 {
+        now_ms += 50;
+        second.step(now_ms);
+        let lease = second.controller.lease_state();
+        if lease.is_holder() {
+            taken_at.get_or_insert(now_ms);
+            let known = EarlierOwners {
+                lease_version: lease.version(),
+                known_since: None,
+                tokens: Vec::new(),
+            };
+            let report = Event::EarlierOwners(names[0].clone(), known);
+            second.controller.handle(report, Millis(now_ms));
+        }
+    }
+    let waited = second.granted[0].0 - taken_at.expect("it takes the lease over");
+    // A lease and a time-out from the report on, at least.
+    assert!((4_880..=6_000).contains(&waited), "{waited} ms");
+}
+
 /// Guards against keys that nobody serves as long as their owner runs, because it registers itself
 /// for another service without a restart.
 #[test_case("t", false; "service without keys")]
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -58,7 +58,7 @@
             age: Millis(20),
         }],
         owner_tokens: vec![("s".into(), 5)],
-        era: 2,
+        lease_version: 2,
         known_since: Some(1),
     })
 }
--- a/tests/gateway/incarnations.rs
+++ b/tests/gateway/incarnations.rs
@@ -59,7 +59,7 @@
         pauses: Vec::new(),
         limits: Vec::new(),
         owner_tokens: Vec::new(),
-        era: 1,
+        lease_version: 1,
         known_since: None,
     })
 }
--- a/tests/gateway/simulation/restoration.rs
+++ b/tests/gateway/simulation/restoration.rs
@@ -174,7 +174,7 @@
         let owners = daemon.known_owners.as_ref();
         let tokens = owners.map(|owners| (SERVICE.into(), owners.latest_token()));
         let known = EarlierOwners {
-            era: era_of(lease.version()),
+            lease_version: lease.version(),
             known_since: lease.known_since(),
             tokens: tokens.into_iter().collect(),
         };
