OWNER: keys that an endpoint takes from its buffers are released again

Callers: an endpoint that had been suspended holds keys beside their present owner, both granted by one controller, for as long as a lease lasts. That fits the users' record (both tokens from one daemon, endpoints that answer nothing for 1 to 2 s); it is not shown that it is what they saw.

Cause: commands that time out end in a reset, which was taken to discard them. It discards what is on its way, not what has arrived: a process suspended by SIGSTOP reads, after it goes on, what was sent and reset meanwhile (shown with plain sockets). The lease counts from then, and the keys had been assigned anew once the lease of a receiver that reads at once would have ended.

Change: an endpoint that loses keys while a grant to it has no answer is sent releases under new tokens until it answers, for 60 s at most, and then until what it may have read has ended (controller::former_owners). An owner that answers releases while such a grant can be applied is asked again every 0.2 s.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -13,6 +13,7 @@
 mod endpoints;
 mod epoch;
 mod evacuating;
+mod former_owners;
 mod outcomes;
 mod ranges;
 mod reports;
@@ -40,6 +41,7 @@
 };
 use endpoints::RegisteredInstance;
 use evacuating::Evacuating;
+use former_owners::FormerOwner;
 use reports::Reports;
 use std::{net::SocketAddr, sync::Arc};
 use tokens::TokenSequence;
@@ -127,6 +129,8 @@
     rate_limits: Map<EndpointInstance, Rate>,
     /// Evacuated zones, and the owners there that have to give up their keys.
     evacuating: Evacuating,
+    /// Endpoints that may still take keys that they have lost.
+    former_owners: Vec<FormerOwner>,
     /// Present and past backoffs by endpoint.
     backoffs: Map<EndpointInstance, GrantBackoff>,
     /// Whether the owners have been read in this epoch.
@@ -189,6 +193,7 @@
             paused: Map::default(),
             rate_limits: Map::default(),
             evacuating: Evacuating::default(),
+            former_owners: Vec::new(),
             backoffs: Map::default(),
             loaded: false,
             reading: false,
@@ -307,6 +312,7 @@
             self.add_declared_services(now);
             self.place_keys(stats, now);
             self.issue_commands(now, &mut actions);
+            self.release_from_former_owners(now, &mut actions);
         }
         self.issue_write(now, &mut actions);
         actions
--- a/src/gateway/controller/commands.rs
+++ b/src/gateway/controller/commands.rs
@@ -161,6 +161,9 @@
         if range.phase == Phase::Free {
             range.handover = None;
             range.lease_end = now;
+            if !matches!(status, OwnerStatus::Replaced { .. }) {
+                self.note_former_owner(name, range, now);
+            }
         }
         if before != range.phase {
             log::info!(target: "ownership", service:% = name, first = range.keys.first,
--- a/src/gateway/controller/endpoints.rs
+++ b/src/gateway/controller/endpoints.rs
@@ -49,10 +49,11 @@
         service: &ServiceName,
         instance: &EndpointInstance,
     ) -> OwnerStatus {
-        if let Some(status) = self.status_at_address(service, instance) {
+        let addr = self.addrs.get(instance);
+        let status = addr.and_then(|addr| self.status_at_address(service, instance, *addr));
+        if let Some(status) = status {
             return status;
         }
-        let addr = self.addrs.get(instance);
         match self.entry_of(instance) {
             Some(entry) if addr.is_some_and(|addr| *addr != entry.addr) => OwnerStatus::Leaving,
             Some(entry) if !entry.draining && entry.service == *service => OwnerStatus::Present,
@@ -62,18 +63,18 @@
         }
     }
 
-    /// Status of an instance if another one was registered at its address after it.
+    /// Status of an instance if another one was registered at its address, `addr`, after it.
     ///
     /// Rows show the order of two registered instances, since a running endpoint keeps writing its
     /// row. Start times come from the clocks of the endpoints, which may be set back between two
     /// instances, so a later start time alone does not end an instance that is registered.
-    fn status_at_address(
+    pub(super) fn status_at_address(
         &self,
         service: &ServiceName,
         instance: &EndpointInstance,
+        addr: SocketAddr,
     ) -> Option<OwnerStatus> {
-        let addr = self.addrs.get(instance)?;
-        let latest = self.latest_at(*addr)?;
+        let latest = self.latest_at(addr)?;
         let starts_later = latest.instance.started_at_ms > instance.started_at_ms;
         let is_registered = self.entry_of(instance).is_some();
         if latest.instance == *instance || !(starts_later || is_registered) {
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -90,6 +90,7 @@
 
     pub(super) fn drop_services(&mut self) {
         self.services.clear();
+        self.former_owners.clear();
         self.loaded = false;
         self.reading = false;
         self.rows_outdated = false;
--- a/src/gateway/controller/outcomes.rs
+++ b/src/gateway/controller/outcomes.rs
@@ -13,6 +13,8 @@
 const RENEWALS_PER_LEASE: u64 = 4;
 /// Delay before a command is retried.
 const RETRY_DELAY: Millis = Millis(150);
+/// Interval between releases from an owner that may still apply a grant.
+const RELEASE_INTERVAL: Millis = Millis(200);
 /// Delay before a grant is repeated that an endpoint in a requested pause refused.
 const PAUSED_RETRY_DELAY: Millis = Millis(1_000);
 
@@ -66,6 +68,7 @@
                 range.lease_end = range.lease_end.max(now + lease);
                 range.confirmed = false;
                 range.grant_unacknowledged = true;
+                range.released_at = None;
                 range.next_command_at = now + RETRY_DELAY;
                 range.failures += 1;
             }
@@ -112,25 +115,34 @@
         outcome: ReleaseOutcome,
         now: Millis,
     ) {
+        if self.handle_former_released(id, &outcome, now) {
+            return;
+        }
         let Some(range) = self.services.get_mut(name).and_then(|m| m.range_mut(id)) else {
             return;
         };
         range.in_flight = false;
+        if matches!(outcome, ReleaseOutcome::Released(_)) {
+            range.released_at.get_or_insert(now);
+        }
         log::info!(target: "ownership", service:% = name, first = range.keys.first,
             last = range.keys.last, owner:% = range.owner.as_ref().map_or("", |o| &o.name),
             token = range.command_token, outcome:? = outcome; "Release completed.");
         match outcome {
-            // The unacknowledged grant may still be applied, until its lease expires.
+            // The unacknowledged grant may still be applied, until its lease expires. What was applied
+            // after this release is undone by the next one.
             ReleaseOutcome::Released(_)
                 if (range.grant_unacknowledged || range.grant_presumed)
                     && now < range.lease_end =>
             {
-                range.next_command_at = range.lease_end;
+                range.next_command_at = range.lease_end.min(now + RELEASE_INTERVAL);
             }
             ReleaseOutcome::Released(handover) => {
                 range.phase = Phase::Free;
                 range.handover = handover;
                 range.lease_end = now;
+                let freed = range.clone();
+                self.note_former_owner(name, &freed, now);
             }
             ReleaseOutcome::NotSupported => {
                 range.phase = Phase::Free;
--- a/src/gateway/controller/ranges.rs
+++ b/src/gateway/controller/ranges.rs
@@ -66,6 +66,8 @@
     /// Whether the response to the last grant may be a late copy, so that the grant may still be
     /// applied. A release does not fence it; a grant on a new connection comes first.
     pub grant_presumed: bool,
+    /// When the owner first answered a release since the last grant without an answer.
+    pub released_at: Option<Millis>,
     /// Consecutive commands that failed.
     pub failures: u32,
     /// Whether the last grant was refused because of a higher token.
@@ -92,6 +94,7 @@
             confirmed: false,
             grant_unacknowledged: false,
             grant_presumed: false,
+            released_at: None,
             failures: 0,
             was_fenced: false,
         }
--- a/tests/gateway/controllers.rs
+++ b/tests/gateway/controllers.rs
@@ -283,6 +283,47 @@
     );
 }
 
+/// Guards against two endpoints with the same keys: the first one was suspended, and when it goes on it
+/// takes grants that lay in its buffers, after the keys have moved.
+#[test]
+fn keys_are_released_from_a_former_owner_until_it_can_hold_none() {
+    let next = EndpointEntry {
+        addr: ([127, 0, 0, 1], 2).into(),
+        ..entry("f", "s", 1)
+    };
+    let mut deployment = Deployment::new(vec![entry("e", "s", 1)]);
+    deployment.run(4_000);
+    // Renewals fail, then its entry lapses.
+    deployment.silent = Some(1);
+    deployment.run(2_000);
+    deployment.set_endpoints(vec![next]);
+    deployment.run(5_000);
+    assert!(
+        deployment.granted.iter().any(|(.., port)| *port == 2),
+        "the keys have moved"
+    );
+    let mut is_released_within = |ms, silent| {
+        deployment.silent = silent;
+        deployment.released.clear();
+        deployment.run(ms);
+        deployment.released.contains(&1)
+    };
+    assert!(
+        is_released_within(1_000, Some(1)),
+        "it may take grants later"
+    );
+    assert!(is_released_within(500, None), "it has just gone on");
+    assert!(
+        is_released_within(3_000, None),
+        "it may have taken a grant late"
+    );
+    assert!(
+        is_released_within(1_000, None),
+        "its lease may not have ended"
+    );
+    assert!(!is_released_within(5_000, None), "its leases have ended");
+}
+
 /// Guards against two endpoints with the same keys: a write of owners is committed in a copy of the store,
 /// which has given the version that it expects out again. Another controller may have given the keys away.
 #[test]
