OWNER: who belongs to the fleet is known late, and forgotten early

Callers would see two endpoints with the same keys after a restoration. Shown in the simulation only.

Cause: the fleet whose reports are awaited was that of the last 3 s of a holder, also of one that had just taken over, and it was told at once (a new daemon told its first reporter a fleet of two). A daemon that had once been alone, or was cut off while others came and went, waited for nobody. And the lease could be taken back long after its last renewal, when the reports of that time are forgotten.

Change: a holder knows the fleet once it has held the lease for 9.5 s, from the reports of as long. What was known more than 4 s before the restored store was seen does not count. Nothing is taken back after the time for commands.

Price: restorations after an outage of more than 4 s, or within 9.5 s of a takeover, cost the lease and the full wait of 14.6 s.

--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -5,7 +5,6 @@
     clock::Millis,
     gateway::{
         controller::{EarlierOwners, Event},
-        fleet_digest::FleetDigest,
         incarnations::Reported,
         leaving::{LeavingLife, lives::not_reported},
         load_stats::{LoadReport, ProcessingTime, ServiceLoad},
@@ -190,18 +189,6 @@
         self.incarnations
             .retain(|name| self.daemons.contains_key(name));
         self.set_daemon_count(self.daemons.len(), now);
-        // A new holder does not know all daemons yet.
-        let knows_daemons = self
-            .holder_since
-            .is_some_and(|since| now.since(since) >= DAEMON_EXPIRY);
-        if knows_daemons && !self.controller.has_unconfirmed(now) {
-            self.controller.set_fleet(self.fleet());
-        }
-    }
-
-    /// The daemons that report to this one, and this one.
-    fn fleet(&self) -> FleetDigest {
-        FleetDigest::of(self.daemons.keys())
     }
 
     fn set_daemon_count(&mut self, daemons: usize, now: Millis) {
@@ -284,7 +271,8 @@
                 .or(released_row)
                 .map(|row| (lease.version(), row.clone())),
             waited: now.since(held.received_at),
-            daemons: self.fleet(),
+            daemons: self.daemons.len() as u32,
+            fleet: self.controller.fleet(now),
             position: active_row.and_then(|_| self.positions.get(&held.report.name).copied()),
             owners,
             endpoints: active_row.and_then(|_| self.endpoints_update(&held, now)),
@@ -402,8 +390,10 @@
         }
         self.controller
             .handle(Event::Lease(version, Some(row)), now);
-        self.set_daemon_count(reply.daemons.size as usize, now);
-        self.controller.set_fleet(reply.daemons);
+        self.set_daemon_count(reply.daemons as usize, now);
+        if let Some(fleet) = reply.fleet {
+            self.controller.set_fleet(fleet, now);
+        }
         if let Some(position) = reply.position {
             self.set_position(position);
         }
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -145,9 +145,8 @@
     copy_seen: Option<(u64, Millis)>,
     /// What other daemons know of the time before a restoration of the store.
     reports: Reports,
-    /// The daemons as last known before this one took the lease over or the store was restored; `None`
-    /// if they are not known.
-    fleet: Option<FleetDigest>,
+    /// All daemons that could send commands, and when they were last known; `None` if they never were.
+    fleet: Option<(FleetDigest, Millis)>,
     stopping: bool,
     /// Whether the lease is being released for the benefit of another daemon.
     yielding: bool,
@@ -296,6 +295,7 @@
         let mut actions = Vec::new();
         self.check_restoration(now);
         self.update_holds(now);
+        self.update_fleet(now);
         let lacks_rows =
             !self.loaded || (self.rows_outdated && !self.controller_lease.is_restored());
         if self.controller_lease.is_holder()
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -55,11 +55,11 @@
             _ => now,
         };
         self.copy_seen = Some((version, seen_at));
-        if self.no_takeover_is_lost(now) {
+        // Reports from before the last renewal exclude nothing.
+        let is_in_time = self.controller_lease.may_issue_commands(now);
+        if is_in_time && self.no_takeover_is_lost(now) {
             self.controller_lease.take_back();
-        } else if now.since(seen_at) >= REPORTS_AWAITED_FOR
-            || !self.controller_lease.may_issue_commands(now)
-        {
+        } else if !is_in_time || now.since(seen_at) >= REPORTS_AWAITED_FOR {
             log::warn!(target: "ownership", awaited:% = now.since(seen_at);
                 "Controller lease is given up: another daemon may have taken it over before the restoration.");
             self.controller_lease.give_up();
@@ -99,7 +99,7 @@
     /// Starts an epoch. The predecessor may still send grants for up to `predecessor_active_for`.
     pub(super) fn start_epoch(&mut self, now: Millis, predecessor_active_for: Millis) {
         self.drop_services();
-        self.reports = Reports::new(self.controller_lease.version());
+        self.reports = Reports::new(self.controller_lease.version(), now);
         self.grace_end = self.latest_lease_end(now + predecessor_active_for);
         let epoch = self.controller_lease.row().map_or(0, |row| row.epoch);
         self.tokens.start_epoch(epoch);
--- a/src/gateway/controller/reports.rs
+++ b/src/gateway/controller/reports.rs
@@ -14,6 +14,11 @@
 };
 use std::iter;
 
+/// Time from when the daemons were last known until the restored store was seen, after which another
+/// daemon may have come, taken the lease over and gone, unnoticed by those that were cut off. Outages in
+/// which the store is restored are mostly shorter.
+const FLEET_VALID_FOR: Millis = Millis(4_000);
+
 /// What a daemon knows of the time before the last restoration of the store.
 #[derive(Clone, Debug)]
 pub struct EarlierOwners {
@@ -29,7 +34,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Reports {
     latest: Map<VmName, Report>,
-    /// Version of the lease row with which the epoch began.
+    /// When the epoch began.
+    since: Millis,
+    /// Version of the lease row with which it began.
     since_version: u64,
     /// When all daemons had reported. None of them has acted as a controller since.
     complete_at: Option<Millis>,
@@ -42,9 +49,10 @@
 }
 
 impl Reports {
-    /// No reports in the epoch that began with this version of the lease row.
-    pub(super) fn new(since_version: u64) -> Self {
+    /// No reports in the epoch that begins now, with this version of the lease row.
+    pub(super) fn new(since_version: u64, now: Millis) -> Self {
         Self {
+            since: now,
             since_version,
             ..Self::default()
         }
@@ -68,13 +76,14 @@
         FleetDigest::of(have_seen.map(|(name, _)| name).chain(iter::once(me))) == fleet
     }
 
+    fn received_since(&self, since: Millis) -> impl Iterator<Item = (&VmName, &Report)> {
+        let reports = self.latest.iter();
+        reports.filter(move |(_, report)| report.received_at >= since)
+    }
+
     /// Whether all daemons that have reported since `since` have seen `era`, and ran before it.
     fn are_of_earlier_lives(&self, era: u64, since: Millis) -> bool {
-        let mut recent = self
-            .latest
-            .values()
-            .filter(|report| report.received_at >= since);
-        recent.all(|report| {
+        self.received_since(since).all(|(_, report)| {
             let ran_before = report.known.known_since.is_some_and(|since| since < era);
             era_of(report.known.lease_version) == era && ran_before
         })
@@ -82,9 +91,31 @@
 }
 
 impl Controller {
-    /// Sets the daemons before this one takes the lease over or the store is restored, including itself.
-    pub fn set_fleet(&mut self, fleet: FleetDigest) {
-        self.fleet = Some(fleet);
+    /// Sets the daemons that may send commands at `now`, as the controller told them.
+    pub fn set_fleet(&mut self, fleet: FleetDigest, now: Millis) {
+        self.fleet = Some((fleet, now));
+    }
+
+    /// All daemons that may send commands now, to be told to the others; `None` if this one does not know
+    /// them or does not hold the lease. A silent one may send commands for [`STOP_AFTER`], and for as long
+    /// a new holder may not have heard from all of them.
+    pub fn fleet(&self, now: Millis) -> Option<FleetDigest> {
+        let lease = &self.controller_lease;
+        let knows_all = now < lease.sole_until()
+            && !lease.is_restored()
+            && now.since(self.reports.since) >= STOP_AFTER
+            && !self.has_unconfirmed(now);
+        knows_all.then(|| {
+            let names = self.reports.received_since(now - STOP_AFTER);
+            FleetDigest::of(names.map(|(name, _)| name).chain(iter::once(lease.name())))
+        })
+    }
+
+    /// Keeps the fleet as it was before the store is lost.
+    pub(super) fn update_fleet(&mut self, now: Millis) {
+        if let Some(fleet) = self.fleet(now) {
+            self.set_fleet(fleet, now);
+        }
     }
 
     /// Records what another daemon reports while this one holds the lease.
@@ -123,8 +154,10 @@
 
     /// Whether all daemons have seen the lease row of `version` or a later one.
     fn all_have_seen(&self, version: u64) -> bool {
-        let me = self.controller_lease.name();
-        self.fleet
-            .is_some_and(|fleet| self.reports.are_complete(version, fleet, me))
+        let lease = &self.controller_lease;
+        let is_valid = |known_at: Millis| lease.era_seen_at() <= known_at + FLEET_VALID_FOR;
+        self.fleet.is_some_and(|(fleet, known_at)| {
+            is_valid(known_at) && self.reports.are_complete(version, fleet, lease.name())
+        })
     }
 }
--- a/src/gateway/fleet_digest.rs
+++ b/src/gateway/fleet_digest.rs
@@ -8,8 +8,7 @@
 /// for one case in 2^64.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetDigest {
-    /// Number of daemons.
-    pub size: u32,
+    size: u32,
     names: u64,
 }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -105,8 +105,10 @@
     pub lease: Option<(u64, LeaseRow)>,
     /// Time that the controller held the report open before it replied (long poll).
     pub waited: Millis,
-    /// The daemons that currently report, and the controller.
-    pub daemons: FleetDigest,
+    /// Number of daemons that currently report.
+    pub daemons: u32,
+    /// All daemons that may send commands; `None` if the replying daemon does not know.
+    pub fleet: Option<FleetDigest>,
     /// Position of the reporting daemon among those of its zone; `None` if the controller may not know
     /// all daemons yet.
     pub position: Option<FleetPosition>,
--- a/tests/gateway/controllers.rs
+++ b/tests/gateway/controllers.rs
@@ -199,6 +199,23 @@
     );
 }
 
+/// Guards against two endpoints with the same keys: a successor takes the daemons that have reported to a new
+/// controller for all, and does not wait for one that is cut off from both and renews key leases.
+#[test]
+fn a_new_controller_does_not_take_the_first_reports_for_all_daemons() {
+    let (_, mut first, _) = first_controller();
+    // It took the lease in its first step.
+    let known_from = (4_000..14_000).step_by(50).find(|now_ms| {
+        first.step(*now_ms);
+        first.controller.fleet(Millis(*now_ms)).is_some()
+    });
+    let known_from = known_from.expect("it knows them at last");
+    assert!(known_from >= STOP_AFTER.0, "{known_from} ms");
+    let me = VmName("d1".into());
+    let fleet = first.controller.fleet(Millis(known_from));
+    assert_eq!(fleet, Some(FleetDigest::of([&me])));
+}
+
 /// Guards against keys that nobody serves for 14.6 s after a restoration, although all daemons have reported
 /// that they send no commands. Their owner has left.
 #[test]
@@ -208,7 +225,8 @@
     second.era = 2;
     second.owners = owners;
     let names = ["d1", "d2"].map(|name| VmName(name.into()));
-    second.controller.set_fleet(FleetDigest::of(&names));
+    let fleet = FleetDigest::of(&names);
+    second.controller.set_fleet(fleet, Millis(4_000));
     let row_of_copy = first.controller.lease_state().row().cloned();
     let copy = Event::Lease(store_version(2, 1), row_of_copy);
     second.controller.handle(copy, Millis(4_000));
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -67,7 +67,8 @@
     PeerReply::Report(ReportReply {
         lease: None,
         waited: Millis(400),
-        daemons: FleetDigest::of(&["d0".into(), "d1".into()].map(VmName)),
+        daemons: 2,
+        fleet: Some(FleetDigest::of(&["d0".into(), "d1".into()].map(VmName))),
         position: Some(FleetPosition::of_rank(1, 2)),
         owners: Vec::new(),
         endpoints: None,
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -8,7 +8,7 @@
     leaving::{builder, entry, local},
 };
 use fireflygauge::gateway::{
-    controller_lease::{LeaseRow, TAKEOVER_AFTER},
+    controller_lease::{LeaseRow, STOP_AFTER, TAKEOVER_AFTER},
     model::KeyRange,
     owners::{OwnedRange, Owners},
     platform::{Platform, Table},
@@ -124,8 +124,8 @@
     let second = Daemon::start_as("d2", &links[1]);
     first.wait_ready_among(2).await;
     second.wait_ready_among(2).await;
-    // The first counts the daemons itself from now on.
-    sleep(Duration::from_secs(4)).await;
+    // The first knows all daemons that may send commands.
+    sleep(STOP_AFTER.into()).await;
     let copy = platform.copy();
     let epoch = lease(&platform).await.expect("the lease was taken").epoch;
     links[0].cut();
--- a/tests/gateway/simulation/restoration.rs
+++ b/tests/gateway/simulation/restoration.rs
@@ -8,7 +8,6 @@
     gateway::{
         controller::{EarlierOwners, Event},
         controller_lease::LeaseRow,
-        fleet_digest::FleetDigest,
         owners::Owners,
         platform::Table,
         store_version::{era_of, number_of, store_version},
@@ -161,10 +160,6 @@
                 self.report_owners(other, i);
             }
         }
-        let mut reports = self.daemons[i].reports.values();
-        if reports.all(|last| *last > 0) {
-            self.daemons[i].controller.set_fleet(fleet());
-        }
     }
 
     /// Reports what daemon `from` knows of earlier owners to daemon `to`.
@@ -194,17 +189,12 @@
             daemon.incarnation == holder && daemon.up && now >= daemon.frozen_until
         };
         let told = self.daemons.iter().find(is_holder);
-        if let Some(owners) = told.and_then(|daemon| daemon.known_owners.clone()) {
+        let owners = told.and_then(|daemon| daemon.known_owners.clone());
+        if let Some(fleet) = told.and_then(|daemon| daemon.controller.fleet(Millis(now))) {
+            self.daemons[i].controller.set_fleet(fleet, Millis(now));
+        }
+        if let Some(owners) = owners {
             self.hear_of(i, owners);
-            self.daemons[i].controller.set_fleet(fleet());
         }
     }
 }
-
-/// All daemons.
-fn fleet() -> FleetDigest {
-    let names: Vec<VmName> = (0..DAEMONS)
-        .map(|i| VmName(format!("d{i}").into()))
-        .collect();
-    FleetDigest::of(&names)
-}
