RECOVER: waits after a restoration count from when it was seen

Callers: keys of an endpoint that had left were unserved for more than 17 s after a restoration in which the controller was lost.

Cause: a holder from before a restoration has renewed its lease before the restored store was seen, and owners on hold are counted from then; the leases in the ranges were counted from the takeover, 2 to 3.5 s later. And a range whose owner has left was sent four grants after the hold, whose possible leases took 4.28 s more.

--- a/src/gateway/controller/commands.rs
+++ b/src/gateway/controller/commands.rs
@@ -112,6 +112,10 @@
         let before = range.phase;
         let unresponsive = range.failures >= MAX_FAILURES;
         match (range.phase, status) {
+            // Nobody has renewed the lease, as the keys were on hold.
+            (Phase::Held, OwnerStatus::Leaving) if now >= range.lease_end => {
+                range.phase = Phase::Free;
+            }
             // A grant comes first: a release would not fence the unacknowledged one.
             (
                 Phase::Held,
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -35,7 +35,7 @@
         // An earlier takeover by this daemon was committed late.
         let became_holder = !was_holder && self.controller_lease.is_holder();
         if became_holder && self.controller_lease.row().map(|row| row.epoch) != epoch_before {
-            self.start_epoch(now, STOP_AFTER);
+            self.start_epoch(now, now + STOP_AFTER);
         }
     }
 
@@ -96,11 +96,11 @@
         self.rows_outdated = false;
     }
 
-    /// Starts an epoch. The predecessor may still send grants for up to `predecessor_active_for`.
-    pub(super) fn start_epoch(&mut self, now: Millis, predecessor_active_for: Millis) {
+    /// Starts an epoch. The predecessor may still send grants until `predecessor_end`.
+    pub(super) fn start_epoch(&mut self, now: Millis, predecessor_end: Millis) {
         self.drop_services();
         self.reports = Reports::new(self.controller_lease.version(), now);
-        self.grace_end = self.latest_lease_end(now + predecessor_active_for);
+        self.grace_end = self.latest_lease_end(predecessor_end);
         let epoch = self.controller_lease.row().map_or(0, |row| row.epoch);
         self.tokens.start_epoch(epoch);
         log::info!(target: "ownership", epoch, version = self.controller_lease.version();
--- a/src/gateway/controller/writes.rs
+++ b/src/gateway/controller/writes.rs
@@ -194,6 +194,10 @@
             return;
         };
         let predecessor_ended = self.controller_lease.predecessor_has_ended();
+        let predecessor_end = match predecessor_ended {
+            true => now,
+            false => self.controller_lease.renewed_by(now) + STOP_AFTER,
+        };
         let predecessor_name = self.controller_lease.row().map(|row| row.holder.clone());
         let predecessor = self
             .controller_lease
@@ -208,12 +212,7 @@
             .record_commit(version, pending.row, pending.sent, now);
         self.check_restoration(now);
         if starts_epoch {
-            let predecessor_active_for = if predecessor_ended {
-                Millis::ZERO
-            } else {
-                STOP_AFTER
-            };
-            self.start_epoch(now, predecessor_active_for);
+            self.start_epoch(now, predecessor_end);
             self.predecessor = predecessor;
             self.predecessor_name = predecessor_name;
         } else if let Some(row) = self.controller_lease.row() {
--- a/src/gateway/controller_lease.rs
+++ b/src/gateway/controller_lease.rs
@@ -221,7 +221,17 @@
         }
         if !is_same_vm && !self.predecessor_has_ended() {
             let holder = self.row.as_ref().map(|row| row.incarnation);
-            self.replaced.push((holder, now + STOP_AFTER));
+            let until = self.renewed_by(now) + STOP_AFTER;
+            self.replaced.push((holder, until));
+        }
+    }
+
+    /// When the last holder renewed the lease at the latest, if another daemon takes it at `now`. A row of
+    /// a copy was renewed before the restoration.
+    pub fn renewed_by(&self, now: Millis) -> Millis {
+        match self.is_restored() {
+            true => self.era_seen_at,
+            false => now,
         }
     }
 
