--- a/src/gateway/control.rs
+++ b/src/gateway/control.rs
@@ -97,7 +97,7 @@
 #[derive(Debug)]
 pub enum IncomingCall {
     /// A report.
-    Report(DaemonReport, oneshot::Sender<ReportReply>),
+    Report(Box<DaemonReport>, oneshot::Sender<ReportReply>),
     /// A request for permits, and the daemon that asks for them.
     Permits(VmName, PermitRequest, oneshot::Sender<PermitReply>),
 }
@@ -337,7 +337,7 @@
 
     fn handle_call(&mut self, call: IncomingCall) {
         match call {
-            IncomingCall::Report(report, reply) => self.handle_report(report, reply),
+            IncomingCall::Report(report, reply) => self.handle_report(*report, reply),
             IncomingCall::Permits(daemon, request, reply) => {
                 self.handle_permit_request(&daemon, &request, PermitReceiver::Other(reply));
             }
--- a/src/gateway/control/reports.rs
+++ b/src/gateway/control/reports.rs
@@ -59,6 +59,7 @@
             lease_version: self.controller.lease_state().version(),
             owner_tokens: self.builder.owner_tokens(),
             known_since: self.controller.lease_state().known_since(),
+            fleet: self.controller.known_fleet(now),
         };
         let lease = self.controller.lease_state();
         if lease.is_holder() {
@@ -164,6 +165,7 @@
             let known = EarlierOwners {
                 lease_version: report.lease_version,
                 known_since: report.known_since,
+                fleet: report.fleet,
                 tokens: std::mem::take(&mut report.owner_tokens),
             };
             let event = Event::EarlierOwners(report.name.clone(), known);
--- a/src/gateway/controller/epoch.rs
+++ b/src/gateway/controller/epoch.rs
@@ -100,6 +100,7 @@
     pub(super) fn start_epoch(&mut self, now: Millis, predecessor_end: Millis) {
         self.drop_services();
         self.reports = Reports::new(self.controller_lease.version(), now);
+        self.drop_old_fleet(now);
         self.grace_end = self.latest_lease_end(predecessor_end);
         let epoch = self.controller_lease.row().map_or(0, |row| row.epoch);
         self.tokens.start_epoch(epoch);
--- a/src/gateway/controller/reports.rs
+++ b/src/gateway/controller/reports.rs
@@ -28,6 +28,8 @@
     pub known_since: Option<u64>,
     /// The latest token of the owners of each service that it knows from whatever source.
     pub tokens: Vec<(ServiceName, u64)>,
+    /// The daemons that could send commands, and for how long it has not been told of them again.
+    pub fleet: Option<(FleetDigest, Millis)>,
 }
 
 /// The latest report of each daemon in this epoch.
@@ -97,18 +99,21 @@
     }
 
     /// All daemons that may send commands now, to be told to the others; `None` if this one does not know
-    /// them or does not hold the lease. A silent one may send commands for [`STOP_AFTER`], and for as long
-    /// a new holder may not have heard from all of them.
+    /// them or is not certainly the only holder of the lease. A silent one may send commands for
+    /// [`STOP_AFTER`], and for as long a new holder may not have heard from all of them. It goes by what
+    /// it was told before.
     pub fn fleet(&self, now: Millis) -> Option<FleetDigest> {
         let lease = &self.controller_lease;
-        let knows_all = now < lease.sole_until()
-            && !lease.is_restored()
-            && now.since(self.reports.since) >= STOP_AFTER
-            && !self.has_unconfirmed(now);
-        knows_all.then(|| {
-            let names = self.reports.received_since(now - STOP_AFTER);
-            FleetDigest::of(names.map(|(name, _)| name).chain(iter::once(lease.name())))
-        })
+        if now >= lease.sole_until() || lease.is_restored() {
+            return None;
+        }
+        let has_heard_from_all = now.since(self.reports.since) >= STOP_AFTER;
+        if !has_heard_from_all || self.has_unconfirmed(now) {
+            return self.fleet.map(|(told, _)| told);
+        }
+        let names = self.reports.received_since(now - STOP_AFTER);
+        let names = names.map(|(name, _)| name).chain(iter::once(lease.name()));
+        Some(FleetDigest::of(names))
     }
 
     /// Keeps the fleet as it was before the store is lost.
@@ -118,6 +123,40 @@
         }
     }
 
+    /// The fleet as this daemon last knew it, and how long ago that was.
+    pub fn known_fleet(&self, now: Millis) -> Option<(FleetDigest, Millis)> {
+        self.fleet
+            .map(|(fleet, known_at)| (fleet, now.since(known_at)))
+    }
+
+    /// Forgets the fleet if it was last known too long before the takeover at `now`, or before the restored
+    /// store was seen.
+    pub(super) fn drop_old_fleet(&mut self, now: Millis) {
+        let is_valid = |known_at: Millis| self.is_valid_fleet(known_at, now);
+        self.fleet = self.fleet.filter(|(_, known_at)| is_valid(*known_at));
+    }
+
+    fn is_valid_fleet(&self, known_at: Millis, now: Millis) -> bool {
+        let era_seen_at = self.controller_lease.era_seen_at();
+        let needed_at = if known_at < era_seen_at {
+            era_seen_at
+        } else {
+            now
+        };
+        needed_at <= known_at + FLEET_VALID_FOR
+    }
+
+    /// Takes over what another daemon knows of the fleet, if this holder has just started.
+    fn adopt_fleet(&mut self, reported: Option<(FleetDigest, Millis)>, now: Millis) {
+        let Some((fleet, age)) = reported.filter(|_| self.fleet.is_none()) else {
+            return;
+        };
+        let known_at = now - age;
+        if self.is_valid_fleet(known_at, now) {
+            self.set_fleet(fleet, known_at);
+        }
+    }
+
     /// Records what another daemon reports while this one holds the lease.
     pub(super) fn handle_earlier_owners(
         &mut self,
@@ -126,6 +165,7 @@
         now: Millis,
     ) {
         if self.controller_lease.is_holder() {
+            self.adopt_fleet(known.fleet, now);
             let report = Report {
                 received_at: now,
                 known,
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -313,7 +313,7 @@
 /// Sends a report to the control thread and waits for its reply.
 async fn forward_report(tx: &mpsc::Sender<IncomingCall>, report: DaemonReport) -> PeerReply {
     let (reply_tx, reply) = oneshot::channel();
-    let call = IncomingCall::Report(report, reply_tx);
+    let call = IncomingCall::Report(Box::new(report), reply_tx);
     if tx.try_send(call).is_err() {
         return PeerReply::Error("report rejected: the daemon is overloaded or stopping".into());
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -95,6 +95,8 @@
     pub owner_tokens: Vec<(ServiceName, u64)>,
     /// The era since which it has known the controllers and owners; `None` if it knows none.
     pub known_since: Option<u64>,
+    /// The daemons that could send commands as it was told last, and the time since then.
+    pub fleet: Option<(FleetDigest, Millis)>,
 }
 
 /// The range controller's reply to a [`DaemonReport`].
--- a/tests/gateway/controllers.rs
+++ b/tests/gateway/controllers.rs
@@ -203,17 +203,20 @@
 /// controller for all, and does not wait for one that is cut off from both and renews key leases.
 #[test]
 fn a_new_controller_does_not_take_the_first_reports_for_all_daemons() {
-    let (_, mut first, _) = first_controller();
-    // It took the lease in its first step.
-    let known_from = (4_000..14_000).step_by(50).find(|now_ms| {
+    let mut first = Daemon::new("d1", &[], |_| true);
+    first.controller.handle(Event::Lease(0, None), Millis(1));
+    let names = ["d1", "d2"].map(|name| VmName(name.into()));
+    let told = FleetDigest::of(&names);
+    first.controller.set_fleet(told, Millis(1));
+    // It takes the lease in its first step. Only itself is heard of.
+    let changed_at = (50..14_000).step_by(50).find(|now_ms| {
         first.step(*now_ms);
-        first.controller.fleet(Millis(*now_ms)).is_some()
+        first.controller.fleet(Millis(*now_ms)) != Some(told)
     });
-    let known_from = known_from.expect("it knows them at last");
-    assert!(known_from >= STOP_AFTER.0, "{known_from} ms");
-    let me = VmName("d1".into());
-    let fleet = first.controller.fleet(Millis(known_from));
-    assert_eq!(fleet, Some(FleetDigest::of([&me])));
+    let changed_at = changed_at.expect("it knows the fleet at last");
+    assert!(changed_at >= STOP_AFTER.0, "{changed_at} ms");
+    let fleet = first.controller.fleet(Millis(changed_at));
+    assert_eq!(fleet, Some(FleetDigest::of(&names[..1])));
 }
 
 /// Guards against keys that nobody serves for 14.6 s after a restoration, although all daemons have reported
@@ -241,6 +244,7 @@
                 lease_version: lease.version(),
                 known_since: None,
                 tokens: Vec::new(),
+                fleet: None,
             };
             let report = Event::EarlierOwners(names[0].clone(), known);
             second.controller.handle(report, Millis(now_ms));
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -60,6 +60,7 @@
         owner_tokens: vec![("s".into(), 5)],
         lease_version: 2,
         known_since: Some(1),
+        fleet: None,
     })
 }
 
--- a/tests/gateway/incarnations.rs
+++ b/tests/gateway/incarnations.rs
@@ -61,6 +61,7 @@
         owner_tokens: Vec::new(),
         lease_version: 1,
         known_since: None,
+        fleet: None,
     })
 }
 
--- a/tests/gateway/simulation/restoration.rs
+++ b/tests/gateway/simulation/restoration.rs
@@ -172,6 +172,7 @@
             lease_version: lease.version(),
             known_since: lease.known_since(),
             tokens: tokens.into_iter().collect(),
+            fleet: daemon.controller.known_fleet(Millis(self.now)),
         };
         let event = Event::EarlierOwners(VmName(format!("d{from}").into()), known);
         let now = Millis(self.now);
