--- a/src/gateway/controller/commands.rs
+++ b/src/gateway/controller/commands.rs
@@ -112,7 +112,7 @@
         let before = range.phase;
         let unresponsive = range.failures >= MAX_FAILURES;
         match (range.phase, status) {
-            // Nobody has renewed the lease, as the keys were on hold.
+            // Its lease was not renewed, for example because the keys were on hold.
             (Phase::Held, OwnerStatus::Leaving) if now >= range.lease_end => {
                 range.phase = Phase::Free;
             }
--- a/src/gateway/controller/reports.rs
+++ b/src/gateway/controller/reports.rs
@@ -15,8 +15,7 @@
 use std::iter;
 
 /// Time from when the daemons were last known until the restored store was seen, after which another
-/// daemon may have come, taken the lease over and gone, unnoticed by those that were cut off. Outages in
-/// which the store is restored are mostly shorter.
+/// daemon may have come, taken the lease over and gone, unnoticed by those that were cut off.
 const FLEET_VALID_FOR: Millis = Millis(4_000);
 
 /// What a daemon knows of the time before the last restoration of the store.
